--- /dev/null
+++ b/state/reason.go
@@ -0,0 +1,59 @@
+package state
+
+// Reason is the typed cause of a refusal, a retry or a stop; each has a counter.
+type Reason string
+
+// The reasons for a refusal or a failed job.
+const (
+	BadRequest          Reason = "badRequest"
+	BodyTooLarge        Reason = "bodyTooLarge"
+	UnknownOrganisation Reason = "unknownOrganisation"
+	UnknownJob          Reason = "unknownJob"
+	UnknownZone         Reason = "unknownZone"
+	NeverFits           Reason = "neverFits"
+	OverQuota           Reason = "overQuota"
+	OverBurst           Reason = "overBurst"
+	QueueFull           Reason = "queueFull"
+	DeadlineTooClose    Reason = "deadlineTooClose"
+	DeadlinePassed      Reason = "deadlinePassed"
+	ShedByShare         Reason = "shedByShare"
+	DuplicateKey        Reason = "duplicateKey"
+	ClaimUnavailable    Reason = "claimUnavailable"
+	NotDurable          Reason = "notDurable"
+	Cancelled           Reason = "cancelled"
+	Draining            Reason = "draining"
+	HomeUnreachable     Reason = "homeUnreachable"
+	NoManifest          Reason = "noManifest"
+	OlderGeneration     Reason = "olderGeneration"
+	StoreUnavailable    Reason = "storeUnavailable"
+	TaskFailed          Reason = "taskFailed"
+	RetryBudgetSpent    Reason = "retryBudgetSpent"
+	AmbiguousStart      Reason = "ambiguousStart"
+)
+
+// The reasons for which a start on workers is given up or repeated.
+const (
+	LeaseRefused   Reason = "leaseRefused"
+	LeaseLapsed    Reason = "leaseLapsed"
+	StaleToken     Reason = "staleToken"
+	WorkerLeaving  Reason = "workerLeaving"
+	WorkerLost     Reason = "workerLost"
+	WorkerFailed   Reason = "workerFailed"
+	WorkerSilent   Reason = "workerSilent"
+	Reclaimed      Reason = "reclaimed"
+	RackMoved      Reason = "rackMoved"
+	HomeMoved      Reason = "homeMoved"
+	ConnectionLost Reason = "connectionLost"
+)
+
+// MayRetry reports whether the same request can succeed later.
+func (r Reason) MayRetry() bool {
+	switch r {
+	case BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone,
+		NeverFits, DuplicateKey, Cancelled, DeadlinePassed, OlderGeneration,
+		TaskFailed, AmbiguousStart:
+		return false
+	default:
+		return true
+	}
+}
