Add the TCP server, the client and the platform's messages

Cause: the other layers wait for a way to ask and answer over TCP. Change: gnet reads, fasthttp parses headers and writes answers, a pool of goroutines runs the handlers, and answers leave in the order of their requests. A body is read once, as it comes in. The client keeps connections by IP number and says whether any byte of a request has left. protocol/message carries JSON with errors that keep step, peer and reason. Checked: go test -race ./transport ./protocol/message passes.

--- /dev/null
+++ b/protocol/message/call.go
@@ -0,0 +1,61 @@
+package message
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"context"
+	"encoding/json"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const contentType = "application/json"
+
+// Call posts the request to the path on the peer and returns its response. A
+// failure is a *state.StepError whose step is the path or the one that the
+// peer reported; it is ambiguous if the peer may have acted.
+func Call[Request, Response any](ctx context.Context, client *transport.Client,
+	peer netip.AddrPort, path string, request Request,
+) (response Response, err error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return response, state.NewStepError(path, peer, state.BadRequest, err)
+	}
+	call := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(call)
+	answer := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(answer)
+	call.Header.SetMethod(fasthttp.MethodPost)
+	call.Header.SetContentType(contentType)
+	call.Header.SetHost(peer.String())
+	call.SetRequestURI(path)
+	call.SetBodyRaw(body)
+	if err := client.Do(ctx, peer, call, answer); err != nil {
+		return response, lost(path, peer, err)
+	}
+	if answer.StatusCode() != fasthttp.StatusOK {
+		return response, decodeError(path, peer, answer)
+	}
+	if err := decode(answer.Body(), &response); err != nil {
+		return response, state.AmbiguousStep(path, peer, state.ConnectionLost, err)
+	}
+	return response, nil
+}
+
+func lost(path string, peer netip.AddrPort, err error) error {
+	if transport.MayHaveActed(err) {
+		return state.AmbiguousStep(path, peer, state.ConnectionLost, err)
+	}
+	return state.NewStepError(path, peer, state.ConnectionLost, err)
+}
+
+func decodeError(path string, peer netip.AddrPort, answer *fasthttp.Response) error {
+	var body errorBody
+	if err := decode(answer.Body(), &body); err != nil || body.Reason == "" {
+		cause := errors.Errorf("status %d without a typed error", answer.StatusCode())
+		return state.AmbiguousStep(path, peer, state.ConnectionLost, cause)
+	}
+	return body.stepError(path, peer)
+}
--- /dev/null
+++ b/protocol/message/routes.go
@@ -0,0 +1,31 @@
+package message
+
+import (
+	"comfreystream/state"
+	"net/netip"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Route is a handler under an exact path.
+type Route struct {
+	Path   string
+	Handle fasthttp.RequestHandler
+}
+
+// Routes returns a handler that passes each POST to the route with its path
+// and refuses every other request.
+func Routes(routes []Route) fasthttp.RequestHandler {
+	handlers := make(map[string]fasthttp.RequestHandler, len(routes))
+	for _, route := range routes {
+		handlers[route.Path] = route.Handle
+	}
+	return func(ctx *fasthttp.RequestCtx) {
+		handle, found := handlers[string(ctx.Path())]
+		if !found || !ctx.IsPost() {
+			fail(ctx, state.NewStepError("route "+string(ctx.Path()), netip.AddrPort{}, state.BadRequest, nil))
+			return
+		}
+		handle(ctx)
+	}
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,192 @@
+package transport
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+// Server answers HTTP/1.1 requests on one TCP address; handlers run on a
+// bounded pool of goroutines, never on an event loop.
+type Server struct {
+	gnet.BuiltinEventEngine
+
+	handler fasthttp.RequestHandler
+	limits  Limits
+	address netip.AddrPort
+	engine  gnet.Engine
+	pool    *ants.Pool
+
+	connections atomic.Int64
+	inFlight    atomic.Int64
+	draining    atomic.Bool
+	drained     atomic.Bool
+	// settled hears that a request was answered while the server drains.
+	settled chan struct{}
+
+	booted   chan error
+	stopped  chan error
+	handlers sync.WaitGroup
+	close    sync.Once
+	closeErr error
+}
+
+// Listen starts a server on the address; port 0 takes a free port. Limits
+// that are not set take their defaults.
+func Listen(address netip.AddrPort, handler fasthttp.RequestHandler, limits Limits) (*Server, error) {
+	s := &Server{
+		handler: handler,
+		limits:  limits.orDefaults(),
+		settled: make(chan struct{}, 1),
+		booted:  make(chan error, 1),
+		stopped: make(chan error, 1),
+	}
+	pool, err := ants.NewPool(s.limits.Handlers, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen: %s: start the pool of handlers", address)
+	}
+	s.pool = pool
+	go s.run(address)
+	if err := <-s.booted; err != nil {
+		pool.Release()
+		return nil, errors.Wrapf(err, "listen: %s", address)
+	}
+	return s, nil
+}
+
+// Address returns the address that the server is bound to.
+func (s *Server) Address() netip.AddrPort { return s.address }
+
+// Drain answers every request in flight, and those that still arrive, with
+// "Connection: close", and returns once none is left; after that the server
+// reads no further request. It returns early with the context's error.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	if err := s.waitSettled(ctx); err != nil {
+		return err
+	}
+	s.drained.Store(true)
+	return s.waitSettled(ctx)
+}
+
+// Close closes every connection and waits until all handlers have returned;
+// call Drain first to let requests in flight be answered.
+func (s *Server) Close() error {
+	s.close.Do(func() {
+		s.drained.Store(true)
+		stopNow, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.engine.Stop(stopNow)
+		s.closeErr = <-s.stopped
+		s.handlers.Wait()
+		s.pool.Release()
+	})
+	return s.closeErr
+}
+
+// OnBoot implements gnet.EventHandler.
+func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	address, err := boundAddress(engine)
+	s.address = address
+	s.booted <- err
+	if err != nil {
+		return gnet.Shutdown
+	}
+	return gnet.None
+}
+
+// OnOpen implements gnet.EventHandler.
+func (s *Server) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
+	open := s.connections.Add(1)
+	c := newConnection(s, conn)
+	conn.SetContext(c)
+	if s.drained.Load() {
+		return nil, gnet.Close
+	}
+	if open > int64(s.limits.Connections) {
+		s.limits.Count(TooManyConnections)
+		return nil, gnet.Close
+	}
+	c.expireIn(s.limits.IdleTimeout, ConnectionIdle)
+	return nil, gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (s *Server) OnTraffic(conn gnet.Conn) gnet.Action {
+	c, known := conn.Context().(*connection)
+	if !known {
+		return gnet.Close
+	}
+	return c.receive()
+}
+
+// OnClose implements gnet.EventHandler.
+func (s *Server) OnClose(conn gnet.Conn, _ error) gnet.Action {
+	if c, known := conn.Context().(*connection); known {
+		s.connections.Add(-1)
+		c.forget()
+	}
+	return gnet.None
+}
+
+func (s *Server) run(address netip.AddrPort) {
+	err := gnet.Run(s, "tcp://"+address.String(),
+		gnet.WithMulticore(true),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(zap.NewNop().Sugar()))
+	select {
+	case s.booted <- err:
+	default:
+	}
+	s.stopped <- err
+}
+
+func (s *Server) waitSettled(ctx context.Context) error {
+	for s.inFlight.Load() > 0 {
+		select {
+		case <-s.settled:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "drain: %s: %d requests in flight", s.address, s.inFlight.Load())
+		}
+	}
+	return nil
+}
+
+func (s *Server) settle() {
+	if s.inFlight.Add(-1) > 0 || !s.draining.Load() {
+		return
+	}
+	select {
+	case s.settled <- struct{}{}:
+	default:
+	}
+}
+
+func boundAddress(engine gnet.Engine) (netip.AddrPort, error) {
+	descriptor, err := engine.Dup()
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "copy the listener")
+	}
+	defer func() { _ = unix.Close(descriptor) }()
+	bound, err := unix.Getsockname(descriptor)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "read the bound address")
+	}
+	switch a := bound.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port)), nil
+	default:
+		return netip.AddrPort{}, errors.Errorf("unexpected kind of address %T", bound)
+	}
+}
