--- a/state/job.go
+++ b/state/job.go
@@ -67,6 +67,8 @@
 	// DeclaredRunTime is the caller's guess; it is often far from the truth.
 	DeclaredRunTime time.Duration
 	Payload         []byte
+	// Checkpoints are the states saved by an earlier attempt's workers, if any.
+	Checkpoints [][]byte
 }
 
 // Total returns what the whole gang uses.
