--- /dev/null
+++ b/coordination/lease/report.go
@@ -0,0 +1,113 @@
+package lease
+
+import (
+	"comfreystream/state"
+	"context"
+	"time"
+)
+
+// reportLoop tells the planner of changes at once and that the home lives at intervals.
+func (r *rack) reportLoop() {
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.wake:
+		case <-timer.C:
+		}
+		if err := r.report(); err != nil {
+			r.keeper.Count(state.ReasonOf(err, state.HomeUnreachable))
+			pause(r.ctx, retryPause)
+			r.signal()
+		}
+		timer.Reset(reportInterval)
+	}
+}
+
+func (r *rack) report() error {
+	report := r.nextReport()
+	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	defer cancel()
+	reply, err := r.keeper.Report(ctx, report)
+	if err != nil {
+		r.putBack(report)
+		return err
+	}
+	r.settle(reply)
+	return nil
+}
+
+func (r *rack) nextReport() state.RackReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	report := state.RackReport{Rack: r.self, Home: r.keeper.Self, Sequence: r.sequence, Full: r.full}
+	for _, w := range r.workers {
+		if part, told := w.part(r.full); told {
+			report.Workers = append(report.Workers, part)
+		}
+		w.changed = false
+		clear(w.unreported)
+	}
+	r.full = false
+	return report
+}
+
+// part returns what is to be told of the worker; jobs travel in full reports only.
+func (w *worker) part(full bool) (part state.WorkerReport, told bool) {
+	part = state.WorkerReport{Worker: w.description, Listed: w.listed, Lost: w.lost}
+	for attempt, t := range w.tasks {
+		if full {
+			part.Tasks = append(part.Tasks, t)
+			continue
+		}
+		if w.unreported[attempt] {
+			t.Job = state.Job{}
+			part.Tasks = append(part.Tasks, t)
+		}
+	}
+	return part, full || w.changed || len(part.Tasks) > 0
+}
+
+// putBack has the next report tell everything, since this one may not have arrived.
+func (r *rack) putBack(report state.RackReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.full = true
+	r.sequence = report.Sequence
+}
+
+func (r *rack) settle(reply state.ReportReply) {
+	r.mu.Lock()
+	if reply.Resend {
+		r.full = true
+		r.signal()
+	}
+	for _, w := range r.workers {
+		w.confirm = appendKnown(w.confirm, reply.Whole, w)
+		w.forget = appendKnown(w.forget, reply.Forget, w)
+	}
+	r.mu.Unlock()
+	for _, attempt := range reply.Stop {
+		r.loops.Go(func() { r.stopHolders(attempt) })
+	}
+}
+
+func (r *rack) stopHolders(attempt state.JobAttempt) {
+	for _, address := range r.holders(attempt) {
+		if _, err := r.stopOn(r.ctx, address, attempt); err != nil {
+			r.keeper.Count(state.ReasonOf(err, state.WorkerSilent))
+		}
+	}
+}
+
+func appendKnown(list, attempts []state.JobAttempt, w *worker) []state.JobAttempt {
+	for _, attempt := range attempts {
+		if _, found := w.tasks[attempt]; found {
+			list = append(list, attempt)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/coordination/lease/tend.go
@@ -0,0 +1,113 @@
+package lease
+
+import (
+	"comfreystream/state"
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// tend attaches to a worker and renews its leases until ctx ends; after a
+// failure it attaches again, which also voids the tokens of an earlier home.
+func (r *rack) tend(ctx context.Context, w *worker) {
+	lastAnswer := r.keeper.Now()
+	for ctx.Err() == nil {
+		err := r.attach(ctx, w)
+		for err == nil {
+			lastAnswer = r.keeper.Now()
+			err = r.renew(ctx, w)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.keeper.Count(state.ReasonOf(err, state.WorkerSilent))
+		r.unlist(w, r.keeper.Now().Sub(lastAnswer) > confirmedTTL)
+		pause(ctx, retryPause+rand.N(retryPause))
+	}
+}
+
+func (r *rack) attach(ctx context.Context, w *worker) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	token, err := r.keeper.Workers.Attach(ctx, w.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.token = token
+	w.version = 0
+	return nil
+}
+
+func (r *rack) renew(ctx context.Context, w *worker) error {
+	request := r.renewRequest(w)
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+callTimeout)
+	defer cancel()
+	reply, err := r.keeper.Workers.Renew(ctx, w.address, request)
+	if err != nil {
+		return err
+	}
+	r.takeIn(w, request, reply)
+	return nil
+}
+
+func (r *rack) renewRequest(w *worker) state.RenewRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	request := state.RenewRequest{
+		Token: w.token, TTL: confirmedTTL, Since: w.version, Wait: renewWait,
+		Confirm: w.confirm, Forget: w.forget,
+	}
+	if !w.listed {
+		request.Wait = 0
+	}
+	return request
+}
+
+func (r *rack) takeIn(w *worker, request state.RenewRequest, reply state.RenewReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !w.listed {
+		clear(w.tasks)
+		w.changed = true
+	}
+	w.listed, w.lost = true, false
+	w.version = reply.Version
+	w.confirm = w.confirm[len(request.Confirm):]
+	w.forget = w.forget[len(request.Forget):]
+	for _, attempt := range request.Forget {
+		delete(w.tasks, attempt)
+	}
+	for _, t := range reply.Changed {
+		attempt := state.JobAttempt{Job: t.Lease.Job, Attempt: t.Lease.Attempt}
+		w.tasks[attempt] = t
+		w.unreported[attempt] = true
+	}
+	if reply.Worker.Leaving {
+		r.markLeaving(w)
+	}
+	if w.changed || len(reply.Changed) > 0 {
+		r.signal()
+	}
+}
+
+// unlist notes that the worker does not answer; lost means that all its leases have expired.
+func (r *rack) unlist(w *worker, lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !w.listed && w.lost == lost {
+		return
+	}
+	w.listed, w.lost = false, lost
+	r.noteChange(w)
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
