Start gangs whole or not at all

Cause: no part of a gang may run unless all of it does, and "not run" must be true whichever message is lost or whoever dies in between. Change: hold every rack in the order of names without waiting, start all racks in parallel while the leases outlast the start's timeout, stop every part on any failure, and answer "not run" only if no start was sent or every worker confirmed that none took effect.

--- /dev/null
+++ b/coordination/gang/failure.go
@@ -0,0 +1,56 @@
+package gang
+
+import (
+	"comfreystream/state"
+	"context"
+	"net/netip"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// failure is why a gang did not start and which workers are to blame.
+type failure struct {
+	reason state.Reason
+	failed []netip.AddrPort
+}
+
+func (f *failure) result(ran state.Ran) Result {
+	return Result{Ran: ran, Reason: f.reason, Failed: f.failed}
+}
+
+// failureOf reads what a rack's error says; one without a step means that the
+// rack's home gave no answer.
+func failureOf(ctx context.Context, p *part, err error) *failure {
+	if ctx.Err() != nil {
+		return ended(ctx)
+	}
+	f := &failure{reason: state.ReasonOf(err, state.HomeUnreachable)}
+	var step *state.StepError
+	if errors.As(err, &step) && blames(step.Reason) && p.uses(step.Peer) {
+		f.failed = []netip.AddrPort{step.Peer}
+	}
+	return f
+}
+
+// ended is the failure of a start whose own caller gave up.
+func ended(ctx context.Context) *failure {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &failure{reason: state.DeadlinePassed}
+	}
+	return &failure{reason: state.Cancelled}
+}
+
+// blames reports whether the reason counts against the worker that gave it.
+func blames(reason state.Reason) bool {
+	switch reason {
+	case state.WorkerFailed, state.WorkerSilent, state.WorkerLost, state.ConnectionLost:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *part) uses(worker netip.AddrPort) bool {
+	return slices.ContainsFunc(p.placements, func(pl state.Placement) bool { return pl.Worker == worker })
+}
--- /dev/null
+++ b/coordination/gang/fake_test.go
@@ -0,0 +1,192 @@
+package gang
+
+import (
+	"comfreystream/state"
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type attemptKey struct {
+	job     state.JobID
+	attempt state.Attempt
+}
+
+// fakeWorker grants leases that lapse, and keeps a record of what it started.
+type fakeWorker struct {
+	address netip.AddrPort
+	free    int
+	leases  map[attemptKey]*fakeLease
+	voided  map[attemptKey]bool
+	started map[attemptKey]bool
+}
+
+type fakeLease struct {
+	members int
+	expires time.Time
+	running bool
+}
+
+func (w *fakeWorker) used(now time.Time) (members int) {
+	for _, l := range w.leases {
+		if now.Before(l.expires) {
+			members += l.members
+		}
+	}
+	return members
+}
+
+func (w *fakeWorker) running(k attemptKey, now time.Time) int {
+	l := w.leases[k]
+	if l == nil || !l.running || !now.Before(l.expires) {
+		return 0
+	}
+	return l.members
+}
+
+// message is one request to one worker.
+type message struct {
+	step   string
+	worker netip.AddrPort
+	job    state.JobID
+}
+
+type fault int
+
+const (
+	none fault = iota
+	refuse
+	requestLost
+	answerLost
+	// late loses the answer and delivers the request again after the stop.
+	late
+	// death is the end of the starter: this message and all later ones are lost.
+	death
+)
+
+// fakeZone is the racks' homes and their workers behind a Starter's seams.
+type fakeZone struct {
+	mu      sync.Mutex
+	racks   map[string][]*fakeWorker
+	fault   func(m message, count int) fault
+	count   int
+	dead    bool
+	pending sync.WaitGroup
+}
+
+func (z *fakeZone) starter() *Starter {
+	return &Starter{Now: time.Now, Hold: z.hold, Start: z.start, Stop: z.stop}
+}
+
+// deliver passes a message to a worker, with whatever fault the table asks for.
+func (z *fakeZone) deliver(m message, act func() bool) error {
+	<-time.After(time.Millisecond)
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.count++
+	f := z.fault(m, z.count)
+	z.dead = z.dead || f == death
+	switch {
+	case z.dead, f == requestLost:
+		return state.AmbiguousStep(m.step, m.worker, state.WorkerSilent, nil)
+	case f == refuse:
+		return state.NewStepError(m.step, m.worker, state.WorkerFailed, nil)
+	case f == late:
+		z.pending.Go(func() {
+			<-time.After(holdTTL / 2)
+			z.mu.Lock()
+			defer z.mu.Unlock()
+			act()
+		})
+		return state.AmbiguousStep(m.step, m.worker, state.WorkerSilent, nil)
+	}
+	if !act() {
+		return state.NewStepError(m.step, m.worker, state.LeaseRefused, nil)
+	}
+	if f == answerLost {
+		return state.AmbiguousStep(m.step, m.worker, state.WorkerSilent, nil)
+	}
+	return nil
+}
+
+func (z *fakeZone) hold(_ context.Context, rack string, r HoldRequest) (leases []state.Lease, err error) {
+	k := attemptKey{r.Job.ID, r.Attempt}
+	for _, p := range r.Placements {
+		w := z.worker(rack, p.Worker)
+		err := z.deliver(message{"hold", p.Worker, k.job}, func() bool {
+			if w.voided[k] || w.free-w.used(time.Now()) < p.Members {
+				return false
+			}
+			w.leases[k] = &fakeLease{members: p.Members, expires: time.Now().Add(r.TTL)}
+			return true
+		})
+		if err != nil {
+			return nil, z.undo(rack, k, err)
+		}
+		leases = append(leases, state.Lease{Worker: p.Worker, Job: k.job, Attempt: k.attempt, Members: p.Members, Expires: time.Now().Add(r.TTL)})
+	}
+	return leases, nil
+}
+
+// undo keeps the home's promise that a refused hold leaves nothing in the rack.
+func (z *fakeZone) undo(rack string, k attemptKey, cause error) error {
+	if state.IsAmbiguous(cause) {
+		return cause
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for _, w := range z.racks[rack] {
+		delete(w.leases, k)
+	}
+	return cause
+}
+
+func (z *fakeZone) start(_ context.Context, rack string, leases []state.Lease) error {
+	for _, l := range leases {
+		w := z.worker(rack, l.Worker)
+		k := attemptKey{l.Job, l.Attempt}
+		err := z.deliver(message{"start", l.Worker, k.job}, func() bool {
+			held := w.leases[k]
+			if held == nil || w.voided[k] || !time.Now().Before(held.expires) {
+				return false
+			}
+			held.running = true
+			w.started[k] = true
+			return true
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (z *fakeZone) stop(_ context.Context, rack string, job state.JobID, attempt state.Attempt) (bool, error) {
+	k := attemptKey{job, attempt}
+	neverStarted := true
+	var lost error
+	for _, w := range z.racks[rack] {
+		err := z.deliver(message{"stop", w.address, job}, func() bool {
+			delete(w.leases, k)
+			w.voided[k] = true
+			neverStarted = neverStarted && !w.started[k]
+			return true
+		})
+		if err != nil {
+			lost = errors.Wrap(err, rack)
+		}
+	}
+	return neverStarted && lost == nil, lost
+}
+
+func (z *fakeZone) worker(rack string, address netip.AddrPort) *fakeWorker {
+	for _, w := range z.racks[rack] {
+		if w.address == address {
+			return w
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/gang/starter.go
@@ -0,0 +1,88 @@
+package gang
+
+import (
+	"comfreystream/state"
+	"context"
+	"net/netip"
+	"time"
+)
+
+const (
+	holdTTL        = 5 * time.Second
+	holdTimeout    = 400 * time.Millisecond
+	releaseTimeout = 300 * time.Millisecond
+	startTimeout   = time.Second
+	stopTimeout    = time.Second
+	stopPause      = 100 * time.Millisecond
+	stopTries      = 3
+)
+
+// Starter starts gangs through the homes of their racks; it keeps nothing
+// between calls and is safe for several goroutines.
+type Starter struct {
+	// Now returns the time with its monotonic reading.
+	Now func() time.Time
+	// Hold takes leases for all the placements in the rack or for none, without
+	// waiting for capacity; Expires of the leases is on Now's clock. Errors are
+	// state.StepError, ambiguous if the rack may hold leases all the same.
+	Hold func(ctx context.Context, rack string, request HoldRequest) ([]state.Lease, error)
+	// Start starts the members under the leases; it may have started any of
+	// them when it returns an error.
+	Start func(ctx context.Context, rack string, leases []state.Lease) error
+	// Stop is idempotent: it voids the attempt's leases in the rack, refuses its
+	// later holds and starts, and stops its tasks. It returns neverStarted only
+	// if every worker of the rack confirmed that no member was ever started.
+	Stop func(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (neverStarted bool, err error)
+}
+
+// HoldRequest asks the home of one rack for leases on its workers.
+type HoldRequest struct {
+	Job        *state.Job
+	Attempt    state.Attempt
+	Placements []state.Placement
+	// TTL is how long the leases last unless they are renewed.
+	TTL time.Duration
+}
+
+// Result is the one outcome of a gang's start.
+type Result struct {
+	Started bool
+	// Leases holds the leases of a started gang, in the order of their racks.
+	Leases []state.Lease
+	// Ran is NotRun only if no member was started or can be started any more.
+	Ran state.Ran
+	// Reason is empty for a started gang.
+	Reason state.Reason
+	// Failed names the workers that failed; those that only refused are not in it.
+	Failed []netip.AddrPort
+}
+
+// Run holds all the placements and then starts them all, or leaves none
+// running; it returns within seconds, also when racks are silent. It takes the
+// racks in the order of their names and never waits for capacity, so that of
+// two starters that need the same racks one goes on.
+func (s *Starter) Run(ctx context.Context, job *state.Job, attempt state.Attempt, placements []state.Placement) Result {
+	if job.Members < 1 || state.Members(placements) != job.Members {
+		return Result{Ran: state.NotRun, Reason: state.BadRequest}
+	}
+	g := newGang(job, attempt, placements)
+	if f := s.holdAll(ctx, g); f != nil {
+		s.release(ctx, g)
+		return f.result(state.NotRun)
+	}
+	f := s.startAll(ctx, g)
+	if f == nil {
+		return Result{Started: true, Leases: g.leases(), Ran: state.Unknown}
+	}
+	return f.result(s.stopStarted(ctx, g))
+}
+
+// Abort stops every part of an attempt in the racks, as for a cancel or after
+// the loss of its starter. It returns neverStarted only if every rack confirmed
+// it; without racks nobody confirmed anything. It goes on when ctx is done.
+func (s *Starter) Abort(ctx context.Context, job state.JobID, attempt state.Attempt, racks []string) (neverStarted bool, err error) {
+	if len(racks) == 0 {
+		return false, nil
+	}
+	return s.stopAll(ctx, job, attempt, racks)
+}
--- /dev/null
+++ b/coordination/gang/stop.go
@@ -0,0 +1,61 @@
+package gang
+
+import (
+	"comfreystream/state"
+	"context"
+	"sync"
+	"time"
+)
+
+// stopAll stops the attempt in all the racks in parallel; neverStarted holds
+// only if each of them confirmed it. The error is that of the first rack
+// without an answer.
+func (s *Starter) stopAll(ctx context.Context, job state.JobID, attempt state.Attempt, racks []string) (neverStarted bool, err error) {
+	neverStarted = true
+	var mu sync.Mutex
+	inParallel(racks, func(rack string) {
+		clean, stopErr := s.stop(context.WithoutCancel(ctx), rack, job, attempt)
+		mu.Lock()
+		defer mu.Unlock()
+		neverStarted = neverStarted && clean && stopErr == nil
+		if err == nil {
+			err = stopErr
+		}
+	})
+	return neverStarted, err
+}
+
+// stop asks one rack until it answers, at most stopTries times.
+func (s *Starter) stop(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (neverStarted bool, err error) {
+	pause := stopPause
+	for try := range stopTries {
+		if try > 0 {
+			wait(pause)
+			pause *= 2
+		}
+		neverStarted, err = s.stopOnce(ctx, rack, job, attempt)
+		if err == nil {
+			return neverStarted, nil
+		}
+	}
+	return false, err
+}
+
+func (s *Starter) stopOnce(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (bool, error) {
+	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	return s.Stop(bounded, rack, job, attempt)
+}
+
+func wait(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	<-timer.C
+}
+
+func inParallel(racks []string, act func(rack string)) {
+	var all sync.WaitGroup
+	for _, rack := range racks {
+		all.Go(func() { act(rack) })
+	}
+	all.Wait()
+}
