Ask the job's owner before a held gang starts

Cause: a job cancelled while its gang is held must be answered "not run" at once, which is true only if its start is then never sent. Change: Starter.Commit is asked once between the last hold and the first start; an error releases the holds. Tests check that a refused gang leaves no capacity held, and that a stop whose answer is lost is asked again.

--- a/coordination/gang/fake_test.go
+++ b/coordination/gang/fake_test.go
@@ -182,6 +182,15 @@
 	return neverStarted && lost == nil, lost
 }
 
+func (z *fakeZone) used() (members int) {
+	for _, workers := range z.racks {
+		for _, w := range workers {
+			members += w.used(time.Now())
+		}
+	}
+	return members
+}
+
 func (z *fakeZone) worker(rack string, address netip.AddrPort) *fakeWorker {
 	for _, w := range z.racks[rack] {
 		if w.address == address {
--- a/coordination/gang/hold.go
+++ b/coordination/gang/hold.go
@@ -35,6 +35,16 @@
 	return nil
 }
 
+func (s *Starter) commit(g *gang) *failure {
+	if s.Commit == nil {
+		return nil
+	}
+	if err := s.Commit(g.job.ID, g.attempt); err != nil {
+		return &failure{reason: state.ReasonOf(err, state.Cancelled)}
+	}
+	return nil
+}
+
 // release voids the holds of a gang that was never started; what a rack does
 // not hear lapses with its leases, so it asks only once.
 func (s *Starter) release(ctx context.Context, g *gang) {
--- a/coordination/gang/starter.go
+++ b/coordination/gang/starter.go
@@ -26,6 +26,9 @@
 	// waiting for capacity; Expires of the leases is on Now's clock. Errors are
 	// state.StepError, ambiguous if the rack may hold leases all the same.
 	Hold func(ctx context.Context, rack string, request HoldRequest) ([]state.Lease, error)
+	// Commit, unless nil, is asked once every member is held and before the
+	// first start is sent; an error ends the attempt with nothing started.
+	Commit func(job state.JobID, attempt state.Attempt) error
 	// Start starts the members under the leases; it may have started any of
 	// them when it returns an error.
 	Start func(ctx context.Context, rack string, leases []state.Lease) error
@@ -66,11 +69,15 @@
 		return Result{Ran: state.NotRun, Reason: state.BadRequest}
 	}
 	g := newGang(job, attempt, placements)
-	if f := s.holdAll(ctx, g); f != nil {
+	f := s.holdAll(ctx, g)
+	if f == nil {
+		f = s.commit(g)
+	}
+	if f != nil {
 		s.release(ctx, g)
 		return f.result(state.NotRun)
 	}
-	f := s.startAll(ctx, g)
+	f = s.startAll(ctx, g)
 	if f == nil {
 		return Result{Started: true, Leases: g.leases(), Ran: state.Unknown}
 	}
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -53,11 +53,10 @@
 	z.renew(result)
 	z.pending.Wait()
 	<-time.After(holdTTL)
-	running, used, started := 0, 0, false
+	running, started := 0, false
 	for _, workers := range z.racks {
 		for _, w := range workers {
 			running += w.running(k, time.Now())
-			used += w.used(time.Now())
 			started = started || w.started[k]
 		}
 	}
@@ -67,7 +66,7 @@
 	if result.Ran == state.NotRun && started {
 		t.Error("the answer is not run, but a worker started a member")
 	}
-	if !result.Started && used > 0 {
+	if used := z.used(); !result.Started && used > 0 {
 		t.Errorf("%d members' capacity is still held", used)
 	}
 }
@@ -105,6 +104,15 @@
 		{"every first start fails", across, func(m message, _ int) fault {
 			return map[bool]fault{true: refuse}[m.step == "start"]
 		}, Result{Ran: state.NotRun, Reason: state.WorkerFailed}},
+		{"every first start fails and a stop's answer is lost", across, func() func(message, int) fault {
+			lost := on("stop", a2, answerLost, 1)
+			return func(m message, count int) fault {
+				if m.step == "start" {
+					return refuse
+				}
+				return lost(m, count)
+			}
+		}(), Result{Ran: state.NotRun, Reason: state.WorkerFailed}},
 		{"start fails and a stop's answer is lost", across, func(m message, _ int) fault {
 			return map[message]fault{{"start", a1, "z.1"}: refuse, {"stop", a1, "z.1"}: answerLost}[m]
 		}, Result{Ran: state.Unknown, Reason: state.WorkerFailed, Failed: []netip.AddrPort{a1}}},
@@ -126,6 +134,9 @@
 				if tt.want.Failed != nil && !slices.Equal(got.Failed, tt.want.Failed) {
 					t.Errorf("blamed %v, want %v", got.Failed, tt.want.Failed)
 				}
+				if used := z.used(); got.Ran == state.NotRun && used > 0 {
+					t.Errorf("%d members' capacity is held after the answer", used)
+				}
 				checkSettled(t, z, &gangJob, got)
 			})
 		})
@@ -194,18 +205,51 @@
 	}
 }
 
-func TestSlowHoldsAreNotStarted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		z := newFakeZone(on("", a1, none, 0))
-		s := z.starter()
-		s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
-			<-time.After(map[string]time.Duration{"b": holdTTL - startTimeout}[rack])
-			return z.hold(ctx, rack, r)
-		}
-		got := s.Run(t.Context(), &gangJob, 1, across)
-		if got.Ran != state.NotRun || got.Reason != state.LeaseLapsed {
-			t.Errorf("got %+v, want not run for a lapsed lease", got)
-		}
-		checkSettled(t, z, &gangJob, got)
-	})
+func TestHeldGangIsNotStarted(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(s *Starter)
+		want   state.Reason
+	}{
+		{"holds were slow", func(s *Starter) {
+			hold := s.Hold
+			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
+				<-time.After(map[string]time.Duration{"b": holdTTL - startTimeout}[rack])
+				return hold(ctx, rack, r)
+			}
+		}, state.LeaseLapsed},
+		{"leases are short", func(s *Starter) {
+			hold := s.Hold
+			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
+				r.TTL = startTimeout
+				return hold(ctx, rack, r)
+			}
+		}, state.LeaseLapsed},
+		{"job was cancelled", func(s *Starter) {
+			s.Commit = func(state.JobID, state.Attempt) error {
+				return &state.TransitionError{Phase: state.JobDone, Event: state.StartSent}
+			}
+		}, state.Cancelled},
+		{"one member is missing", func(s *Starter) {
+			hold := s.Hold
+			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
+				leases, err := hold(ctx, rack, r)
+				return leases[1:], err
+			}
+		}, state.LeaseRefused},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newFakeZone(on("", a1, none, 0))
+				s := z.starter()
+				tt.change(s)
+				got := s.Run(t.Context(), &gangJob, 1, across)
+				if got.Started || got.Ran != state.NotRun || got.Reason != tt.want {
+					t.Errorf("got %+v, want not run, %v", got, tt.want)
+				}
+				checkSettled(t, z, &gangJob, got)
+			})
+		})
+	}
 }
