Decide homes by rendezvous hashing over live members

Cause: racks, zones and relays need one home each, found alike by every entry without agreement. Conclusion: a member that goes moves only its own keys, each to the second in rank; both are tests over 4096 keys.

--- /dev/null
+++ b/coordination/ownership/rank.go
@@ -0,0 +1,65 @@
+package ownership
+
+import (
+	"cmp"
+	"comfreystream/state"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Home returns the member that holds the key, or false if there are none. It
+// allocates nothing.
+func Home(key string, members []state.Member) (home state.Member, found bool) {
+	keyHash := xxhash.Sum64String(key)
+	var best uint64
+	for i := range members {
+		s := score(keyHash, &members[i])
+		if found && !above(s, best, &members[i], &home) {
+			continue
+		}
+		home, best, found = members[i], s, true
+	}
+	return home, found
+}
+
+// Rank sorts the members in place, the key's home first and then those that
+// take over in turn, and returns them. It allocates nothing.
+func Rank(key string, members []state.Member) []state.Member {
+	keyHash := xxhash.Sum64String(key)
+	slices.SortFunc(members, func(a, b state.Member) int {
+		return cmp.Or(
+			cmp.Compare(score(keyHash, &b), score(keyHash, &a)),
+			a.Address.Compare(b.Address),
+		)
+	})
+	return members
+}
+
+// score is the weight of a member for a key; the highest is the home.
+func score(keyHash uint64, m *state.Member) uint64 {
+	var text [18]byte
+	address := m.Address.Addr().As16()
+	port := m.Address.Port()
+	copy(text[:16], address[:])
+	text[16], text[17] = byte(port>>8), byte(port)
+	return mix(keyHash ^ xxhash.Sum64(text[:]))
+}
+
+func above(a, b uint64, first, second *state.Member) bool {
+	if a != b {
+		return a > b
+	}
+	return first.Address.Compare(second.Address) < 0
+}
+
+// mix spreads every bit of x over the result; it is the finalizer of
+// MurmurHash3 (Appleby, 2011).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/coordination/ownership/rank_test.go
@@ -0,0 +1,123 @@
+package ownership
+
+import (
+	"comfreystream/state"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+)
+
+const testKeys = 4096
+
+func testMembers(count int) []state.Member {
+	members := make([]state.Member, count)
+	for i := range members {
+		address := netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)})
+		members[i] = state.Member{Address: netip.AddrPortFrom(address, 7070), AvailabilityZone: "a"}
+	}
+	return members
+}
+
+func homes(members []state.Member) []netip.AddrPort {
+	found := make([]netip.AddrPort, testKeys)
+	for i := range found {
+		home, _ := Home(fmt.Sprint("rack:a/r", i), members)
+		found[i] = home.Address
+	}
+	return found
+}
+
+func TestMovement(t *testing.T) {
+	tests := []struct {
+		name    string
+		members int
+		gone    int
+	}{
+		{"one of two goes", 2, 1},
+		{"one of eight goes", 8, 3},
+		{"one of 32 goes", 32, 31},
+		{"one of 128 goes", 128, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before := testMembers(tt.members)
+			gone := before[tt.gone].Address
+			after := slices.Delete(slices.Clone(before), tt.gone, tt.gone+1)
+			oldHomes, newHomes := homes(before), homes(after)
+			for i := range oldHomes {
+				if oldHomes[i] != gone && newHomes[i] != oldHomes[i] {
+					t.Fatalf("key %d moved from %v to %v, though %v went", i, oldHomes[i], newHomes[i], gone)
+				}
+				if oldHomes[i] != gone {
+					continue
+				}
+				ranked := Rank(fmt.Sprint("rack:a/r", i), slices.Clone(before))
+				if newHomes[i] != ranked[1].Address {
+					t.Fatalf("key %d went to %v, not to the second in rank %v", i, newHomes[i], ranked[1].Address)
+				}
+			}
+		})
+	}
+}
+
+func TestBalance(t *testing.T) {
+	for _, count := range []int{2, 8, 32, 128} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			held := map[netip.AddrPort]int{}
+			for _, home := range homes(testMembers(count)) {
+				held[home]++
+			}
+			mean := float64(testKeys) / float64(count)
+			limit := mean + 5*math.Sqrt(mean)
+			for address, keys := range held {
+				if float64(keys) > limit {
+					t.Errorf("%v holds %d keys, above %.0f", address, keys, limit)
+				}
+			}
+			if len(held) != count {
+				t.Errorf("%d members hold keys, want %d", len(held), count)
+			}
+		})
+	}
+}
+
+func TestOrderOfMembersDoesNotMatter(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	members := testMembers(16)
+	want := homes(members)
+	random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	if !slices.Equal(homes(members), want) {
+		t.Error("homes depend on the order of the members")
+	}
+	if _, found := Home("zone:a", nil); found {
+		t.Error("a home was found among no members")
+	}
+}
+
+func TestAllocations(t *testing.T) {
+	members := testMembers(32)
+	tests := []struct {
+		name string
+		call func()
+	}{
+		{"home", func() { Home("rack:a/r1", members) }},
+		{"rank", func() { Rank("rack:a/r1", members) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if allocations := testing.AllocsPerRun(100, tt.call); allocations != 0 {
+				t.Errorf("%v allocations a call, want 0", allocations)
+			}
+		})
+	}
+}
+
+func BenchmarkHome(b *testing.B) {
+	members := testMembers(32)
+	for b.Loop() {
+		Home("rack:a/r1", members)
+	}
+}
