Read the operators' manifest strictly, with the place of each problem

Cause: a pipeline generates the manifest, so a mistake has to be refused with its place rather than read some other way. Conclusion: 23 kinds of bad file are refused at the computed place; the fuzz target's seeds run as a plain test.

--- /dev/null
+++ b/protocol/document/document.go
@@ -0,0 +1,95 @@
+package document
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	maxNesting  = 100
+	maxProblems = 20
+)
+
+// Document is one file while it is read; it gathers the problems that are met.
+// It is for one goroutine.
+type Document struct {
+	name     string
+	data     []byte
+	problems []Problem
+}
+
+// Parse reads JSON with comments of at most maxBytes and returns the document
+// with its outermost value; problems of syntax are an *Error.
+func Parse(name string, data []byte, maxBytes int) (*Document, Node, error) {
+	d := &Document{name: name, data: data}
+	if len(data) > maxBytes {
+		d.report(0, "", fmt.Sprintf("the file has %d bytes", len(data)), fmt.Sprintf("keep it within %d bytes", maxBytes))
+		return d, Node{}, d.Err()
+	}
+	if offset, deep := deepest(data); deep {
+		d.report(offset, "", "values are nested too deeply", fmt.Sprintf("nest at most %d levels", maxNesting))
+		return d, Node{}, d.Err()
+	}
+	value, err := hujson.Parse(data)
+	if err != nil {
+		d.problems = append(d.problems, d.syntaxProblem(err))
+		return d, Node{}, d.Err()
+	}
+	return d, Node{document: d, value: &value}, nil
+}
+
+// Err returns an *Error with the problems met so far, or nil.
+func (d *Document) Err() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	return &Error{Problems: d.problems}
+}
+
+func (d *Document) report(offset int, field, message, remedy string) {
+	if len(d.problems) == maxProblems {
+		return
+	}
+	line := 1 + bytes.Count(d.data[:offset], []byte("\n"))
+	column := offset - bytes.LastIndexByte(d.data[:offset], '\n')
+	d.problems = append(d.problems, Problem{
+		File: d.name, Line: line, Column: column, Field: field, Message: message, Remedy: remedy,
+	})
+}
+
+// syntaxProblem takes the place out of the parser's message, which carries it as text.
+func (d *Document) syntaxProblem(err error) Problem {
+	p := Problem{File: d.name, Line: 1, Column: 1, Message: err.Error(), Remedy: "write JSON, with comments if wanted"}
+	place, message, found := strings.Cut(err.Error(), ": line ")
+	if !found || place != "hujson" {
+		return p
+	}
+	if _, err := fmt.Sscanf(message, "%d, column %d", &p.Line, &p.Column); err != nil {
+		return p
+	}
+	if _, rest, found := strings.Cut(message, ": "); found {
+		p.Message = rest
+	}
+	return p
+}
+
+// deepest reports where brackets nest beyond the limit; those in strings and
+// comments count too, which only makes the limit stricter.
+func deepest(data []byte) (offset int, deep bool) {
+	depth := 0
+	for i, c := range data {
+		switch c {
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth = max(depth-1, 0)
+		}
+		if depth > maxNesting {
+			return i, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/protocol/manifest/decode.go
@@ -0,0 +1,121 @@
+package manifest
+
+import (
+	"cmp"
+	"comfreystream/protocol/document"
+	"comfreystream/state"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	format          = 1
+	maxBytes        = 4 << 20
+	maxCount        = 1 << 20
+	maxMemoryBytes  = 1 << 42
+	maxRate         = 1e6
+	minShare        = 1e-6
+	weightTolerance = 1e-9
+)
+
+var adjacencyWords = []string{"anyRack", "adjacentRacks", "sameRack"}
+
+// Decode reads a manifest; name is the file's name for messages. A refused
+// file is a *document.Error with the place and remedy of each problem.
+// Whether the guarantees fit the zones is not checked here.
+func Decode(name string, data []byte) (*state.Manifest, error) {
+	d, root, err := document.Parse(name, data, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	m := decodeManifest(root)
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func decodeManifest(root document.Node) *state.Manifest {
+	o := root.Object("format", "generation", "weights", "organisations")
+	o.Require("format").Integer(format, format)
+	return &state.Manifest{
+		Generation:    state.Generation(o.Get("generation").Integer(0, math.MaxInt64)),
+		Weights:       decodeWeights(o.Require("weights")),
+		Organisations: decodeOrganisations(o.Require("organisations")),
+	}
+}
+
+func decodeWeights(n document.Node) state.Weights {
+	o := n.Object("completionTime", "fragmentation")
+	w := state.Weights{
+		CompletionTime: o.Require("completionTime").Number(0, 1),
+		Fragmentation:  o.Require("fragmentation").Number(0, 1),
+	}
+	if sum := w.CompletionTime + w.Fragmentation; math.Abs(sum-1) > weightTolerance {
+		n.Refuse(fmt.Sprintf("add up to %g", sum), "make the weights add up to 1")
+	}
+	return w
+}
+
+func decodeOrganisations(n document.Node) []state.Organisation {
+	nodes := n.List()
+	organisations := make([]state.Organisation, 0, len(nodes))
+	seen := make(map[string]int, len(nodes))
+	for i, node := range nodes {
+		organisation, name := decodeOrganisation(node)
+		if first, twice := seen[organisation.Name]; twice && name.Exists() {
+			name.Refuse(fmt.Sprintf("%q is also the name of organisations[%d]", organisation.Name, first), "give each organisation a name of its own")
+		}
+		seen[organisation.Name] = i
+		organisations = append(organisations, organisation)
+	}
+	slices.SortStableFunc(organisations, func(a, b state.Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	return organisations
+}
+
+func decodeOrganisation(n document.Node) (organisation state.Organisation, name document.Node) {
+	o := n.Object("name", "share", "quota", "burstJobs", "jobsPerSecond", "guarantees")
+	name = o.Require("name")
+	organisation = state.Organisation{
+		Name:          name.Name(),
+		Share:         o.Require("share").Number(minShare, maxRate),
+		Quota:         decodeResources(o.Get("quota")),
+		BurstJobs:     int(o.Get("burstJobs").Integer(0, maxCount)),
+		JobsPerSecond: o.Get("jobsPerSecond").Number(0, maxRate),
+		Guarantees:    decodeGuarantees(o.Get("guarantees")),
+	}
+	return organisation, name
+}
+
+func decodeGuarantees(n document.Node) (guarantees []state.Guarantee) {
+	for _, node := range n.List() {
+		guarantees = append(guarantees, decodeGuarantee(node))
+	}
+	return guarantees
+}
+
+func decodeGuarantee(n document.Node) state.Guarantee {
+	o := n.Object("availabilityZone", "members", "shape", "adjacency")
+	shape := o.Require("shape")
+	guarantee := state.Guarantee{
+		AvailabilityZone: o.Require("availabilityZone").Name(),
+		Members:          int(o.Require("members").Integer(1, maxCount)),
+		Shape:            decodeResources(shape),
+		Adjacency:        state.Adjacency(o.Get("adjacency").Choice(adjacencyWords...)),
+	}
+	if guarantee.Shape == (state.Resources{}) {
+		shape.Refuse("asks for nothing", "give slots, accelerators, cores or memoryBytes")
+	}
+	return guarantee
+}
+
+func decodeResources(n document.Node) state.Resources {
+	o := n.Object("slots", "accelerators", "cores", "memoryBytes")
+	return state.Resources{
+		Slots:        int(o.Get("slots").Integer(0, maxCount)),
+		Accelerators: int(o.Get("accelerators").Integer(0, maxCount)),
+		Cores:        int(o.Get("cores").Integer(0, maxCount)),
+		MemoryBytes:  o.Get("memoryBytes").Integer(0, maxMemoryBytes),
+	}
+}
--- /dev/null
+++ b/protocol/manifest/manifest_test.go
@@ -0,0 +1,125 @@
+package manifest
+
+import (
+	"bytes"
+	"comfreystream/protocol/document"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+const oneOrganisation = `{"format": 1, "weights": {"completionTime": 0.5, "fragmentation": 0.5}, "organisations": [ORGANISATION]}`
+
+func organisation(text string) string {
+	return strings.Replace(oneOrganisation, "ORGANISATION", text, 1)
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	guarantee := func(text string) string {
+		return organisation(`{"name": "a", "share": 1, "guarantees": [` + text + `]}`)
+	}
+	tests := []struct {
+		name string
+		// file has an @ where the problem is.
+		file  string
+		field string
+		says  string
+	}{
+		{"empty file", "@", "", "unexpected EOF"},
+		{"syntax", "{\n \"format\" @1}", "", "write JSON"},
+		{"too deep", strings.Repeat("[", 100) + "@[", "", "nested"},
+		{"too long", "@" + strings.Repeat(" ", maxBytes+1), "", "bytes"},
+		{"not an object", "@[]", "", "is not an object"},
+		{"missing field", "@{\n\"format\": 1, \"organisations\": []}", "", `add "weights"`},
+		{"unknown field", organisation("\n" + `{"name": "a", "share": 1, @"quotas": {}}`), "organisations[0].quotas", "remove it"},
+		{"duplicate key", organisation(`{"name": "a", "share": 1, @"share": 2}`), "organisations[0].share", "given twice"},
+		{"duplicate key, escaped", organisation(`{"name": "a", "share": 1, @"sh\u0061re": 2}`), "organisations[0].share", "given twice"},
+		{"duplicate organisation", organisation(`{"name": "a", "share": 1}, {"name": @"a", "share": 2}`), "organisations[1].name", "organisations[0]"},
+		{"newer format", `{"format": @2, "weights": {"completionTime": 1, "fragmentation": 0}, "organisations": []}`, "format", "from 1 to 1"},
+		{"weights add up to more", `{"format": 1, "weights": @{"completionTime": 1, "fragmentation": 0.1}, "organisations": []}`, "weights", "add up to 1"},
+		{"number as text", organisation(`{"name": "a", "share": @"1"}`), "organisations[0].share", "without quotes"},
+		{"number out of range", organisation(`{"name": "a", "share": @1e999}`), "organisations[0].share", "not allowed"},
+		{"no share", organisation(`{"name": "a", "share": @0}`), "organisations[0].share", "from 1e-06"},
+		{"fraction of a job", organisation(`{"name": "a", "share": 1, "burstJobs": @1.5}`), "organisations[0].burstJobs", "whole number"},
+		{"negative amount", organisation(`{"name": "a", "share": 1, "quota": {"memoryBytes": @-1}}`), "organisations[0].quota.memoryBytes", "from 0"},
+		{"bad organisation name", organisation(`{"name": @"A b", "share": 1}`), "organisations[0].name", "lower-case"},
+		{"bad zone name", guarantee(`{"availabilityZone": @"a.b", "members": 1, "shape": {"slots": 1}}`), "organisations[0].guarantees[0].availabilityZone", "lower-case"},
+		{"empty zone name", guarantee(`{"availabilityZone": @"", "members": 1, "shape": {"slots": 1}}`), "organisations[0].guarantees[0].availabilityZone", "lower-case"},
+		{"no members", guarantee(`{"availabilityZone": "a", "members": @0, "shape": {"slots": 1}}`), "organisations[0].guarantees[0].members", "from 1"},
+		{"empty shape", guarantee(`{"availabilityZone": "a", "members": 1, "shape": @{}}`), "organisations[0].guarantees[0].shape", "asks for nothing"},
+		{"unknown adjacency", guarantee(`{"availabilityZone": "a", "members": 1, "shape": {"slots": 1}, "adjacency": @"near"}`), "organisations[0].guarantees[0].adjacency", "sameRack"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before, after, _ := strings.Cut(tt.file, "@")
+			line := 1 + strings.Count(before, "\n")
+			column := len(before) - strings.LastIndex(before, "\n")
+			_, err := Decode("m", []byte(before+after))
+			var refused *document.Error
+			if !errors.As(err, &refused) {
+				t.Fatalf("error %v is not typed", err)
+			}
+			p := refused.Problems[0]
+			if p.Field != tt.field || p.Line != line || p.Column != column || !strings.Contains(p.String(), tt.says) {
+				t.Errorf("%s\nwant field %q at %d:%d, saying %q", p, tt.field, line, column, tt.says)
+			}
+		})
+	}
+}
+
+func TestDecodeListsEveryProblem(t *testing.T) {
+	_, err := Decode("m", []byte(organisation(`{"name": "a"}, {"share": -1, "x": 0}`)))
+	var refused *document.Error
+	if !errors.As(err, &refused) || len(refused.Problems) != 4 {
+		t.Errorf("want 4 problems: %v", err)
+	}
+}
+
+func TestExamplesDecode(t *testing.T) {
+	files, err := filepath.Glob("../../docs/examples/*.manifest.jsonc")
+	if err != nil || len(files) != 2 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if m, err := Decode(file, data); err != nil || len(m.Organisations) < 2 {
+				t.Error(m, err)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	seeds := []string{
+		"", "{", oneOrganisation, organisation(`{"name": "b", "share": 1e-300, "quota": {"slots": 1}}, {"name": "a", "share": 2}`),
+		organisation(`{"name": "a", "share": 1, "guarantees": [{"availabilityZone": "z", "members": 3, "shape": {"cores": 1}, "adjacency": "sameRack"}]}`),
+		"// comment\n[1, \"\\ud800\"]", `{"format": 1, "generation": 9223372036854775807}`,
+	}
+	for _, seed := range seeds {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode("m", data)
+		if err != nil {
+			var refused *document.Error
+			if !errors.As(err, &refused) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		again, err := Decode("again", Encode(m))
+		if err != nil {
+			t.Fatalf("canonical file is refused: %v", err)
+		}
+		if !bytes.Equal(Encode(m), Encode(again)) {
+			t.Fatal("canonical files differ")
+		}
+	})
+}
