Add the calls between entries over connect-go with CBOR

Cause: fronts, planners and the homes of racks call each other. Change: protocol/peer has a Client and a Service of function fields, with unexported CBOR messages and errors that keep step, peer and reason. A lease crosses as the time left, counted from before the call. transport.HTTPClient lends the client's connections to connect. Checked: go test -race ./protocol/peer passes.

--- /dev/null
+++ b/protocol/peer/client.go
@@ -0,0 +1,39 @@
+package peer
+
+import (
+	"comfreystream/transport"
+)
+
+// Client calls other entries; it is safe for several goroutines. Failures are
+// *state.StepError: homeUnreachable if the call did not leave, otherwise
+// ambiguous or what the peer answered.
+type Client struct {
+	jobs     jobCalls
+	racks    rackCalls
+	manifest manifestCalls
+}
+
+// NewClient returns a client that uses the connections of the transport's client.
+func NewClient(client *transport.Client) *Client {
+	h := transport.HTTPClient{Client: client}
+	return &Client{
+		jobs: jobCalls{
+			submit:   newProcedure[jobRequest, wireOutcome](h, stepSubmit),
+			accept:   newProcedure[jobRequest, none](h, stepAccept),
+			progress: newProcedure[idRequest, wireProgress](h, stepProgress),
+			cancel:   newProcedure[idRequest, none](h, stepCancel),
+			answer:   newProcedure[idRequest, wireOutcome](h, stepAnswer),
+		},
+		racks: rackCalls{
+			hold:       newProcedure[holdRequest, leasesMessage](h, stepHold),
+			start:      newProcedure[leasesMessage, none](h, stepStart),
+			stop:       newProcedure[attemptRequest, stopResponse](h, stepStop),
+			checkpoint: newProcedure[attemptRequest, checkpointResponse](h, stepCheckpoint),
+			report:     newProcedure[wireRackReport, wireReportReply](h, stepReport),
+		},
+		manifest: manifestCalls{
+			push:  newProcedure[wireManifest, none](h, stepPushManifest),
+			fetch: newProcedure[fetchRequest, wireManifest](h, stepFetchManifest),
+		},
+	}
+}
--- /dev/null
+++ b/protocol/peer/peer_test.go
@@ -0,0 +1,160 @@
+package peer
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"context"
+	"net/netip"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+var worker = netip.MustParseAddrPort("10.0.0.7:7070")
+
+var sampleJob = state.Job{
+	ID: "a.1", Organisation: "andina", Kind: "reset", Members: 4,
+	Shape: state.Resources{Slots: 1, Accelerators: 2, Cores: 3, MemoryBytes: 1 << 40}, Adjacency: state.SameRack,
+	Urgency: state.Urgent, Submitted: time.Unix(1700000000, 5), Deadline: time.Unix(1700000100, 7),
+	Idempotent: true, Key: "k", Checkpointable: true, DeclaredRunTime: time.Minute, Payload: []byte{0, 255},
+}
+
+var sampleOutcome = state.Outcome{Job: "a.1", Attempt: 2, Ran: state.RanWhole, Retry: true, Answer: []byte("whole")}
+
+var sampleAttempt = state.JobAttempt{Job: "a.1", Attempt: 2}
+
+// recorder answers every call with samples and keeps what it was asked.
+type recorder struct {
+	mu      sync.Mutex
+	asked   any
+	failure error
+}
+
+func (r *recorder) note(asked any) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = asked
+	return r.failure
+}
+
+func (r *recorder) failWith(err error) (asked any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failure = err
+	return r.asked
+}
+
+func (r *recorder) service() *Service {
+	return &Service{
+		Submit: func(_ context.Context, job state.Job) (state.Outcome, error) { return sampleOutcome, r.note(job) },
+		Accept: func(_ context.Context, job state.Job) error { return r.note(job) },
+		Progress: func(_ context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
+			return state.Progress{Done: true, Phase: state.PhaseDone, Outcome: sampleOutcome}, r.note([]any{job, wait})
+		},
+		Cancel: func(_ context.Context, job state.JobID) error { return r.note(job) },
+		Answer: func(_ context.Context, job state.JobID) (state.Outcome, error) { return sampleOutcome, r.note(job) },
+		Hold:   func(_ context.Context, hold Hold) ([]state.Lease, error) { return nil, r.note(hold) },
+		Start: func(_ context.Context, rack string, leases []state.Lease) error {
+			return r.note([]any{rack, len(leases)})
+		},
+		Stop: func(_ context.Context, stop Stop) (bool, error) { return true, r.note(stop) },
+		Checkpoint: func(_ context.Context, rack string, attempt state.JobAttempt) ([][]byte, error) {
+			return [][]byte{{1}}, r.note([]any{rack, attempt})
+		},
+		Report: func(_ context.Context, report state.RackReport) (state.ReportReply, error) {
+			return state.ReportReply{Resend: true, Stop: []state.JobAttempt{sampleAttempt}}, r.note(report)
+		},
+		PushManifest: func(_ context.Context, manifest Manifest) error { return r.note(manifest) },
+		FetchManifest: func(_ context.Context, newerThan state.Generation) (Manifest, error) {
+			return Manifest{Generation: 9, Digest: 8, Parts: [][]byte{{7}}}, r.note(newerThan)
+		},
+	}
+}
+
+func start(t *testing.T, service *Service) (*Client, netip.AddrPort) {
+	t.Helper()
+	server, err := transport.Listen(loopback, service.Handler(), transport.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	client := transport.NewClient(transport.ClientLimits{})
+	t.Cleanup(func() { _ = client.Close() })
+	return NewClient(client), server.Address()
+}
+
+func TestCalls(t *testing.T) {
+	hold := Hold{Rack: "r1", Job: sampleJob, Attempt: 2, Placements: []state.Placement{{Worker: worker, Rack: "r1", Members: 4}}, TTL: time.Second}
+	stop := Stop{Rack: "r1", Attempt: sampleAttempt, Workers: []netip.AddrPort{worker}}
+	report := state.RackReport{
+		Rack: state.Rack{Name: "r1", AvailabilityZone: "a", Position: 3}, Home: worker, Sequence: 4, Full: true,
+		Workers: []state.WorkerReport{{Worker: state.Worker{Address: worker, Capacity: sampleJob.Shape, Leaving: true}, Listed: true, Lost: true}},
+	}
+	manifest := Manifest{Generation: 9, Digest: 8, Parts: [][]byte{{7}}}
+	ctx := t.Context()
+	tests := []struct {
+		name  string
+		call  func(c *Client, p netip.AddrPort) (any, error)
+		asked any
+		want  any
+	}{
+		{"submit", func(c *Client, p netip.AddrPort) (any, error) { return c.Submit(ctx, p, sampleJob) }, sampleJob, sampleOutcome},
+		{"accept", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.Accept(ctx, p, sampleJob) }, sampleJob, nil},
+		{
+			"progress", func(c *Client, p netip.AddrPort) (any, error) { return c.Progress(ctx, p, "a.1", time.Second) },
+			[]any{state.JobID("a.1"), time.Second},
+			state.Progress{Done: true, Phase: state.PhaseDone, Outcome: sampleOutcome},
+		},
+		{"cancel", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.Cancel(ctx, p, "a.1") }, state.JobID("a.1"), nil},
+		{"answer", func(c *Client, p netip.AddrPort) (any, error) { return c.Answer(ctx, p, "a.1") }, state.JobID("a.1"), sampleOutcome},
+		{"hold", func(c *Client, p netip.AddrPort) (any, error) { return c.Hold(ctx, p, hold) }, hold, []state.Lease(nil)},
+		{"start", func(c *Client, p netip.AddrPort) (any, error) {
+			return nil, c.Start(ctx, p, "r1", make([]state.Lease, 2))
+		}, []any{"r1", 2}, nil},
+		{"stop", func(c *Client, p netip.AddrPort) (any, error) { return c.Stop(ctx, p, stop) }, stop, true},
+		{
+			"checkpoint", func(c *Client, p netip.AddrPort) (any, error) { return c.Checkpoint(ctx, p, "r1", sampleAttempt) },
+			[]any{"r1", sampleAttempt},
+			[][]byte{{1}},
+		},
+		{
+			"report", func(c *Client, p netip.AddrPort) (any, error) { return c.Report(ctx, p, report) },
+			report,
+			state.ReportReply{Resend: true, Stop: []state.JobAttempt{sampleAttempt}},
+		},
+		{"push", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.PushManifest(ctx, p, manifest) }, manifest, nil},
+		{"fetch", func(c *Client, p netip.AddrPort) (any, error) { return c.FetchManifest(ctx, p, 8) }, state.Generation(8), manifest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := &recorder{}
+			client, address := start(t, r.service())
+			failure := state.AmbiguousStep("start", worker, state.WorkerSilent, errors.New("no answer"))
+			got, err := tt.call(client, address)
+			asked := r.failWith(failure)
+			if err != nil || !reflect.DeepEqual(got, tt.want) || !reflect.DeepEqual(asked, tt.asked) {
+				t.Errorf("asked %v, got %v, %v; want %v, %v", asked, got, err, tt.asked, tt.want)
+			}
+			var step *state.StepError
+			_, err = tt.call(client, address)
+			if !errors.As(err, &step) || step.Error() != failure.Error() || !step.Ambiguous {
+				t.Errorf("error %v, want %v", err, failure)
+			}
+		})
+	}
+}
+
+func TestLeaseTimeLeft(t *testing.T) {
+	sender, receiver := clock{time.Unix(100, 0)}, clock{time.Unix(5000, 0)}
+	lease := state.Lease{ID: 1, Token: 2, Worker: worker, Job: "a.1", Attempt: 3, Members: 4, Expires: time.Unix(107, 0)}
+	got := receiver.lease(sender.toLease(lease))
+	lease.Expires = time.Unix(5007, 0)
+	if got != lease {
+		t.Errorf("lease %v, want %v", got, lease)
+	}
+}
--- /dev/null
+++ b/protocol/peer/procedure.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"context"
+	"net/http"
+	"net/netip"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+)
+
+// result is the answer of every call: a value or a typed error.
+type result[Value any] struct {
+	Error *wireError `cbor:"1,keyasint,omitempty"`
+	Value Value      `cbor:"2,keyasint"`
+}
+
+type wireError struct {
+	Step      string         `cbor:"1,keyasint"`
+	Peer      netip.AddrPort `cbor:"2,keyasint"`
+	Reason    state.Reason   `cbor:"3,keyasint"`
+	Ambiguous bool           `cbor:"4,keyasint,omitempty"`
+	Detail    string         `cbor:"5,keyasint,omitempty"`
+}
+
+// procedure is one call: its step's name and its two message types.
+type procedure[Request, Response any] struct {
+	step string
+	call *connect.Client[Request, result[Response]]
+}
+
+func path(step string) string { return "/peer/" + step }
+
+func newProcedure[Request, Response any](client connect.HTTPClient, step string) procedure[Request, Response] {
+	return procedure[Request, Response]{
+		step: step,
+		call: connect.NewClient[Request, result[Response]](client, "http://peer"+path(step), connect.WithCodec(messageCodec)),
+	}
+}
+
+// ask calls the peer; a failure is a *state.StepError.
+func (p procedure[Request, Response]) ask(ctx context.Context, peer netip.AddrPort, request Request) (response Response, err error) {
+	answer, err := p.call.CallUnary(transport.WithPeer(ctx, peer), connect.NewRequest(&request))
+	if err != nil {
+		return response, lost(p.step, peer, err)
+	}
+	if failure := answer.Msg.Error; failure != nil {
+		return response, failure.stepError(p.step, peer)
+	}
+	return answer.Msg.Value, nil
+}
+
+// handle adds the procedure to the mux; serve works on wire types.
+func handle[Request, Response any](mux *http.ServeMux, step string,
+	serve func(ctx context.Context, request Request) (Response, error),
+) {
+	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[result[Response]], error) {
+		value, err := serve(ctx, *request.Msg)
+		if err != nil {
+			return connect.NewResponse(&result[Response]{Error: toWireError(step, err)}), nil
+		}
+		return connect.NewResponse(&result[Response]{Value: value}), nil
+	}
+	mux.Handle(path(step), connect.NewUnaryHandler(path(step), unary, connect.WithCodec(messageCodec)))
+}
+
+func toWireError(step string, err error) *wireError {
+	var known *state.StepError
+	if !errors.As(err, &known) {
+		return &wireError{Step: step, Reason: state.TaskFailed, Ambiguous: true, Detail: err.Error()}
+	}
+	w := &wireError{Step: known.Step, Peer: known.Peer, Reason: known.Reason, Ambiguous: known.Ambiguous}
+	if cause := known.Unwrap(); cause != nil {
+		w.Detail = cause.Error()
+	}
+	return w
+}
+
+func (w *wireError) stepError(step string, peer netip.AddrPort) error {
+	if w.Step != "" {
+		step = w.Step
+	}
+	if w.Peer.IsValid() {
+		peer = w.Peer
+	}
+	var cause error
+	if w.Detail != "" {
+		cause = errors.New(w.Detail)
+	}
+	if w.Ambiguous {
+		return state.AmbiguousStep(step, peer, w.Reason, cause)
+	}
+	return state.NewStepError(step, peer, w.Reason, cause)
+}
+
+// lost types a call without a whole answer.
+func lost(step string, peer netip.AddrPort, err error) error {
+	var call *transport.CallError
+	if errors.As(err, &call) && !call.Sent {
+		return state.NewStepError(step, peer, state.HomeUnreachable, err)
+	}
+	return state.AmbiguousStep(step, peer, state.ConnectionLost, err)
+}
--- /dev/null
+++ b/protocol/peer/service.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"comfreystream/state"
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// Hold asks the home of a rack for leases for one attempt, all or none.
+type Hold struct {
+	Rack       string
+	Job        state.Job
+	Attempt    state.Attempt
+	Placements []state.Placement
+	// TTL is how long the leases last unless they are renewed.
+	TTL time.Duration
+}
+
+// Stop asks the home of a rack to void one attempt.
+type Stop struct {
+	Rack    string
+	Attempt state.JobAttempt
+	// Workers limits the stop to these; none means every worker of the rack.
+	Workers []netip.AddrPort
+}
+
+// Manifest is an accepted manifest in parts; the parts are not looked into.
+type Manifest struct {
+	Generation state.Generation
+	Digest     uint64
+	Parts      [][]byte
+}
+
+// Service is what an entry does for its peers; every field must be set.
+// Errors are *state.StepError; others count as ambiguous.
+type Service struct {
+	// Submit runs the job as the zone's planner and returns its final outcome.
+	Submit func(ctx context.Context, job state.Job) (state.Outcome, error)
+	// Accept takes the job on as the zone's planner and returns at once.
+	Accept func(ctx context.Context, job state.Job) error
+	// Progress returns how far the job is; it waits up to the duration for a change.
+	Progress func(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error)
+	Cancel   func(ctx context.Context, job state.JobID) error
+	// Answer returns the outcome of a job that is done.
+	Answer func(ctx context.Context, job state.JobID) (state.Outcome, error)
+	Hold   func(ctx context.Context, hold Hold) ([]state.Lease, error)
+	Start  func(ctx context.Context, rack string, leases []state.Lease) error
+	// Stop reports neverStarted only if no member was ever started.
+	Stop       func(ctx context.Context, stop Stop) (neverStarted bool, err error)
+	Checkpoint func(ctx context.Context, rack string, attempt state.JobAttempt) ([][]byte, error)
+	// Report takes what the home of a rack tells the zone's planner.
+	Report func(ctx context.Context, report state.RackReport) (state.ReportReply, error)
+	// PushManifest takes a manifest that a peer has in force.
+	PushManifest func(ctx context.Context, manifest Manifest) error
+	// FetchManifest returns the manifest in force, without parts if it is not newer.
+	FetchManifest func(ctx context.Context, newerThan state.Generation) (Manifest, error)
+}
+
+// PathPrefix begins the path of every call between entries.
+const PathPrefix = "/peer/"
+
+// Handler returns the handler for all paths that begin with PathPrefix.
+func (s *Service) Handler() fasthttp.RequestHandler {
+	mux := http.NewServeMux()
+	s.handleJobs(mux)
+	s.handleRacks(mux)
+	s.handleManifest(mux)
+	return fasthttpadaptor.NewFastHTTPHandler(mux)
+}
+
+type none struct{}
