Add the HTTP interface for callers and operators

Cause: callers submit, ask and cancel; operators apply, watch and drain. Change: protocol/caller has a Service of function fields and strict JSON; each error body has a reason, whether the work ran and whether to retry. A failed question about a job never says that it did not run. Checked: go test -race ./protocol/caller passes.

--- /dev/null
+++ b/protocol/caller/jobs.go
@@ -0,0 +1,167 @@
+package caller
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// maxProgressWait bounds how long a request for a job's progress is held.
+const maxProgressWait = 30 * time.Second
+
+// acceptedBody answers a submission that does not wait.
+type acceptedBody struct {
+	Job state.JobID `json:"job"`
+	Ask string      `json:"ask"`
+}
+
+// outcomeBody answers for a job that ran.
+type outcomeBody struct {
+	Job     state.JobID   `json:"job"`
+	Attempt state.Attempt `json:"attempt"`
+	Ran     string        `json:"ran"`
+	// Answer is in base64.
+	Answer []byte `json:"answer"`
+}
+
+// progressBody tells how far a job is; the last four fields are set once it is done.
+type progressBody struct {
+	Job     state.JobID   `json:"job"`
+	Phase   state.Phase   `json:"phase"`
+	Done    bool          `json:"done"`
+	Attempt state.Attempt `json:"attempt,omitempty"`
+	Ran     string        `json:"ran,omitempty"`
+	Reason  state.Reason  `json:"reason,omitempty"`
+	Retry   bool          `json:"retry,omitempty"`
+}
+
+func submit(s *Service, ctx *fasthttp.RequestCtx) {
+	var body submissionBody
+	if err := decode(ctx.PostBody(), &body); err != nil {
+		s.fail(ctx, byReason, badRequest(err))
+		return
+	}
+	submission, err := body.submission(s.Now())
+	if err != nil {
+		s.fail(ctx, byReason, badRequest(err))
+		return
+	}
+	if !body.waits() {
+		s.accept(ctx, submission)
+		return
+	}
+	outcome, err := s.Submit(transport.Context(ctx), submission)
+	if err != nil {
+		f := failureOf(err)
+		f.job = outcome.Job
+		s.fail(ctx, byReason, f)
+		return
+	}
+	s.answerOutcome(ctx, outcome)
+}
+
+func (s *Service) accept(ctx *fasthttp.RequestCtx, submission Submission) {
+	id, err := s.Accept(transport.Context(ctx), submission)
+	if err != nil {
+		f := failureOf(err)
+		f.job = id
+		s.fail(ctx, byReason, f)
+		return
+	}
+	ask := jobsPath + "/" + string(id)
+	ctx.Response.Header.Set(fasthttp.HeaderLocation, ask)
+	answer(ctx, fasthttp.StatusAccepted, acceptedBody{Job: id, Ask: ask})
+}
+
+func (s *Service) answerOutcome(ctx *fasthttp.RequestCtx, o state.Outcome) {
+	if o.Ran != state.RanWhole || o.Reason != "" {
+		s.fail(ctx, byReason, failure{reason: o.Reason, ran: o.Ran, job: o.Job})
+		return
+	}
+	answer(ctx, fasthttp.StatusOK, outcomeBody{Job: o.Job, Attempt: o.Attempt, Ran: o.Ran.String(), Answer: o.Answer})
+}
+
+func showJob(s *Service, ctx *fasthttp.RequestCtx) {
+	id := jobOf(ctx)
+	wait, err := waitOf(ctx)
+	if err == nil {
+		err = checkJob(id)
+	}
+	if err != nil {
+		s.fail(ctx, byReason, badRequest(err))
+		return
+	}
+	progress, err := s.Progress(transport.Context(ctx), id, wait)
+	if err != nil {
+		s.failAbout(ctx, id, err)
+		return
+	}
+	answer(ctx, fasthttp.StatusOK, toProgressBody(id, progress))
+}
+
+func showAnswer(s *Service, ctx *fasthttp.RequestCtx) {
+	id := jobOf(ctx)
+	if err := checkJob(id); err != nil {
+		s.fail(ctx, byReason, badRequest(err))
+		return
+	}
+	progress, err := s.Answer(transport.Context(ctx), id)
+	switch {
+	case err != nil:
+		s.failAbout(ctx, id, err)
+	case !progress.Done:
+		answer(ctx, fasthttp.StatusAccepted, toProgressBody(id, progress))
+	default:
+		s.answerOutcome(ctx, progress.Outcome)
+	}
+}
+
+func cancelJob(s *Service, ctx *fasthttp.RequestCtx) {
+	id := jobOf(ctx)
+	if err := checkJob(id); err != nil {
+		s.fail(ctx, byReason, badRequest(err))
+		return
+	}
+	if err := s.Cancel(transport.Context(ctx), id); err != nil {
+		s.failAbout(ctx, id, err)
+		return
+	}
+	ask := jobsPath + "/" + string(id)
+	answer(ctx, fasthttp.StatusAccepted, acceptedBody{Job: id, Ask: ask})
+}
+
+// failAbout answers a failed question about a job: whatever went wrong, it
+// says nothing of whether the job ran.
+func (s *Service) failAbout(ctx *fasthttp.RequestCtx, id state.JobID, err error) {
+	f := failureOf(err)
+	status := statusOf(f)
+	f.ran = state.Unknown
+	f.job = id
+	s.fail(ctx, status, f)
+}
+
+func toProgressBody(id state.JobID, p state.Progress) progressBody {
+	body := progressBody{Job: id, Phase: p.Phase, Done: p.Done}
+	if p.Done {
+		body.Attempt = p.Outcome.Attempt
+		body.Ran = p.Outcome.Ran.String()
+		body.Reason = p.Outcome.Reason
+		body.Retry = p.Outcome.Retry
+	}
+	return body
+}
+
+func waitOf(ctx *fasthttp.RequestCtx) (time.Duration, error) {
+	text := string(ctx.QueryArgs().Peek("wait"))
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxProgressWait {
+		return 0, errors.Errorf("wait: is %q; want a duration up to %s", text, maxProgressWait)
+	}
+	return wait, nil
+}
--- /dev/null
+++ b/protocol/caller/json.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const contentType = "application/json"
+
+// duration is written as in "1.5s".
+type duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Errorf("duration %q: want a form such as \"1.5s\"", text)
+	}
+	*d = duration(value)
+	return nil
+}
+
+// decode refuses unknown fields, and anything after the one JSON value.
+func decode(text []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return errors.Wrap(err, "body")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("body: more than one JSON value")
+	}
+	return nil
+}
+
+func answer(ctx *fasthttp.RequestCtx, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType(contentType)
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/protocol/caller/refuse.go
@@ -0,0 +1,28 @@
+package caller
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Refuse fills the answer to a request that the transport refused; it fits
+// transport.Limits.Refuse.
+func Refuse(response *fasthttp.Response, reason string) {
+	f := failure{reason: state.Reason(reason)}
+	if reason == transport.HandlerPanicked {
+		f.ran = state.Unknown
+	}
+	body := f.body()
+	if reason == transport.HeaderTooLarge {
+		body.Retry, body.RetryAfter = false, 0
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	response.Header.SetContentType(contentType)
+	response.SetBody(text)
+}
