--- /dev/null
+++ b/coordination/dispatch/dispatcher.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"comfreystream/coordination/admission"
+	"comfreystream/coordination/estimate"
+	"comfreystream/coordination/gang"
+	"comfreystream/coordination/planning"
+	"comfreystream/coordination/quarantine"
+	"comfreystream/coordination/retry"
+	"comfreystream/state"
+)
+
+const (
+	// recoveryWindow is how long a new planner waits for the racks' reports
+	// before it plans with those that came.
+	recoveryWindow = 3 * time.Second
+	// adoptionGrace is how long the parts of a gang that was found running may
+	// take to be reported before the gang counts as incomplete.
+	adoptionGrace = 6 * time.Second
+	// answerRetention is how long an outcome is kept for its caller.
+	answerRetention = 10 * time.Minute
+	// sweepInterval is the time between two looks for what has outlived its use.
+	sweepInterval = time.Second
+	// maxRecords bounds the jobs, ended ones included, that a planner keeps.
+	maxRecords = 200_000
+)
+
+// Dispatcher is the planner's seat of one zone from the moment that this entry
+// takes the zone over until it gives it up; it is safe for several goroutines.
+type Dispatcher struct {
+	Now  func() time.Time
+	Gang *gang.Starter
+	// Checkpoint has an attempt's members on a rack save their state.
+	Checkpoint func(ctx context.Context, rack string, attempt state.JobAttempt) ([][]byte, error)
+	Claims     Claims
+	Ledger     Ledger
+	// Expected lists the workers of the zone that the instance list names.
+	Expected func() []netip.AddrPort
+	// Event logs one event about a job; reason may be empty.
+	Event func(event string, job state.JobID, reason state.Reason)
+	// Count counts a refusal or retry by its reason.
+	Count func(reason state.Reason)
+
+	Planner    *planning.Planner
+	Admission  *admission.Admission
+	Retries    *retry.Retries
+	Quarantine *quarantine.Quarantine
+	Estimates  *estimate.Estimates
+
+	records  *state.Table[state.JobID, *record]
+	racks    *state.Table[string, *outbox]
+	workers  *state.Table[netip.AddrPort, bool]
+	adopting *state.Table[state.JobAttempt, *adoption]
+
+	began     time.Time
+	recovered chan struct{}
+	recovery  sync.Once
+	wake      chan struct{}
+	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+	closing   sync.Mutex
+	closed    bool
+}
+
+// New returns a dispatcher whose seams are to be set before Run.
+func New(planner *planning.Planner) *Dispatcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Dispatcher{
+		Now:       time.Now,
+		Planner:   planner,
+		Event:     func(string, state.JobID, state.Reason) {},
+		Count:     func(state.Reason) {},
+		Expected:  func() []netip.AddrPort { return nil },
+		records:   state.NewTable[state.JobID, *record](),
+		racks:     state.NewTable[string, *outbox](),
+		workers:   state.NewTable[netip.AddrPort, bool](),
+		adopting:  state.NewTable[state.JobAttempt, *adoption](),
+		recovered: make(chan struct{}),
+		wake:      make(chan struct{}, 1),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+}
+
+// Run starts planning; it returns at once.
+func (d *Dispatcher) Run() {
+	d.began = d.Now()
+	d.spawn(d.planLoop)
+	d.spawn(d.sweepLoop)
+	d.spawn(d.reloadLedger)
+}
+
+// Close gives the zone up: it waits for every start and stop under way, and
+// whoever waits for a job is told that the home has moved.
+func (d *Dispatcher) Close() error {
+	d.closing.Lock()
+	d.closed = true
+	d.closing.Unlock()
+	d.cancel()
+	d.tasks.Wait()
+	return nil
+}
+
+// spawn runs task in a goroutine that Close waits for, unless it has begun to close.
+func (d *Dispatcher) spawn(task func()) {
+	d.closing.Lock()
+	defer d.closing.Unlock()
+	if d.closed {
+		return
+	}
+	d.tasks.Go(task)
+}
+
+// signal asks for a planning round; many calls lead to one.
+func (d *Dispatcher) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/finish.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"comfreystream/state"
+)
+
+const (
+	// storeTimeout bounds one write of an outcome to the store.
+	storeTimeout = 2 * time.Second
+	// storePause is the pause between two tries to write an outcome.
+	storePause = time.Second
+)
+
+// follow acts on what the parts of a running gang say.
+func (d *Dispatcher) follow(r *record, attempt state.Attempt, effect partEffect) {
+	switch effect {
+	case partsDone:
+		d.complete(r, attempt)
+	case partCrashed:
+		blamed := r.crashed()
+		for _, worker := range blamed {
+			d.Quarantine.Failed(worker, r.job.ID, r.job.Kind)
+		}
+		d.spawn(func() { d.stopAttempt(r, attempt, state.TaskFailed, blamed) })
+	case partLapsed:
+		d.spawn(func() { d.stopAttempt(r, attempt, state.LeaseLapsed, nil) })
+	}
+}
+
+// complete ends a job whose every member ran to its end.
+func (d *Dispatcher) complete(r *record, attempt state.Attempt) {
+	if !r.claimEnd(attempt, "") {
+		return
+	}
+	r.mu.Lock()
+	r.apply(state.MembersFinished)
+	outcome := state.Outcome{Job: r.job.ID, Attempt: attempt, Ran: state.RanWhole, Answer: r.answer()}
+	runTime, placements := d.Now().Sub(r.begun), r.placements
+	r.mu.Unlock()
+	for _, p := range placements {
+		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.job.Kind)
+	}
+	d.Estimates.Observe(r.job.Organisation, r.job.Kind, r.job.DeclaredRunTime, runTime)
+	d.Planner.Ended(r.job.ID, attempt)
+	d.signal()
+	d.finish(r, outcome)
+}
+
+// finish gives the job its outcome, once, and has it recorded where it must last.
+func (d *Dispatcher) finish(r *record, outcome state.Outcome) {
+	if !r.end(outcome, d.Now()) {
+		return
+	}
+	if outcome.Reason != "" {
+		d.Count(outcome.Reason)
+	}
+	d.Event("jobEnded", outcome.Job, outcome.Reason)
+	d.spawn(func() { d.settle(r) })
+}
+
+// settle writes the outcome to the claim and the ledger until the store takes
+// it; only then may the workers forget the attempt.
+func (d *Dispatcher) settle(r *record) {
+	if !r.job.Idempotent {
+		d.persist(func(ctx context.Context) error { return d.Claims.Settle(ctx, &r.job, r.outcome) })
+	}
+	if r.saved {
+		d.persist(func(ctx context.Context) error { return d.Ledger.Finish(ctx, &r.job, r.outcome) })
+	}
+	if d.ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	r.settled = true
+	placements, ended := r.placements, r.attempts()
+	r.mu.Unlock()
+	d.tellRacks(placements, func(o *outbox) { o.forget = append(o.forget, ended...) })
+}
+
+func (d *Dispatcher) persist(write func(ctx context.Context) error) {
+	for d.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+		err := write(ctx)
+		cancel()
+		if err == nil {
+			return
+		}
+		d.Count(state.ReasonOf(err, state.StoreUnavailable))
+		pause(d.ctx, storePause)
+	}
+}
+
+// end notes the outcome and wakes whoever waits; it reports whether it was the first.
+func (r *record) end(outcome state.Outcome, now time.Time) (first bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ended.IsZero() {
+		return false
+	}
+	if r.lifecycle.Phase() != state.JobDone {
+		r.apply(state.JobEnded)
+	}
+	r.ended = now
+	r.outcome = outcome
+	close(r.done)
+	return true
+}
+
+// attempts names all the attempts so far; the caller has the lock.
+func (r *record) attempts() (names []state.JobAttempt) {
+	for a := state.Attempt(1); a <= r.attempt; a++ {
+		names = append(names, r.name(a))
+	}
+	return names
+}
--- /dev/null
+++ b/coordination/dispatch/query.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"comfreystream/state"
+)
+
+// Await waits up to wait for the job's outcome. It fails with unknownJob for a
+// job that this planner does not know, and with homeMoved when it gives the zone up.
+func (d *Dispatcher) Await(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
+	r, found := d.records.Get(job)
+	if !found {
+		return state.Progress{}, state.NewStepError("await "+string(job), d.noPeer(), d.unknown(), nil)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-d.ctx.Done():
+		return state.Progress{}, d.moved("await " + string(job))
+	}
+	return r.progress(), nil
+}
+
+// Cancel ends a job: one that is queued has not run; one that runs is stopped first.
+func (d *Dispatcher) Cancel(ctx context.Context, job state.JobID) error {
+	r, found := d.records.Get(job)
+	if !found {
+		return state.NewStepError("cancel "+string(job), d.noPeer(), d.unknown(), nil)
+	}
+	attempt, first := r.markCancelled()
+	if !first {
+		return nil
+	}
+	d.cancelQueued(r)
+	d.spawn(func() { d.stopAttempt(r, attempt, state.Cancelled, nil) })
+	return nil
+}
+
+// Jobs counts the jobs by phase.
+func (d *Dispatcher) Jobs() (byPhase map[state.JobPhase]int) {
+	byPhase = make(map[state.JobPhase]int)
+	for _, r := range d.records.Values() {
+		byPhase[r.progress().Phase]++
+	}
+	return byPhase
+}
+
+// cancelQueued ends the job if the planner still had it queued.
+func (d *Dispatcher) cancelQueued(r *record) {
+	if !d.Planner.Cancel(r.job.ID).WasQueued() {
+		return
+	}
+	d.signal()
+	d.finish(r, state.Refusal(r.job.ID, state.Cancelled))
+}
+
+// unknown is why a job is not known: after a change of planner it may yet be found.
+func (d *Dispatcher) unknown() state.Reason {
+	select {
+	case <-d.recovered:
+		return state.UnknownJob
+	default:
+		return state.HomeMoved
+	}
+}
+
+func (d *Dispatcher) moved(step string) error {
+	return state.NewStepError(step, d.noPeer(), state.HomeMoved, nil)
+}
+
+func (d *Dispatcher) noPeer() netip.AddrPort { return netip.AddrPort{} }
+
+func (r *record) markCancelled() (attempt state.Attempt, first bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first = !r.cancelled
+	r.cancelled = true
+	return r.attempt, first
+}
+
+func (r *record) isCancelled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cancelled
+}
+
+func (r *record) progress() state.Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return state.Progress{Done: !r.ended.IsZero(), Phase: r.lifecycle.Phase(), Outcome: r.outcome}
+}
--- /dev/null
+++ b/coordination/dispatch/start.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"comfreystream/coordination/gang"
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
+)
+
+// start holds and starts the gang of one attempt, and settles what comes of it.
+func (d *Dispatcher) start(r *record, start planning.Start) {
+	job := r.snapshot()
+	result := d.Gang.Run(d.ctx, &job, start.Attempt, start.Placements)
+	if !result.Started {
+		d.notStarted(r, start.Attempt, result)
+		return
+	}
+	d.Event("jobStarted", job.ID, "")
+	d.Planner.Started(job.ID, start.Attempt)
+	d.tellRacks(start.Placements, func(o *outbox) { o.whole = append(o.whole, r.name(start.Attempt)) })
+	effect, stopReason := r.markWhole()
+	if stopReason != "" {
+		d.stopAttempt(r, start.Attempt, stopReason, nil)
+		return
+	}
+	d.follow(r, start.Attempt, effect)
+}
+
+// Commit is the gang's seam before the first start is sent: from here on the
+// job can be called "not run" only if every worker confirms it.
+func (d *Dispatcher) Commit(job state.JobID, attempt state.Attempt) error {
+	r, found := d.records.Get(job)
+	if !found {
+		return d.moved("commit")
+	}
+	if err := d.claim(r); err != nil {
+		return err
+	}
+	return r.commit(attempt)
+}
+
+// notStarted ends an attempt that the gang gave up, and decides on another one.
+func (d *Dispatcher) notStarted(r *record, attempt state.Attempt, result gang.Result) {
+	d.Count(result.Reason)
+	for _, worker := range result.Failed {
+		d.Quarantine.Failed(worker, r.job.ID, r.job.Kind)
+	}
+	committed, reason := r.giveUp(result)
+	if committed && result.Ran != state.NotRun {
+		d.stopUntilCertain(r, attempt)
+	}
+	if outcome := r.claimVerdict(); outcome != nil {
+		d.Planner.Ended(r.job.ID, attempt)
+		d.finish(r, *outcome)
+		return
+	}
+	if d.ctx.Err() != nil {
+		d.release(r)
+		return
+	}
+	d.decide(r, attempt, reason, result.Failed)
+}
+
+func (r *record) claimVerdict() *state.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.verdict
+}
+
+// commit notes that starts are about to be sent, unless the attempt is to be stopped.
+func (r *record) commit(attempt state.Attempt) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopReason != "" || r.attempt != attempt {
+		return state.NewStepError("commit "+string(r.job.ID), r.none(), r.stopReason, nil)
+	}
+	return r.lifecycle.Apply(state.StartSent)
+}
+
+// giveUp moves the lifecycle on after a failed start; it reports whether
+// starts had been sent, and why the attempt ends.
+func (r *record) giveUp(result gang.Result) (committed bool, reason state.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reason = result.Reason
+	if r.stopReason != "" {
+		reason = r.stopReason
+	}
+	r.stopping = true
+	if r.lifecycle.Phase() == state.JobHolding {
+		r.apply(state.HoldRefused)
+		return false, reason
+	}
+	r.apply(state.StopSent)
+	if result.Ran == state.NotRun {
+		r.apply(state.VoidConfirmed)
+	}
+	return true, reason
+}
+
+// markWhole notes that every member was started.
+func (r *record) markWhole() (effect partEffect, stopReason state.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole = true
+	r.apply(state.StartConfirmed)
+	return r.effect(), r.stopReason
+}
+
+// stopUntilCertain repeats the stop of an attempt until every rack has
+// confirmed it or every lease has expired.
+func (d *Dispatcher) stopUntilCertain(r *record, attempt state.Attempt) {
+	r.mu.Lock()
+	racks := racksOf(r.placements)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(d.ctx, leaseLapse)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := d.Gang.Abort(ctx, r.job.ID, attempt, racks)
+		if err == nil {
+			break
+		}
+		d.Count(state.ReasonOf(err, state.WorkerSilent))
+		pause(ctx, stopPause)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.apply(state.MembersStopped)
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/stop.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
+)
+
+const (
+	// leaseLapse is the time after which no lease can be alive that is not renewed.
+	leaseLapse = 20 * time.Second
+	// stopPause is the pause between two stops that were not confirmed.
+	stopPause = 200 * time.Millisecond
+)
+
+// stopAttempt stops a running attempt for a reason and decides on another one;
+// blamed names the workers at fault. Only the first stop of an attempt acts.
+func (d *Dispatcher) stopAttempt(r *record, attempt state.Attempt, reason state.Reason, blamed []netip.AddrPort) {
+	if !r.claimEnd(attempt, reason) {
+		return
+	}
+	r.mu.Lock()
+	r.apply(state.StopSent)
+	r.mu.Unlock()
+	d.stopUntilCertain(r, attempt)
+	d.decide(r, attempt, reason, blamed)
+}
+
+// reclaim takes an attempt's capacity back: it asks for a checkpoint while
+// there is time, then stops the attempt, which goes back to its queue.
+func (d *Dispatcher) reclaim(r *record, reclaim planning.Reclaim) {
+	if reclaim.Checkpoint {
+		d.save(r, reclaim)
+	}
+	d.Event("jobReclaimed", reclaim.Job, reclaim.Reason)
+	d.stopAttempt(r, reclaim.Attempt, reclaim.Reason, nil)
+}
+
+// save has every rack of the attempt save its members' state before the deadline.
+func (d *Dispatcher) save(r *record, reclaim planning.Reclaim) {
+	ctx, cancel := context.WithDeadline(d.ctx, reclaim.Deadline)
+	defer cancel()
+	r.mu.Lock()
+	racks := racksOf(r.placements)
+	r.mu.Unlock()
+	var saved [][]byte
+	for _, rack := range racks {
+		parts, err := d.Checkpoint(ctx, rack, r.name(reclaim.Attempt))
+		if err != nil {
+			d.Count(state.ReasonOf(err, state.WorkerSilent))
+			return
+		}
+		saved = append(saved, parts...)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.job.Checkpoints = saved
+	r.frozen = true
+}
+
+// decide has a job that stopped without its answer tried again or ended.
+func (d *Dispatcher) decide(r *record, attempt state.Attempt, reason state.Reason, blamed []netip.AddrPort) {
+	if d.ctx.Err() != nil {
+		return
+	}
+	job, ran, frozen, cancelled := r.standing()
+	if cancelled {
+		d.Planner.Ended(job.ID, attempt)
+		d.finish(r, state.Outcome{Job: job.ID, Ran: ran, Reason: state.Cancelled})
+		return
+	}
+	notBefore, again := d.again(&job, attempt, ran, frozen, reason, blamed)
+	if again {
+		d.Event("jobRequeued", job.ID, reason)
+		d.Planner.Requeue(job.ID, attempt, notBefore, blamed)
+		d.signal()
+		return
+	}
+	d.Planner.Ended(job.ID, attempt)
+	d.finish(r, state.Outcome{Job: job.ID, Attempt: attempt, Ran: ran, Reason: reason, Retry: ran == state.NotRun && reason.MayRetry()})
+}
+
+// again decides whether to try a job once more; what the scheduler stopped
+// itself does not count against the budget.
+func (d *Dispatcher) again(job *state.Job, attempt state.Attempt, ran state.Ran, frozen bool, reason state.Reason, blamed []netip.AddrPort) (time.Time, bool) {
+	if !job.Idempotent && !frozen && ran != state.NotRun {
+		return time.Time{}, false
+	}
+	if reason == state.Reclaimed || reason == state.RackMoved {
+		return d.Now(), true
+	}
+	if d.Quarantine.JobIsBad(job.ID) {
+		return time.Time{}, false
+	}
+	decision := d.Retries.Next(job, attempt, ran, blamed)
+	if !decision.Again {
+		d.Count(decision.Reason)
+	}
+	return decision.NotBefore, decision.Again
+}
+
+// standing returns what decide needs to know, and lets late reports of the attempt pass.
+func (r *record) standing() (job state.Job, ran state.Ran, frozen, cancelled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts = nil
+	return r.job, r.lifecycle.Ran(), r.frozen, r.cancelled
+}
--- /dev/null
+++ b/coordination/dispatch/submit.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"context"
+
+	"comfreystream/state"
+)
+
+// Submit takes a job in. It may be called again with the same job, by an entry
+// that lost the first answer or the first planner: again says so. A refusal is
+// the job's outcome; an error means that this entry is not the zone's planner
+// or that it gives the zone up.
+func (d *Dispatcher) Submit(ctx context.Context, job state.Job, again bool) error {
+	if d.ctx.Err() != nil {
+		return d.moved("submit")
+	}
+	if again {
+		if err := d.awaitRecovery(ctx); err != nil {
+			return err
+		}
+	}
+	if d.records.Len() >= maxRecords {
+		d.Count(state.QueueFull)
+		return state.NewStepError("submit", d.noPeer(), state.QueueFull, nil)
+	}
+	r := newRecord(&job)
+	if !d.records.PutNew(job.ID, r) {
+		return nil
+	}
+	d.Event("jobSubmitted", job.ID, "")
+	d.spawn(func() { d.enter(r) })
+	return nil
+}
+
+// Accept takes in a job whose caller does not wait: it is saved before Accept
+// returns nil, and refused, not run, with an error otherwise.
+func (d *Dispatcher) Accept(ctx context.Context, job state.Job) error {
+	if d.ctx.Err() != nil {
+		return d.moved("accept")
+	}
+	if _, known := d.records.Get(job.ID); known {
+		return nil
+	}
+	if reason := d.admit(&job); reason != "" {
+		d.Count(reason)
+		return state.NewStepError("accept", d.noPeer(), reason, nil)
+	}
+	if err := d.Ledger.Save(ctx, &job); err != nil {
+		d.Count(state.NotDurable)
+		return err
+	}
+	r := newRecord(&job)
+	r.saved = true
+	if !d.records.PutNew(job.ID, r) {
+		return nil
+	}
+	d.Event("jobAccepted", job.ID, "")
+	d.spawn(func() { d.queue(r) })
+	return nil
+}
+
+// enter admits, claims and queues a job whose caller waits.
+func (d *Dispatcher) enter(r *record) {
+	if reason := d.admit(&r.job); reason != "" {
+		d.finish(r, state.Refusal(r.job.ID, reason))
+		return
+	}
+	d.queue(r)
+}
+
+// queue hands a job to the planner.
+func (d *Dispatcher) queue(r *record) {
+	if reason := d.Planner.Submit(r.job); reason != "" {
+		d.finish(r, state.Refusal(r.job.ID, reason))
+		return
+	}
+	if r.isCancelled() {
+		d.cancelQueued(r)
+	}
+	d.signal()
+}
+
+// awaitRecovery waits until the racks of the zone have been reported, or the window ends.
+func (d *Dispatcher) awaitRecovery(ctx context.Context) error {
+	select {
+	case <-d.recovered:
+		return nil
+	case <-d.ctx.Done():
+		return d.moved("recover")
+	case <-ctx.Done():
+		return d.moved("recover")
+	}
+}
--- a/coordination/gang/starter.go
+++ b/coordination/gang/starter.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	holdTTL        = 5 * time.Second
+	holdTTL        = 8 * time.Second
 	holdTimeout    = 400 * time.Millisecond
 	releaseTimeout = 300 * time.Millisecond
 	startTimeout   = time.Second
--- a/coordination/lease/gang.go
+++ b/coordination/lease/gang.go
@@ -4,12 +4,13 @@
 	"comfreystream/state"
 	"context"
 	"net/netip"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
 
 // Hold takes leases on workers of one rack for the attempt, all or none.
-func (k *Keeper) Hold(ctx context.Context, rackName string, job *state.Job, attempt state.Attempt, placements []state.Placement) ([]state.Lease, error) {
+func (k *Keeper) Hold(ctx context.Context, rackName string, job *state.Job, attempt state.Attempt, placements []state.Placement, ttl time.Duration) ([]state.Lease, error) {
 	r, err := k.rack(rackName)
 	if err != nil {
 		return nil, err
@@ -18,7 +19,7 @@
 	var calls errgroup.Group
 	for i, p := range placements {
 		calls.Go(func() (err error) {
-			leases[i], err = r.holdOn(ctx, p, job, attempt)
+			leases[i], err = r.holdOn(ctx, p.Worker, state.HoldRequest{Job: *job, Attempt: attempt, Members: p.Members, TTL: ttl})
 			return err
 		})
 	}
@@ -30,16 +31,14 @@
 	return leases, nil
 }
 
-func (r *rack) holdOn(ctx context.Context, p state.Placement, job *state.Job, attempt state.Attempt) (state.Lease, error) {
-	token, err := r.access("hold", p.Worker)
+func (r *rack) holdOn(ctx context.Context, address netip.AddrPort, request state.HoldRequest) (_ state.Lease, err error) {
+	request.Token, err = r.access("hold", address)
 	if err != nil {
 		return state.Lease{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.keeper.Workers.Hold(ctx, p.Worker, state.HoldRequest{
-		Token: token, Job: *job, Attempt: attempt, Members: p.Members, TTL: HoldTTL,
-	})
+	return r.keeper.Workers.Hold(ctx, address, request)
 }
 
 // release gives up what a failed Hold took; a lease whose stop is not confirmed expires.
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -9,13 +9,11 @@
 )
 
 const (
-	// HoldTTL is how long a lease lasts before its gang is known to run whole.
-	HoldTTL = 8 * time.Second
 	// confirmedTTL is how long a lease of a whole gang lasts without a renewal;
 	// it outlasts the loss of every entry of a zone and their replacement.
 	confirmedTTL = 20 * time.Second
 	// renewWait is how long a worker holds back its answer to a renewal.
-	renewWait = 3 * time.Second
+	renewWait = 2 * time.Second
 	// callTimeout bounds each call to a worker, less what the worker may wait.
 	callTimeout = time.Second
 	// reportInterval is the longest time between two reports on a rack.
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings of one entry instance.
+package settings
--- a/standin/worker/task.go
+++ b/standin/worker/task.go
@@ -75,7 +75,8 @@
 	return !t.record.Started, nil
 }
 
-// Checkpoint saves the progress of a running attempt and returns it.
+// Checkpoint saves the progress of a running attempt, returns it, and holds the
+// members there until they are stopped or their lease expires.
 func (w *Worker) Checkpoint(token state.Token, attempt state.JobAttempt) ([]byte, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -86,6 +87,10 @@
 	if !found || t.record.Phase != state.TaskRunning || !t.record.Job.Checkpointable {
 		return nil, w.refuse("checkpoint", state.LeaseLapsed)
 	}
+	t.end.Stop()
+	if t.record.Checkpoint != nil {
+		return t.record.Checkpoint, nil
+	}
 	done := t.plan.runTime - t.plan.remaining(&t.record.Job) + w.Now().Sub(t.begun)
 	t.record.Checkpoint = []byte(done.String())
 	return t.record.Checkpoint, nil
--- a/state/report.go
+++ b/state/report.go
@@ -46,18 +46,6 @@
 // Progress is what a waiting entry learns of a job: its outcome, or that it goes on.
 type Progress struct {
 	Done    bool
-	Phase   Phase
+	Phase   JobPhase
 	Outcome Outcome
 }
-
-// Phase is how far a job has come, as shown to callers.
-type Phase string
-
-// The phases of a job.
-const (
-	PhaseQueued   Phase = "queued"
-	PhaseStarting Phase = "starting"
-	PhaseRunning  Phase = "running"
-	PhaseStopping Phase = "stopping"
-	PhaseDone     Phase = "done"
-)
