--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,43 @@
+package metrics
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+)
+
+func TestPage(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	m := New()
+	m.CountRefusal(state.QueueFull)
+	m.CountRefusal(state.QueueFull)
+	m.CountRefusal("a peer's word")
+	m.CountRetry(state.WorkerLost)
+	m.CountConnection(transport.BodyTooLarge)
+	m.Root.Gauge("queue_length").Update(3)
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var ctx fasthttp.RequestCtx
+	m.Page(&ctx)
+	page := string(ctx.Response.Body())
+	tests := []struct{ name, line string }{
+		{"counted twice", `comfreystream_refusals_total{reason="queueFull"} 2`},
+		{"not yet counted", `comfreystream_refusals_total{reason="neverFits"} 0`},
+		{"in no list", `comfreystream_refusals_total{reason="unlisted"} 1`},
+		{"retry", `comfreystream_retries_total{reason="workerLost"} 1`},
+		{"transport", `comfreystream_transport_refusals_total{reason="bodyTooLarge"} 1`},
+		{"gauge", `comfreystream_queue_length 3`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if !strings.Contains(page, "\n"+tt.line+"\n") {
+				t.Errorf("no line %q in\n%s", tt.line, page)
+			}
+		})
+	}
+}
--- a/state/reason.go
+++ b/state/reason.go
@@ -46,6 +46,16 @@
 	ConnectionLost Reason = "connectionLost"
 )
 
+// Reasons lists every reason, so that each has its counter from the start.
+var Reasons = []Reason{
+	BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone, NeverFits,
+	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare,
+	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
+	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent,
+	AmbiguousStart, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
+	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
+}
+
 // MayRetry reports whether the same request can succeed later.
 func (r Reason) MayRetry() bool {
 	switch r {
