Write log events as lines of key=value pairs

Cause: the house style wants one line of pairs for each event. Change: logs turns zerolog's events into lines: time, level and event first, the rest in order, values quoted where a reader needs it.

--- /dev/null
+++ b/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes one line of key=value pairs for each event.
+package logs
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,53 @@
+package logs
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// EventField is the key of an event's name, as in event=jobStarted.
+const EventField = "event"
+
+// timeFormat is RFC 3339 with milliseconds, in UTC.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// New returns a logger that writes events of the level or above to out, a
+// line each; out is called by one goroutine at a time.
+func New(out io.Writer, level zerolog.Level) zerolog.Logger {
+	writer := zerolog.SyncWriter(&lineWriter{out: out})
+	return zerolog.New(writer).Level(level).Hook(timeHook{})
+}
+
+// ParseLevel returns the level that a settings file names: debug, info, warn or error.
+func ParseLevel(word string) (zerolog.Level, error) {
+	level, err := zerolog.ParseLevel(word)
+	if err != nil || level < zerolog.DebugLevel || level > zerolog.ErrorLevel {
+		return zerolog.NoLevel, errors.Errorf("log level %q: want debug, info, warn or error", word)
+	}
+	return level, nil
+}
+
+// timeHook stamps each event; zerolog's own stamp would need a global format.
+type timeHook struct{}
+
+// Run implements zerolog.Hook.
+func (timeHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeFormat))
+}
+
+// quoteIfNeeded quotes a value that a reader of pairs could not cut out.
+func quoteIfNeeded(value string) string {
+	if value != "" && !strings.ContainsFunc(value, mustQuote) {
+		return value
+	}
+	return strconv.Quote(value)
+}
+
+func mustQuote(r rune) bool {
+	return r <= ' ' || r == '"' || r == '=' || r == '\\' || r == 0x7f || r == '\uFFFD'
+}
--- /dev/null
+++ b/logs/logs_test.go
@@ -0,0 +1,63 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+func TestLines(t *testing.T) {
+	const begin = "time=2000-01-01T00:00:00.000Z level=info event=jobStarted"
+	tests := []struct {
+		name string
+		log  func(l zerolog.Logger)
+		want string
+	}{
+		{"event alone", func(l zerolog.Logger) { l.Info().Str(EventField, "jobStarted").Send() }, begin + "\n"},
+		{"pairs in order", func(l zerolog.Logger) {
+			l.Info().Str("job", "a.1").Str(EventField, "jobStarted").Int("members", 4).Bool("urgent", true).Send()
+		}, begin + " job=a.1 members=4 urgent=true\n"},
+		{"quoted where needed", func(l zerolog.Logger) {
+			l.Info().Str(EventField, "jobStarted").Str("a", "x y").Str("b", "").Str("c", "k=v").Str("d", "line\nevent=forged").Send()
+		}, begin + ` a="x y" b="" c="k=v" d="line\nevent=forged"` + "\n"},
+		{"error", func(l zerolog.Logger) {
+			l.Info().Str(EventField, "jobStarted").Err(errors.New("hold: lost")).Send()
+		}, begin + ` error="hold: lost"` + "\n"},
+		{"duration", func(l zerolog.Logger) {
+			l.Info().Str(EventField, "jobStarted").Stringer("took", 1500*time.Millisecond).Send()
+		}, begin + " took=1.5s\n"},
+		{"below the level", func(l zerolog.Logger) { l.Debug().Str(EventField, "jobStarted").Send() }, ""},
+		{"fields of the logger", func(l zerolog.Logger) {
+			l = l.With().Str("zone", "a").Logger()
+			l.Info().Str(EventField, "jobStarted").Send()
+		}, begin + " zone=a\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var out bytes.Buffer
+				tt.log(New(&out, zerolog.InfoLevel))
+				if out.String() != tt.want {
+					t.Errorf("got  %swant %s", out.String(), tt.want)
+				}
+			})
+		})
+	}
+}
+
+func TestParseLevel(t *testing.T) {
+	tests := []struct {
+		word string
+		ok   bool
+	}{{"debug", true}, {"error", true}, {"loud", false}, {"", false}, {"panic", false}}
+	for _, tt := range tests {
+		if _, err := ParseLevel(tt.word); (err == nil) != tt.ok || err != nil && !strings.Contains(err.Error(), "want debug") {
+			t.Errorf("%q: %v", tt.word, err)
+		}
+	}
+}
