Fit the peer's and the caller's services to the front and the planner

Cause: the front asks a planner in short calls and says itself when a job goes on; the services had a long call instead. Change: peer has submit, accept, await and cancel; caller's Submit returns a progress. Checked: go test -race ./protocol/caller ./protocol/peer passes.

--- a/protocol/caller/caller_test.go
+++ b/protocol/caller/caller_test.go
@@ -25,25 +25,26 @@
 	Service
 	asked    any
 	counted  string
-	outcome  state.Outcome
 	progress state.Progress
 	failure  error
 }
 
 func newFakeService() *fakeService {
-	f := &fakeService{outcome: state.Outcome{Job: "a.1", Attempt: 1, Ran: state.RanWhole, Answer: []byte("whole")}}
-	f.progress = state.Progress{Done: true, Phase: state.PhaseDone, Outcome: f.outcome}
+	outcome := state.Outcome{Job: "a.1", Attempt: 1, Ran: state.RanWhole, Answer: []byte("whole")}
+	f := &fakeService{progress: state.Progress{Done: true, Phase: state.JobDone, Outcome: outcome}}
 	note := func(asked any) error {
 		f.asked = asked
 		return f.failure
 	}
 	f.Service = Service{
-		Submit: func(_ context.Context, s Submission) (state.Outcome, error) { return f.outcome, note(s) },
-		Accept: func(_ context.Context, s Submission) (state.JobID, error) { return "a.1", note(s) },
-		Progress: func(_ context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
+		Submit: func(_ context.Context, job state.Job) state.Progress {
+			_ = note(job)
+			return f.progress
+		},
+		Accept: func(_ context.Context, job state.Job) (state.JobID, error) { return "a.1", note(job) },
+		Await: func(_ context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
 			return f.progress, note([]any{job, wait})
 		},
-		Answer: func(_ context.Context, job state.JobID) (state.Progress, error) { return f.progress, note(job) },
 		Cancel: func(_ context.Context, job state.JobID) error { return note(job) },
 		Apply: func(_ context.Context, c Change) (Applied, error) {
 			return Applied{Generation: 8, InForce: []netip.AddrPort{peer}}, note(c)
@@ -76,7 +77,7 @@
 	job := state.Job{Organisation: "andina", Members: 1, Shape: state.Resources{Accelerators: 1}, Urgency: state.Normal, Submitted: start, Idempotent: true}
 	timed := job
 	timed.Deadline, timed.DeclaredRunTime, timed.Payload = start.Add(1500*time.Millisecond), time.Hour, []byte("hi")
-	timed.Urgency, timed.Adjacency = state.Urgent, state.SameRack
+	timed.ID, timed.Urgency, timed.Adjacency = "a.", state.Urgent, state.SameRack
 	tests := []struct {
 		name                       string
 		method, path, header, body string
@@ -84,16 +85,16 @@
 		status                     int
 		want                       string
 	}{
-		{"submit and wait", "POST", "/v1/jobs", "", smallJob + `}`, Submission{Job: job}, 200, `{"job":"a.1","attempt":1,"ran":"ran","answer":"d2hvbGU="}`},
+		{"submit and wait", "POST", "/v1/jobs", "", smallJob + `}`, job, 200, `{"job":"a.1","attempt":1,"ran":"ran","answer":"d2hvbGU="}`},
 		{
 			"submit with every kind of field", "POST", "/v1/jobs", "",
 			smallJob + `,"answerWithin":"1.5s","declaredRunTime":"1h","payload":"aGk=","urgency":"urgent","adjacency":"sameRack","availabilityZone":"a","wait":true}`,
-			Submission{Job: timed, AvailabilityZone: "a"},
+			timed,
 			200, `{"job":"a.1","attempt":1,"ran":"ran","answer":"d2hvbGU="}`,
 		},
-		{"accept", "POST", "/v1/jobs", "", smallJob + `,"wait":false}`, Submission{Job: job}, 202, `{"job":"a.1","ask":"/v1/jobs/a.1"}`},
+		{"accept", "POST", "/v1/jobs", "", smallJob + `,"wait":false}`, job, 202, `{"job":"a.1","ask":"/v1/jobs/a.1"}`},
 		{"progress", "GET", "/v1/jobs/a.1?wait=2s", "", "", []any{state.JobID("a.1"), 2 * time.Second}, 200, `{"job":"a.1","phase":"done","done":true,"attempt":1,"ran":"ran"}`},
-		{"answer", "GET", "/v1/jobs/a.1/answer", "", "", state.JobID("a.1"), 200, `{"job":"a.1","attempt":1,"ran":"ran","answer":"d2hvbGU="}`},
+		{"answer", "GET", "/v1/jobs/a.1/answer", "", "", []any{state.JobID("a.1"), time.Duration(0)}, 200, `{"job":"a.1","attempt":1,"ran":"ran","answer":"d2hvbGU="}`},
 		{"cancel", "DELETE", "/v1/jobs/a.1", "", "", state.JobID("a.1"), 202, `{"job":"a.1","ask":"/v1/jobs/a.1"}`},
 		{"cancel by POST", "POST", "/v1/jobs/a.1/cancel", "", "", state.JobID("a.1"), 202, `{"job":"a.1","ask":"/v1/jobs/a.1"}`},
 		{"apply", "PUT", "/v1/manifest", "", "{}", Change{File: []byte("{}")}, 200, `{"generation":8,"inForce":["10.0.0.7:7070"],"unreachable":[]}`},
@@ -158,7 +159,7 @@
 }
 
 func TestFailures(t *testing.T) {
-	const submit, show = "POST /v1/jobs", "GET /v1/jobs/a.1"
+	const submit, submitAsync, show = "POST /v1/jobs", "POST /v1/jobs false", "GET /v1/jobs/a.1"
 	refused := func(reason state.Reason) state.Outcome { return state.Refusal("a.1", reason) }
 	unsure := state.Outcome{Job: "a.1", Ran: state.Unknown, Reason: state.AmbiguousStart}
 	lost := state.AmbiguousStep("submit", peer, state.ConnectionLost, errors.New("reset"))
@@ -175,17 +176,17 @@
 		{"over quota", submit, refused(state.OverQuota), nil, 429, `{"reason":"overQuota","ran":"not run","retry":true,"retryAfter":"10s","job":"a.1"}`},
 		{"ambiguous start", submit, unsure, nil, 500, `{"reason":"ambiguousStart","ran":"outcome unknown","retry":false,"job":"a.1","ask":"/v1/jobs/a.1"}`},
 		{
-			"answer lost", submit,
-			state.Outcome{Job: "a.1"},
+			"answer lost", submitAsync,
+			state.Outcome{},
 			lost, 500,
 			`{"reason":"connectionLost","ran":"outcome unknown","retry":false,"job":"a.1","ask":"/v1/jobs/a.1","step":"submit","peer":"10.0.0.7:7070","detail":"reset"}`,
 		},
-		{"untyped", submit, state.Outcome{}, errors.New("odd"), 500, `{"reason":"taskFailed","ran":"outcome unknown","retry":false,"detail":"odd"}`},
+		{"untyped", submitAsync, state.Outcome{}, errors.New("odd"), 500, `{"reason":"taskFailed","ran":"outcome unknown","retry":false,"job":"a.1","ask":"/v1/jobs/a.1","detail":"odd"}`},
 		{
-			"draining", submit,
+			"draining", submitAsync,
 			state.Outcome{},
 			state.NewStepError("admit", netip.AddrPort{}, state.Draining, nil), 503,
-			`{"reason":"draining","ran":"not run","retry":true,"retryAfter":"200ms","step":"admit"}`,
+			`{"reason":"draining","ran":"not run","retry":true,"retryAfter":"200ms","job":"a.1","step":"admit"}`,
 		},
 		{
 			"a question never says that a job did not run", show,
@@ -203,9 +204,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFakeService()
-			f.outcome, f.failure = tt.outcome, tt.failure
+			f.progress.Outcome, f.failure = tt.outcome, tt.failure
 			method, path, _ := strings.Cut(tt.request, " ")
-			status, text := ask(f, method, path, "", smallJob+"}")
+			path, wait, async := strings.Cut(path, " ")
+			body := smallJob + "}"
+			if async {
+				body = smallJob + `,"wait":` + wait + "}"
+			}
+			status, text := ask(f, method, path, "", body)
 			if status != tt.status || text != tt.want {
 				t.Errorf("answered %d %s; want %d %s", status, text, tt.status, tt.want)
 			}
--- a/protocol/caller/jobs.go
+++ b/protocol/caller/jobs.go
@@ -30,7 +30,7 @@
 // progressBody tells how far a job is; the last four fields are set once it is done.
 type progressBody struct {
 	Job     state.JobID   `json:"job"`
-	Phase   state.Phase   `json:"phase"`
+	Phase   string        `json:"phase"`
 	Done    bool          `json:"done"`
 	Attempt state.Attempt `json:"attempt,omitempty"`
 	Ran     string        `json:"ran,omitempty"`
@@ -44,27 +44,20 @@
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	submission, err := body.submission(s.Now())
+	job, err := body.job(s.Now())
 	if err != nil {
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
 	if !body.waits() {
-		s.accept(ctx, submission)
+		s.accept(ctx, job)
 		return
 	}
-	outcome, err := s.Submit(transport.Context(ctx), submission)
-	if err != nil {
-		f := failureOf(err)
-		f.job = outcome.Job
-		s.fail(ctx, byReason, f)
-		return
-	}
-	s.answerOutcome(ctx, outcome)
+	s.answerProgress(ctx, s.Submit(transport.Context(ctx), job))
 }
 
-func (s *Service) accept(ctx *fasthttp.RequestCtx, submission Submission) {
-	id, err := s.Accept(transport.Context(ctx), submission)
+func (s *Service) accept(ctx *fasthttp.RequestCtx, job state.Job) {
+	id, err := s.Accept(transport.Context(ctx), job)
 	if err != nil {
 		f := failureOf(err)
 		f.job = id
@@ -76,6 +69,15 @@
 	answer(ctx, fasthttp.StatusAccepted, acceptedBody{Job: id, Ask: ask})
 }
 
+// answerProgress answers with the outcome of a job that is done, else with its progress.
+func (s *Service) answerProgress(ctx *fasthttp.RequestCtx, p state.Progress) {
+	if !p.Done {
+		answer(ctx, fasthttp.StatusAccepted, toProgressBody(p.Outcome.Job, p))
+		return
+	}
+	s.answerOutcome(ctx, p.Outcome)
+}
+
 func (s *Service) answerOutcome(ctx *fasthttp.RequestCtx, o state.Outcome) {
 	if o.Ran != state.RanWhole || o.Reason != "" {
 		s.fail(ctx, byReason, failure{reason: o.Reason, ran: o.Ran, job: o.Job})
@@ -94,7 +96,7 @@
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	progress, err := s.Progress(transport.Context(ctx), id, wait)
+	progress, err := s.Await(transport.Context(ctx), id, wait)
 	if err != nil {
 		s.failAbout(ctx, id, err)
 		return
@@ -108,15 +110,13 @@
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	progress, err := s.Answer(transport.Context(ctx), id)
-	switch {
-	case err != nil:
+	progress, err := s.Await(transport.Context(ctx), id, 0)
+	if err != nil {
 		s.failAbout(ctx, id, err)
-	case !progress.Done:
-		answer(ctx, fasthttp.StatusAccepted, toProgressBody(id, progress))
-	default:
-		s.answerOutcome(ctx, progress.Outcome)
+		return
 	}
+	progress.Outcome.Job = id
+	s.answerProgress(ctx, progress)
 }
 
 func cancelJob(s *Service, ctx *fasthttp.RequestCtx) {
@@ -144,7 +144,7 @@
 }
 
 func toProgressBody(id state.JobID, p state.Progress) progressBody {
-	body := progressBody{Job: id, Phase: p.Phase, Done: p.Done}
+	body := progressBody{Job: id, Phase: p.Phase.String(), Done: p.Done}
 	if p.Done {
 		body.Attempt = p.Outcome.Attempt
 		body.Ran = p.Outcome.Ran.String()
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -9,13 +9,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Submission is a caller's request to run a job; the job has no identity yet.
-type Submission struct {
-	Job state.Job
-	// AvailabilityZone is where the job must run; empty leaves it to the entry.
-	AvailabilityZone string
-}
-
 // Change is an operator's request to replace the manifest.
 type Change struct {
 	// File is the manifest as the operator sent it.
@@ -38,15 +31,14 @@
 // Service is what an entry does for callers and operators; every field must
 // be set. Errors are *state.StepError; others count as ambiguous.
 type Service struct {
-	// Submit runs the job and returns its final outcome; the context ends
-	// when the caller leaves.
-	Submit func(ctx context.Context, submission Submission) (state.Outcome, error)
-	// Accept takes the job on and returns its identity at once.
-	Accept func(ctx context.Context, submission Submission) (state.JobID, error)
-	// Progress returns how far the job is; it waits up to the duration for a change.
-	Progress func(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error)
-	// Answer returns the outcome of a job that is done, else its progress.
-	Answer func(ctx context.Context, job state.JobID) (state.Progress, error)
+	// Submit has the job run and returns its outcome; if the context ends
+	// first, because the caller has left, the progress says that it goes on. The
+	// job's identity is empty, or names only the zone as in "zone.".
+	Submit func(ctx context.Context, job state.Job) state.Progress
+	// Accept takes the job on for good and returns its identity at once.
+	Accept func(ctx context.Context, job state.Job) (state.JobID, error)
+	// Await returns how far the job is; it waits up to the duration for its end.
+	Await  func(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error)
 	Cancel func(ctx context.Context, job state.JobID) error
 	Apply  func(ctx context.Context, change Change) (Applied, error)
 	// Manifest returns the manifest in force and its file.
--- a/protocol/caller/submission.go
+++ b/protocol/caller/submission.go
@@ -3,6 +3,7 @@
 import (
 	"comfreystream/state"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,17 +54,17 @@
 // waits reports whether the caller waits for the job's answer.
 func (b *submissionBody) waits() bool { return b.Wait == nil || *b.Wait }
 
-func (b *submissionBody) submission(now time.Time) (Submission, error) {
+func (b *submissionBody) job(now time.Time) (state.Job, error) {
 	adjacency, err := indexOf("adjacency", adjacencyWords, b.Adjacency, int(state.AnyRack))
 	if err != nil {
-		return Submission{}, err
+		return state.Job{}, err
 	}
 	urgency, err := indexOf("urgency", urgencyWords, b.Urgency, int(state.Normal))
 	if err != nil {
-		return Submission{}, err
+		return state.Job{}, err
 	}
 	if err := b.check(); err != nil {
-		return Submission{}, err
+		return state.Job{}, err
 	}
 	job := state.Job{
 		Organisation: b.Organisation, Kind: b.Kind, Members: b.Members, Shape: state.Resources(b.Shape),
@@ -74,7 +75,10 @@
 	if b.AnswerWithin > 0 {
 		job.Deadline = now.Add(time.Duration(b.AnswerWithin))
 	}
-	return Submission{Job: job, AvailabilityZone: b.AvailabilityZone}, nil
+	if b.AvailabilityZone != "" {
+		job.ID = state.NewJobID(b.AvailabilityZone, "")
+	}
+	return job, nil
 }
 
 func (b *submissionBody) check() error {
@@ -90,6 +94,8 @@
 		return errors.Errorf("members: is %d; want 1 to %d", b.Members, maxMembers)
 	case !b.Idempotent && b.Key == "":
 		return errors.New("key: is missing; a request that is not idempotent needs one")
+	case strings.Contains(b.AvailabilityZone, "."):
+		return errors.Errorf("availabilityZone: is %q; a zone's name has no dot", b.AvailabilityZone)
 	case b.AnswerWithin < 0:
 		return errors.New("answerWithin: is negative")
 	case b.DeclaredRunTime < 0:
--- a/protocol/peer/client.go
+++ b/protocol/peer/client.go
@@ -18,11 +18,10 @@
 	h := transport.HTTPClient{Client: client}
 	return &Client{
 		jobs: jobCalls{
-			submit:   newProcedure[jobRequest, wireOutcome](h, stepSubmit),
-			accept:   newProcedure[jobRequest, none](h, stepAccept),
-			progress: newProcedure[idRequest, wireProgress](h, stepProgress),
-			cancel:   newProcedure[idRequest, none](h, stepCancel),
-			answer:   newProcedure[idRequest, wireOutcome](h, stepAnswer),
+			submit: newProcedure[jobRequest, none](h, stepSubmit),
+			accept: newProcedure[jobRequest, none](h, stepAccept),
+			await:  newProcedure[idRequest, wireProgress](h, stepAwait),
+			cancel: newProcedure[idRequest, none](h, stepCancel),
 		},
 		racks: rackCalls{
 			hold:       newProcedure[holdRequest, leasesMessage](h, stepHold),
--- a/protocol/peer/jobs.go
+++ b/protocol/peer/jobs.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	stepSubmit   = "submit"
-	stepAccept   = "accept"
-	stepProgress = "progress"
-	stepCancel   = "cancel"
-	stepAnswer   = "answer"
+	stepSubmit = "submit"
+	stepAccept = "accept"
+	stepAwait  = "await"
+	stepCancel = "cancel"
 )
 
 type jobRequest struct {
-	Job wireJob `cbor:"1,keyasint"`
+	Job   wireJob `cbor:"1,keyasint"`
+	Again bool    `cbor:"2,keyasint,omitempty"`
 }
 
 type idRequest struct {
@@ -26,49 +26,44 @@
 }
 
 type jobCalls struct {
-	submit   procedure[jobRequest, wireOutcome]
-	accept   procedure[jobRequest, none]
-	progress procedure[idRequest, wireProgress]
-	cancel   procedure[idRequest, none]
-	answer   procedure[idRequest, wireOutcome]
+	submit procedure[jobRequest, none]
+	accept procedure[jobRequest, none]
+	await  procedure[idRequest, wireProgress]
+	cancel procedure[idRequest, none]
 }
 
 func (s *Service) handleJobs(mux *http.ServeMux) {
-	handle(mux, stepSubmit, func(ctx context.Context, r jobRequest) (wireOutcome, error) {
-		outcome, err := s.Submit(ctx, r.Job.job())
-		return wireOutcome(outcome), err
+	handle(mux, stepSubmit, func(ctx context.Context, r jobRequest) (none, error) {
+		return none{}, s.Submit(ctx, r.Job.job(), r.Again)
 	})
 	handle(mux, stepAccept, func(ctx context.Context, r jobRequest) (none, error) {
 		return none{}, s.Accept(ctx, r.Job.job())
 	})
-	handle(mux, stepProgress, func(ctx context.Context, r idRequest) (wireProgress, error) {
-		progress, err := s.Progress(ctx, r.Job, r.Wait)
+	handle(mux, stepAwait, func(ctx context.Context, r idRequest) (wireProgress, error) {
+		progress, err := s.Await(ctx, r.Job, r.Wait)
 		return toWireProgress(progress), err
 	})
 	handle(mux, stepCancel, func(ctx context.Context, r idRequest) (none, error) {
 		return none{}, s.Cancel(ctx, r.Job)
 	})
-	handle(mux, stepAnswer, func(ctx context.Context, r idRequest) (wireOutcome, error) {
-		outcome, err := s.Answer(ctx, r.Job)
-		return wireOutcome(outcome), err
-	})
 }
 
-// Submit has the peer run the job and returns its final outcome.
-func (c *Client) Submit(ctx context.Context, peer netip.AddrPort, job state.Job) (state.Outcome, error) {
-	outcome, err := c.jobs.submit.ask(ctx, peer, jobRequest{Job: toWireJob(&job)})
-	return state.Outcome(outcome), err
+// Submit has the peer, the zone's planner, take the job in; again is set if
+// another planner may have taken it in before.
+func (c *Client) Submit(ctx context.Context, peer netip.AddrPort, job state.Job, again bool) error {
+	_, err := c.jobs.submit.ask(ctx, peer, jobRequest{Job: toWireJob(&job), Again: again})
+	return err
 }
 
-// Accept has the peer take the job on and returns without its outcome.
+// Accept has the peer, the zone's planner, take the job on for good.
 func (c *Client) Accept(ctx context.Context, peer netip.AddrPort, job state.Job) error {
 	_, err := c.jobs.accept.ask(ctx, peer, jobRequest{Job: toWireJob(&job)})
 	return err
 }
 
-// Progress returns how far the job is; the peer waits up to the duration for a change.
-func (c *Client) Progress(ctx context.Context, peer netip.AddrPort, job state.JobID, wait time.Duration) (state.Progress, error) {
-	progress, err := c.jobs.progress.ask(ctx, peer, idRequest{Job: job, Wait: wait})
+// Await returns how far the job is; the peer waits up to the duration for its end.
+func (c *Client) Await(ctx context.Context, peer netip.AddrPort, job state.JobID, wait time.Duration) (state.Progress, error) {
+	progress, err := c.jobs.await.ask(ctx, peer, idRequest{Job: job, Wait: wait})
 	return progress.progress(), err
 }
 
@@ -77,9 +72,3 @@
 	_, err := c.jobs.cancel.ask(ctx, peer, idRequest{Job: job})
 	return err
 }
-
-// Answer returns the outcome of a job that is done.
-func (c *Client) Answer(ctx context.Context, peer netip.AddrPort, job state.JobID) (state.Outcome, error) {
-	outcome, err := c.jobs.answer.ask(ctx, peer, idRequest{Job: job})
-	return state.Outcome(outcome), err
-}
--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -51,13 +51,12 @@
 
 func (r *recorder) service() *Service {
 	return &Service{
-		Submit: func(_ context.Context, job state.Job) (state.Outcome, error) { return sampleOutcome, r.note(job) },
+		Submit: func(_ context.Context, job state.Job, again bool) error { return r.note([]any{job, again}) },
 		Accept: func(_ context.Context, job state.Job) error { return r.note(job) },
-		Progress: func(_ context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
-			return state.Progress{Done: true, Phase: state.PhaseDone, Outcome: sampleOutcome}, r.note([]any{job, wait})
+		Await: func(_ context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
+			return state.Progress{Done: true, Phase: state.JobDone, Outcome: sampleOutcome}, r.note([]any{job, wait})
 		},
 		Cancel: func(_ context.Context, job state.JobID) error { return r.note(job) },
-		Answer: func(_ context.Context, job state.JobID) (state.Outcome, error) { return sampleOutcome, r.note(job) },
 		Hold:   func(_ context.Context, hold Hold) ([]state.Lease, error) { return nil, r.note(hold) },
 		Start: func(_ context.Context, rack string, leases []state.Lease) error {
 			return r.note([]any{rack, len(leases)})
@@ -103,15 +102,14 @@
 		asked any
 		want  any
 	}{
-		{"submit", func(c *Client, p netip.AddrPort) (any, error) { return c.Submit(ctx, p, sampleJob) }, sampleJob, sampleOutcome},
+		{"submit", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.Submit(ctx, p, sampleJob, true) }, []any{sampleJob, true}, nil},
 		{"accept", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.Accept(ctx, p, sampleJob) }, sampleJob, nil},
 		{
-			"progress", func(c *Client, p netip.AddrPort) (any, error) { return c.Progress(ctx, p, "a.1", time.Second) },
+			"await", func(c *Client, p netip.AddrPort) (any, error) { return c.Await(ctx, p, "a.1", time.Second) },
 			[]any{state.JobID("a.1"), time.Second},
-			state.Progress{Done: true, Phase: state.PhaseDone, Outcome: sampleOutcome},
+			state.Progress{Done: true, Phase: state.JobDone, Outcome: sampleOutcome},
 		},
 		{"cancel", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.Cancel(ctx, p, "a.1") }, state.JobID("a.1"), nil},
-		{"answer", func(c *Client, p netip.AddrPort) (any, error) { return c.Answer(ctx, p, "a.1") }, state.JobID("a.1"), sampleOutcome},
 		{"hold", func(c *Client, p netip.AddrPort) (any, error) { return c.Hold(ctx, p, hold) }, hold, []state.Lease(nil)},
 		{"start", func(c *Client, p netip.AddrPort) (any, error) {
 			return nil, c.Start(ctx, p, "r1", make([]state.Lease, 2))
--- a/protocol/peer/procedure.go
+++ b/protocol/peer/procedure.go
@@ -98,8 +98,11 @@
 // lost types a call without a whole answer.
 func lost(step string, peer netip.AddrPort, err error) error {
 	var call *transport.CallError
-	if errors.As(err, &call) && !call.Sent {
+	switch {
+	case errors.As(err, &call) && !call.Sent:
 		return state.NewStepError(step, peer, state.HomeUnreachable, err)
+	case connect.CodeOf(err) == connect.CodeInvalidArgument:
+		return state.NewStepError(step, peer, state.BadRequest, err)
 	}
 	return state.AmbiguousStep(step, peer, state.ConnectionLost, err)
 }
--- a/protocol/peer/service.go
+++ b/protocol/peer/service.go
@@ -39,15 +39,14 @@
 // Service is what an entry does for its peers; every field must be set.
 // Errors are *state.StepError; others count as ambiguous.
 type Service struct {
-	// Submit runs the job as the zone's planner and returns its final outcome.
-	Submit func(ctx context.Context, job state.Job) (state.Outcome, error)
-	// Accept takes the job on as the zone's planner and returns at once.
+	// Submit takes the job in as the zone's planner while its front waits;
+	// again is set if another planner may have taken it in before.
+	Submit func(ctx context.Context, job state.Job, again bool) error
+	// Accept takes the job on for good as the zone's planner.
 	Accept func(ctx context.Context, job state.Job) error
-	// Progress returns how far the job is; it waits up to the duration for a change.
-	Progress func(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error)
-	Cancel   func(ctx context.Context, job state.JobID) error
-	// Answer returns the outcome of a job that is done.
-	Answer func(ctx context.Context, job state.JobID) (state.Outcome, error)
+	// Await returns how far the job is; it waits up to the duration for its end.
+	Await  func(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error)
+	Cancel func(ctx context.Context, job state.JobID) error
 	Hold   func(ctx context.Context, hold Hold) ([]state.Lease, error)
 	Start  func(ctx context.Context, rack string, leases []state.Lease) error
 	// Stop reports neverStarted only if no member was ever started.
--- a/protocol/peer/wire_job.go
+++ b/protocol/peer/wire_job.go
@@ -14,20 +14,20 @@
 }
 
 type wireJob struct {
-	ID              state.JobID     `cbor:"1,keyasint"`
-	Organisation    string          `cbor:"2,keyasint,omitempty"`
-	Kind            string          `cbor:"3,keyasint,omitempty"`
-	Members         int             `cbor:"4,keyasint,omitempty"`
-	Shape           wireResources   `cbor:"5,keyasint"`
-	Adjacency       state.Adjacency `cbor:"6,keyasint,omitempty"`
-	Urgency         state.Urgency   `cbor:"7,keyasint,omitempty"`
-	Submitted       wireTime        `cbor:"8,keyasint,omitempty"`
-	Deadline        wireTime        `cbor:"9,keyasint,omitempty"`
-	Idempotent      bool            `cbor:"10,keyasint,omitempty"`
-	Key             string          `cbor:"11,keyasint,omitempty"`
-	Checkpointable  bool            `cbor:"12,keyasint,omitempty"`
-	DeclaredRunTime time.Duration   `cbor:"13,keyasint,omitempty"`
-	Payload         []byte          `cbor:"14,keyasint,omitempty"`
+	ID              state.JobID   `cbor:"1,keyasint"`
+	Organisation    string        `cbor:"2,keyasint,omitempty"`
+	Kind            string        `cbor:"3,keyasint,omitempty"`
+	Members         int           `cbor:"4,keyasint,omitempty"`
+	Shape           wireResources `cbor:"5,keyasint"`
+	Adjacency       wireAdjacency `cbor:"6,keyasint,omitempty"`
+	Urgency         wireUrgency   `cbor:"7,keyasint,omitempty"`
+	Submitted       wireTime      `cbor:"8,keyasint,omitempty"`
+	Deadline        wireTime      `cbor:"9,keyasint,omitempty"`
+	Idempotent      bool          `cbor:"10,keyasint,omitempty"`
+	Key             string        `cbor:"11,keyasint,omitempty"`
+	Checkpointable  bool          `cbor:"12,keyasint,omitempty"`
+	DeclaredRunTime time.Duration `cbor:"13,keyasint,omitempty"`
+	Payload         []byte        `cbor:"14,keyasint,omitempty"`
 }
 
 type wirePlacement struct {
@@ -39,16 +39,16 @@
 type wireOutcome struct {
 	Job     state.JobID   `cbor:"1,keyasint"`
 	Attempt state.Attempt `cbor:"2,keyasint,omitempty"`
-	Ran     state.Ran     `cbor:"3,keyasint"`
+	Ran     wireRan       `cbor:"3,keyasint"`
 	Reason  state.Reason  `cbor:"4,keyasint,omitempty"`
 	Retry   bool          `cbor:"5,keyasint,omitempty"`
 	Answer  []byte        `cbor:"6,keyasint,omitempty"`
 }
 
 type wireProgress struct {
-	Done    bool        `cbor:"1,keyasint,omitempty"`
-	Phase   state.Phase `cbor:"2,keyasint"`
-	Outcome wireOutcome `cbor:"3,keyasint"`
+	Done    bool         `cbor:"1,keyasint,omitempty"`
+	Phase   wireJobPhase `cbor:"2,keyasint"`
+	Outcome wireOutcome  `cbor:"3,keyasint"`
 }
 
 type wireAttempt struct {
@@ -76,7 +76,7 @@
 func toWireJob(job *state.Job) wireJob {
 	return wireJob{
 		ID: job.ID, Organisation: job.Organisation, Kind: job.Kind, Members: job.Members,
-		Shape: wireResources(job.Shape), Adjacency: job.Adjacency, Urgency: job.Urgency,
+		Shape: wireResources(job.Shape), Adjacency: wireAdjacency(job.Adjacency), Urgency: wireUrgency(job.Urgency),
 		Submitted: toWireTime(job.Submitted), Deadline: toWireTime(job.Deadline),
 		Idempotent: job.Idempotent, Key: job.Key, Checkpointable: job.Checkpointable,
 		DeclaredRunTime: job.DeclaredRunTime, Payload: job.Payload,
@@ -86,7 +86,7 @@
 func (w *wireJob) job() state.Job {
 	return state.Job{
 		ID: w.ID, Organisation: w.Organisation, Kind: w.Kind, Members: w.Members,
-		Shape: state.Resources(w.Shape), Adjacency: w.Adjacency, Urgency: w.Urgency,
+		Shape: state.Resources(w.Shape), Adjacency: state.Adjacency(w.Adjacency), Urgency: state.Urgency(w.Urgency),
 		Submitted: w.Submitted.time(), Deadline: w.Deadline.time(),
 		Idempotent: w.Idempotent, Key: w.Key, Checkpointable: w.Checkpointable,
 		DeclaredRunTime: w.DeclaredRunTime, Payload: w.Payload,
@@ -94,11 +94,23 @@
 }
 
 func toWireProgress(p state.Progress) wireProgress {
-	return wireProgress{Done: p.Done, Phase: p.Phase, Outcome: wireOutcome(p.Outcome)}
+	return wireProgress{Done: p.Done, Phase: wireJobPhase(p.Phase), Outcome: toWireOutcome(p.Outcome)}
 }
 
 func (w wireProgress) progress() state.Progress {
-	return state.Progress{Done: w.Done, Phase: w.Phase, Outcome: state.Outcome(w.Outcome)}
+	return state.Progress{Done: w.Done, Phase: state.JobPhase(w.Phase), Outcome: w.Outcome.outcome()}
+}
+
+func toWireOutcome(o state.Outcome) wireOutcome {
+	return wireOutcome{
+		Job: o.Job, Attempt: o.Attempt, Ran: wireRan(o.Ran), Reason: o.Reason, Retry: o.Retry, Answer: o.Answer,
+	}
+}
+
+func (w wireOutcome) outcome() state.Outcome {
+	return state.Outcome{
+		Job: w.Job, Attempt: w.Attempt, Ran: state.Ran(w.Ran), Reason: w.Reason, Retry: w.Retry, Answer: w.Answer,
+	}
 }
 
 // convert applies change to each value; nothing stays nil.
--- a/protocol/peer/wire_rack.go
+++ b/protocol/peer/wire_rack.go
@@ -19,13 +19,13 @@
 }
 
 type wireTask struct {
-	Lease      wireLease       `cbor:"1,keyasint"`
-	Phase      state.TaskPhase `cbor:"2,keyasint"`
-	Started    bool            `cbor:"3,keyasint,omitempty"`
-	Checkpoint []byte          `cbor:"4,keyasint,omitempty"`
-	Answer     []byte          `cbor:"5,keyasint,omitempty"`
-	Used       wireResources   `cbor:"6,keyasint"`
-	Job        *wireJob        `cbor:"7,keyasint,omitempty"`
+	Lease      wireLease     `cbor:"1,keyasint"`
+	Phase      wireTaskPhase `cbor:"2,keyasint"`
+	Started    bool          `cbor:"3,keyasint,omitempty"`
+	Checkpoint []byte        `cbor:"4,keyasint,omitempty"`
+	Answer     []byte        `cbor:"5,keyasint,omitempty"`
+	Used       wireResources `cbor:"6,keyasint"`
+	Job        *wireJob      `cbor:"7,keyasint,omitempty"`
 }
 
 type wireRack struct {
@@ -79,7 +79,7 @@
 
 func (c clock) toTask(t state.Task) wireTask {
 	w := wireTask{
-		Lease: c.toLease(t.Lease), Phase: t.Phase, Started: t.Started,
+		Lease: c.toLease(t.Lease), Phase: wireTaskPhase(t.Phase), Started: t.Started,
 		Checkpoint: t.Checkpoint, Answer: t.Answer, Used: wireResources(t.Used),
 	}
 	if t.Job.ID != "" {
@@ -91,7 +91,7 @@
 
 func (c clock) task(w wireTask) state.Task {
 	t := state.Task{
-		Lease: c.lease(w.Lease), Phase: w.Phase, Started: w.Started,
+		Lease: c.lease(w.Lease), Phase: state.TaskPhase(w.Phase), Started: w.Started,
 		Checkpoint: w.Checkpoint, Answer: w.Answer, Used: state.Resources(w.Used),
 	}
 	if w.Job != nil {
