Reuse a request's memory, and send heartbeats while one is handled

Cause: each request allocated its context and a parser; a waiting client could not tell a slow answer from a silent connection. Change: exchanges and header parsers are pooled, and the pool of goroutines takes the exchange itself.

--- /dev/null
+++ b/transport/bench_test.go
@@ -0,0 +1,101 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+)
+
+// BenchmarkEmptyHandler measures the HTTP path over gnet without any work;
+// the calling side writes and reads raw bytes.
+func BenchmarkEmptyHandler(b *testing.B) {
+	s := listen(b, func(*fasthttp.RequestCtx) {})
+	defer reportProcessorTime(b)()
+	b.RunParallel(func(pb *testing.PB) {
+		conn, err := net.Dial("tcp", s.Address().String())
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for pb.Next() {
+			if err := rawExchange(conn, reader); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+// BenchmarkClient measures the same path with this package's client, one call at a time.
+func BenchmarkClient(b *testing.B) {
+	s := listen(b, func(*fasthttp.RequestCtx) {})
+	client := NewClient(ClientLimits{})
+	defer func() { _ = client.Close() }()
+	defer reportProcessorTime(b)()
+	for b.Loop() {
+		if err := get(b, client, s.Address()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+var rawRequest = []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+
+func rawExchange(conn net.Conn, reader *bufio.Reader) error {
+	if _, err := conn.Write(rawRequest); err != nil {
+		return err
+	}
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) == len("\r\n") {
+			return nil
+		}
+	}
+}
+
+func get(tb testing.TB, client *Client, peer netip.AddrPort) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("/")
+	request.Header.SetHost("x")
+	return client.Do(tb.Context(), peer, request, response)
+}
+
+func listen(tb testing.TB, handler fasthttp.RequestHandler) *Server {
+	tb.Helper()
+	s, err := Listen(loopback, handler, Limits{})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// reportProcessorTime reports the processor time of both sides per call.
+func reportProcessorTime(b *testing.B) (report func()) {
+	b.ReportAllocs()
+	before := processorTime(b)
+	return func() {
+		spent := processorTime(b) - before
+		b.ReportMetric(float64(spent.Nanoseconds())/float64(b.N), "cpu-ns/op")
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/transport/connection.go
+++ b/transport/connection.go
@@ -2,60 +2,47 @@
 
 import (
 	"context"
-	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/valyala/bytebufferpool"
-	"github.com/valyala/fasthttp"
 )
 
-// flushCheckInterval is how often an answer that the other side has not yet
-// taken whole is looked at.
-const flushCheckInterval = 20 * time.Millisecond
-
-// lingerTimeout is how long input is still read and dropped after a refusal,
-// so that a reset does not overtake the answer.
-const lingerTimeout = time.Second
-
-// connection is one client's connection; all fields belong to its event loop,
-// except the exchange that a handler works on.
+// connection is one client's connection to a server; its fields belong to
+// its event loop, except queued and ctx.
 type connection struct {
 	server *Server
 	conn   gnet.Conn
 	remote remoteEnd
 	reader reader
 
+	// waiting holds the requests to be answered, the one at work first.
 	waiting []*exchange
+	// queued is the length of waiting, for other goroutines.
+	queued  atomic.Int32
 	running bool
-	// deaf is set after a refusal: all further input is dropped.
-	deaf   bool
-	closed bool
+	// deaf is set once no further request is taken: all input is dropped.
+	deaf bool
+	// lingers is set if unwanted input may still come in behind a refusal.
+	lingers bool
+	closed  bool
+
+	deadline connectionTimer
+	beat     heartbeat
 
 	ctx    context.Context
 	cancel context.CancelFunc
-
-	deadline time.Time
-	overdue  string
-	timer    *time.Timer
-	timerAt  time.Time
-}
-
-// exchange is one request and its answer.
-type exchange struct {
-	ctx     fasthttp.RequestCtx
-	refused bool
 }
 
 func newConnection(s *Server, conn gnet.Conn) *connection {
 	c := &connection{server: s, conn: conn}
-	c.remote = remoteEnd{local: conn.LocalAddr(), remote: conn.RemoteAddr()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.reader = reader{limits: &s.limits}
+	c.remote = remoteEnd{local: conn.LocalAddr(), remote: conn.RemoteAddr(), ctx: c.ctx}
+	c.reader = reader{limits: &s.limits, parsers: &s.parsers}
 	return c
 }
 
-// receive reads as many whole requests as have arrived.
+// receive takes as many whole requests as have arrived.
 func (c *connection) receive() gnet.Action {
 	for !c.deaf && !c.server.drained.Load() {
 		next, reason := c.reader.next(c.conn)
@@ -79,29 +66,19 @@
 	return gnet.None
 }
 
-// refuse queues a refusal behind the answers that are due, and reads nothing more.
+// refuse queues a refusal behind the answers that are due, and takes nothing more.
 func (c *connection) refuse(reason string) {
-	c.server.limits.Count(reason)
-	c.deaf = true
-	x := &exchange{refused: true}
-	c.fillRefusal(&x.ctx, reason)
+	x := newExchange()
+	x.refuse(&c.server.limits, reason)
+	c.deaf, c.lingers = true, true
 	c.enqueue(x)
 }
 
-func (c *connection) fillRefusal(ctx *fasthttp.RequestCtx, reason string) {
-	ctx.Response.Reset()
-	ctx.Response.SetStatusCode(statusOf(reason))
-	ctx.Response.SetConnectionClose()
-	if c.server.limits.Refuse != nil {
-		c.server.limits.Refuse(&ctx.Response, reason)
-		return
-	}
-	ctx.Response.SetBodyString(reason)
-}
-
 func (c *connection) enqueue(x *exchange) {
+	x.connection = c
 	c.server.inFlight.Add(1)
 	c.waiting = append(c.waiting, x)
+	c.queued.Add(1)
 	if !c.running {
 		c.start()
 	}
@@ -111,114 +88,51 @@
 func (c *connection) start() {
 	x := c.waiting[0]
 	c.running = true
-	if x.refused {
-		c.answer(x)
-		return
+	x.last = x.refused || x.ctx.Request.Header.ConnectionClose()
+	if x.last {
+		c.deaf = true
 	}
-	c.server.handlers.Add(1)
-	err := c.server.pool.Submit(func() {
-		defer c.server.handlers.Done()
-		c.handle(x)
-	})
-	if err == nil {
+	if x.refused {
+		x.answer()
 		return
 	}
-	c.server.handlers.Done()
-	c.server.limits.Count(TooManyRequests)
-	c.deaf = true
-	x.refused = true
-	c.fillRefusal(&x.ctx, TooManyRequests)
-	c.answer(x)
-}
-
-func (c *connection) handle(x *exchange) {
-	x.ctx.Init2(&c.remote, silent{}, false)
-	x.ctx.SetUserValue(contextKey{}, c.ctx)
-	func() {
-		defer func() {
-			if recover() != nil {
-				c.server.limits.Count(HandlerPanicked)
-				c.fillRefusal(&x.ctx, HandlerPanicked)
-			}
-		}()
-		c.server.handler(&x.ctx)
-	}()
-	c.answer(x)
-}
-
-// answer writes the answer; only one of a connection is under way at a time,
-// so that answers leave in the order of their requests.
-func (c *connection) answer(x *exchange) {
-	request, response := &x.ctx.Request, &x.ctx.Response
-	last := x.refused || response.ConnectionClose() || request.Header.ConnectionClose() || c.server.draining.Load()
-	if last {
-		response.SetConnectionClose()
-	} else if !request.Header.IsHTTP11() {
-		response.Header.Set(fasthttp.HeaderConnection, "keep-alive")
-	}
-	response.SkipBody = request.Header.IsHead()
-	buffer := bytebufferpool.Get()
-	if _, err := response.WriteTo(buffer); err != nil {
-		last = true
-	}
-	_ = c.conn.AsyncWrite(buffer.B, func(gnet.Conn, error) error {
-		bytebufferpool.Put(buffer)
-		c.sent(last)
-		return nil
-	})
-}
-
-// sent runs on the event loop once the answer has been passed to the kernel
-// or to the connection's own buffer.
-func (c *connection) sent(last bool) {
-	if c.closed {
-		return
+	if x.wantsHeartbeat() {
+		c.beat.start(c)
 	}
-	if c.conn.OutboundBuffered() > 0 {
-		c.awaitFlush(last, time.Now().Add(c.server.limits.WriteTimeout))
-		return
+	c.server.handlers.Add(1)
+	if err := c.server.pool.Invoke(x); err != nil {
+		c.server.handlers.Done()
+		c.deaf, c.lingers = true, true
+		x.refuse(&c.server.limits, TooManyRequests)
+		x.answer()
 	}
-	c.finish(last)
-}
-
-func (c *connection) awaitFlush(last bool, until time.Time) {
-	time.AfterFunc(flushCheckInterval, func() {
-		_ = c.onLoop(func() {
-			switch {
-			case c.closed:
-			case c.conn.OutboundBuffered() == 0:
-				c.finish(last)
-			case time.Now().After(until):
-				c.server.limits.Count(AnswerNotTaken)
-				c.shut()
-			default:
-				c.awaitFlush(last, until)
-			}
-		})
-	})
 }
 
 // finish takes the answered request off the queue and starts the next.
 func (c *connection) finish(last bool) {
 	c.waiting[0] = nil
 	c.waiting = c.waiting[1:]
+	c.queued.Add(-1)
 	c.running = false
 	c.server.settle()
-	if last {
+	switch {
+	case last:
 		c.dropWaiting()
 		c.linger()
 		return
-	}
-	if len(c.waiting) > 0 {
+	case len(c.waiting) > 0:
 		c.start()
+	default:
+		c.waiting = nil
 	}
 	c.plan()
 }
 
-// linger closes the connection, after a refusal only once its input has had
-// time to run out.
+// linger closes the connection; behind a refusal it drops input for a while
+// first, so that a reset does not overtake the answer.
 func (c *connection) linger() {
-	if !c.deaf {
+	c.deaf = true
+	if !c.lingers {
 		c.shut()
 		return
 	}
@@ -237,41 +151,24 @@
 	c.closed = true
 	c.cancel()
 	c.dropWaiting()
-	if c.timer != nil {
-		c.timer.Stop()
-	}
+	c.deadline.stop()
+	c.beat.stop()
 }
 
 func (c *connection) shut() {
 	_ = c.conn.EventLoop().Close(c.conn)
 }
 
-func (c *connection) onLoop(act func()) error {
-	return c.conn.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+// onLoop runs act on the connection's event loop; after the server has been
+// closed it does nothing.
+func (c *connection) onLoop(act func()) {
+	_ = c.conn.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		act()
 		return nil
 	}))
 }
 
-// remoteEnd gives handlers the two addresses of a connection.
-type remoteEnd struct {
-	net.Conn
-	local, remote net.Addr
-}
-
-func (e *remoteEnd) LocalAddr() net.Addr  { return e.local }
-func (e *remoteEnd) RemoteAddr() net.Addr { return e.remote }
-
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
-
-type contextKey struct{}
-
-// Context returns a context that ends when the connection of the request is closed.
-func Context(ctx *fasthttp.RequestCtx) context.Context {
-	if bound, found := ctx.UserValue(contextKey{}).(context.Context); found {
-		return bound
-	}
-	return context.Background()
+// afterOnLoop runs act on the connection's event loop after the duration.
+func (c *connection) afterOnLoop(after time.Duration, act func()) *time.Timer {
+	return time.AfterFunc(after, func() { c.onLoop(act) })
 }
--- a/transport/deadline.go
+++ b/transport/deadline.go
@@ -4,14 +4,31 @@
 	"time"
 )
 
+// connectionTimer closes a connection whose deadline passes; it is set anew
+// only when it must fire earlier than planned.
+type connectionTimer struct {
+	at time.Time
+	// reason is counted when the deadline passes, if it is not empty.
+	reason string
+	timer  *time.Timer
+	// fires is when the timer fires, zero if it does not.
+	fires time.Time
+}
+
+func (t *connectionTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
 // plan sets the deadline that fits the connection's present state.
 func (c *connection) plan() {
 	switch {
-	case c.deaf:
 	case c.running:
-		c.deadline = time.Time{}
+		c.deadline.at = time.Time{}
+	case c.deaf:
 	case c.reader.started():
-		if c.overdue != RequestIncomplete || c.deadline.IsZero() {
+		if c.deadline.reason != RequestIncomplete || c.deadline.at.IsZero() {
 			c.expireIn(c.server.limits.RequestTimeout, RequestIncomplete)
 		}
 	default:
@@ -20,33 +37,35 @@
 }
 
 // expireIn closes the connection after the duration, unless another deadline
-// is set before; reason is counted if it is not empty.
+// is set before.
 func (c *connection) expireIn(after time.Duration, reason string) {
-	c.deadline = time.Now().Add(after)
-	c.overdue = reason
-	if c.timer == nil {
-		c.timerAt = c.deadline
-		c.timer = time.AfterFunc(after, func() { _ = c.onLoop(c.checkDeadline) })
+	d := &c.deadline
+	d.at = time.Now().Add(after)
+	d.reason = reason
+	if d.timer == nil {
+		d.fires = d.at
+		d.timer = c.afterOnLoop(after, c.checkDeadline)
 		return
 	}
-	if c.timerAt.IsZero() || c.deadline.Before(c.timerAt) {
-		c.timerAt = c.deadline
-		c.timer.Reset(after)
+	if d.fires.IsZero() || d.at.Before(d.fires) {
+		d.fires = d.at
+		d.timer.Reset(after)
 	}
 }
 
 func (c *connection) checkDeadline() {
-	c.timerAt = time.Time{}
-	if c.closed || c.deadline.IsZero() {
+	d := &c.deadline
+	d.fires = time.Time{}
+	if c.closed || d.at.IsZero() {
 		return
 	}
-	if left := time.Until(c.deadline); left > 0 {
-		c.timerAt = c.deadline
-		c.timer.Reset(left)
+	if left := time.Until(d.at); left > 0 {
+		d.fires = d.at
+		d.timer.Reset(left)
 		return
 	}
-	if c.overdue != "" {
-		c.server.limits.Count(c.overdue)
+	if d.reason != "" {
+		c.server.limits.Count(d.reason)
 	}
 	c.shut()
 }
--- a/transport/reader.go
+++ b/transport/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"sync"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
@@ -12,7 +13,8 @@
 
 // reader cuts a connection's input into requests; each byte is looked at once.
 type reader struct {
-	limits *Limits
+	limits  *Limits
+	parsers *sync.Pool
 	// current is the request whose body is being read.
 	current *exchange
 	// scanned is how much of the input holds no end of a header.
@@ -63,7 +65,7 @@
 	if length > r.limits.HeaderBytes {
 		return HeaderTooLarge
 	}
-	x, reason := parseHeader(input[:length])
+	x, reason := r.parseHeader(input[:length])
 	if reason != "" {
 		return reason
 	}
@@ -71,13 +73,22 @@
 	return r.expectBody(conn, x)
 }
 
-func parseHeader(text []byte) (*exchange, string) {
-	x := &exchange{}
-	buffered := bufio.NewReaderSize(bytes.NewReader(text), len(text))
-	if err := x.ctx.Request.Header.Read(buffered); err != nil {
-		return nil, BadRequest
-	}
-	if buffered.Buffered() > 0 {
+// headerParser lends fasthttp's parser a header as a reader.
+type headerParser struct {
+	text     bytes.Reader
+	buffered *bufio.Reader
+}
+
+func (r *reader) parseHeader(text []byte) (*exchange, string) {
+	parser := r.parsers.Get().(*headerParser)
+	defer r.parsers.Put(parser)
+	parser.text.Reset(text)
+	parser.buffered.Reset(&parser.text)
+	x := newExchange()
+	err := x.ctx.Request.Header.Read(parser.buffered)
+	// A header that ends elsewhere for fasthttp would let a body pass for a request.
+	if err != nil || parser.buffered.Buffered() > 0 || parser.text.Len() > 0 {
+		x.release()
 		return nil, BadRequest
 	}
 	return x, ""
@@ -172,8 +183,7 @@
 }
 
 func (r *chunkReader) startChunk(line []byte) string {
-	size, extension, _ := bytes.Cut(line, []byte(";"))
-	_ = extension
+	size, _, _ := bytes.Cut(line, []byte(";"))
 	length, valid := parseHex(bytes.TrimSpace(size))
 	if !valid {
 		return BadRequest
--- a/transport/server.go
+++ b/transport/server.go
@@ -1,10 +1,12 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/panjf2000/gnet/v2"
@@ -14,6 +16,14 @@
 	"golang.org/x/sys/unix"
 )
 
+// A connection whose other side is gone without a trace is closed after
+// keepAliveIdle + keepAliveProbes * keepAliveInterval.
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveProbes   = 3
+)
+
 // Server answers HTTP/1.1 requests on one TCP address; handlers run on a
 // bounded pool of goroutines, never on an event loop.
 type Server struct {
@@ -23,7 +33,9 @@
 	limits  Limits
 	address netip.AddrPort
 	engine  gnet.Engine
-	pool    *ants.Pool
+	pool    *ants.PoolWithFuncGeneric[*exchange]
+
+	parsers sync.Pool
 
 	connections atomic.Int64
 	inFlight    atomic.Int64
@@ -49,11 +61,14 @@
 		booted:  make(chan error, 1),
 		stopped: make(chan error, 1),
 	}
-	pool, err := ants.NewPool(s.limits.Handlers, ants.WithNonblocking(true))
+	pool, err := ants.NewPoolWithFuncGeneric(s.limits.Handlers, (*exchange).handle, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen: %s: start the pool of handlers", address)
 	}
 	s.pool = pool
+	s.parsers.New = func() any {
+		return &headerParser{buffered: bufio.NewReaderSize(nil, s.limits.HeaderBytes)}
+	}
 	go s.run(address)
 	if err := <-s.booted; err != nil {
 		pool.Release()
@@ -142,6 +157,9 @@
 	err := gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithTCPKeepAlive(keepAliveIdle),
+		gnet.WithTCPKeepInterval(keepAliveInterval),
+		gnet.WithTCPKeepCount(keepAliveProbes),
 		gnet.WithLogger(zap.NewNop().Sugar()))
 	select {
 	case s.booted <- err:
