--- a/transport/client.go
+++ b/transport/client.go
@@ -12,42 +12,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ClientLimits bounds a client's connections and waits.
-type ClientLimits struct {
-	// ConnectionsPerPeer bounds the open connections to one address.
-	ConnectionsPerPeer int
-	// AnswerBytes bounds the body of an answer.
-	AnswerBytes int
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout time.Duration
-	// IdleTimeout is how long a connection without a call is kept; it must be
-	// shorter than the server's.
-	IdleTimeout time.Duration
-	// CallTimeout bounds a call whose context has no deadline.
-	CallTimeout time.Duration
-}
-
-// DefaultClientLimits returns limits that suit calls between instances.
-func DefaultClientLimits() ClientLimits {
-	return ClientLimits{
-		ConnectionsPerPeer: 256,
-		AnswerBytes:        16 << 20,
-		DialTimeout:        time.Second,
-		IdleTimeout:        4 * time.Second,
-		CallTimeout:        10 * time.Second,
-	}
-}
-
-func (l ClientLimits) orDefaults() ClientLimits {
-	defaults := DefaultClientLimits()
-	l.ConnectionsPerPeer = positive(l.ConnectionsPerPeer, defaults.ConnectionsPerPeer)
-	l.AnswerBytes = positive(l.AnswerBytes, defaults.AnswerBytes)
-	l.DialTimeout = positive(l.DialTimeout, defaults.DialTimeout)
-	l.IdleTimeout = positive(l.IdleTimeout, defaults.IdleTimeout)
-	l.CallTimeout = positive(l.CallTimeout, defaults.CallTimeout)
-	return l
-}
-
 // Client calls HTTP/1.1 servers by their IP numbers; it is safe for several
 // goroutines. A connection whose call failed is closed and never used again.
 type Client struct {
@@ -79,22 +43,24 @@
 		return &CallError{Peer: peer, cause: err}
 	}
 	defer c.calls.Done()
-	ctx, cancel := c.bounded(ctx)
-	defer cancel()
-	link, err := pool.take(ctx)
+	defer pool.users.Add(-1)
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		deadline = time.Now().Add(c.limits.CallTimeout)
+	}
+	l, err := pool.take(ctx, deadline)
 	if err != nil {
 		return &CallError{Peer: peer, Silent: isTimeout(err), cause: err}
 	}
-	err = link.roundTrip(ctx, request, response, c.limits.AnswerBytes)
-	if err != nil {
-		pool.discard(link)
-		return &CallError{Peer: peer, Sent: link.written > 0, Silent: isTimeout(err), cause: err}
+	if err := l.roundTrip(ctx, deadline, request, response, c.limits.AnswerBytes); err != nil {
+		pool.discard(l)
+		return &CallError{Peer: peer, Sent: l.written > 0, Silent: isTimeout(err), cause: err}
 	}
 	if response.ConnectionClose() {
-		pool.discard(link)
+		pool.discard(l)
 		return nil
 	}
-	pool.put(link)
+	pool.put(l)
 	return nil
 }
 
@@ -102,16 +68,12 @@
 func (c *Client) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	pools := make([]*peerPool, 0, len(c.peers))
+	c.cancel()
 	for _, pool := range c.peers {
-		pools = append(pools, pool)
+		pool.close()
 	}
 	c.mu.Unlock()
-	c.cancel()
 	c.calls.Wait()
-	for _, pool := range pools {
-		pool.close()
-	}
 	return nil
 }
 
@@ -121,37 +83,39 @@
 	if c.closed {
 		return nil, errors.New("the client is closed")
 	}
-	c.calls.Add(1)
 	pool, found := c.peers[peer]
 	if !found {
-		pool = newPeerPool(peer, c.limits, c.dial)
+		c.forgetUnused()
+		pool = newPeerPool(c, peer)
 		c.peers[peer] = pool
 	}
+	c.calls.Add(1)
+	pool.users.Add(1)
 	return pool, nil
 }
 
-func (c *Client) dial(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
-	if c.Dial != nil {
-		return c.Dial(ctx, peer)
+// forgetUnused drops the peers without a call or a connection, so that
+// replaced instances leave nothing behind; it runs under the lock.
+func (c *Client) forgetUnused() {
+	for peer, pool := range c.peers {
+		if pool.users.Load() == 0 && pool.empty() {
+			delete(c.peers, peer)
+		}
 	}
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
-	}}
-	return dialer.DialContext(ctx, "tcp", peer.String())
 }
 
-// bounded returns a context that ends with the client and has a deadline.
-func (c *Client) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
-	bounded, cancel := context.WithCancel(ctx)
-	if _, limited := ctx.Deadline(); !limited {
-		cancel()
-		bounded, cancel = context.WithTimeout(ctx, c.limits.CallTimeout)
+// dial opens a connection; it ends early with the client or at the deadline.
+func (c *Client) dial(ctx context.Context, peer netip.AddrPort, deadline time.Time) (net.Conn, error) {
+	if latest := time.Now().Add(c.limits.DialTimeout); latest.Before(deadline) {
+		deadline = latest
 	}
-	stop := context.AfterFunc(c.ctx, cancel)
-	return bounded, func() {
-		stop()
-		cancel()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	defer context.AfterFunc(c.ctx, cancel)()
+	if c.Dial != nil {
+		return c.Dial(ctx, peer)
 	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", peer.String())
 }
 
 func isTimeout(err error) bool {
--- /dev/null
+++ b/transport/probe.go
@@ -0,0 +1,28 @@
+package transport
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// hasInput reports whether a read would return at once: with bytes, the end
+// of the stream, or an error. It does not wait.
+func hasInput(conn net.Conn) (ready bool) {
+	raw, supported := conn.(syscall.Conn)
+	if !supported {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = control.Control(func(descriptor uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		ready = !errors.Is(err, unix.EAGAIN)
+	})
+	return ready || err != nil
+}
