Compress calls between entries from 4 KB only

Cause: half of a small call's time went into gzip, which connect applies to every answer unless told otherwise. Change: both sides compress from 4 KB, and bound a message at 8 MB, also once it is decompressed.

--- a/protocol/peer/procedure.go
+++ b/protocol/peer/procedure.go
@@ -31,12 +31,27 @@
 	call *connect.Client[Request, result[Response]]
 }
 
+const (
+	// compressMinBytes is the size from which gzip saves more on the links
+	// between zones than it costs.
+	compressMinBytes = 4 << 10
+	// maxMessageBytes bounds a message, also once it is decompressed.
+	maxMessageBytes = 8 << 20
+)
+
+// wireOptions holds for both sides of a call.
+var wireOptions = connect.WithOptions(
+	connect.WithCodec(messageCodec),
+	connect.WithCompressMinBytes(compressMinBytes),
+	connect.WithReadMaxBytes(maxMessageBytes),
+)
+
 func path(step string) string { return "/peer/" + step }
 
 func newProcedure[Request, Response any](client connect.HTTPClient, step string) procedure[Request, Response] {
 	return procedure[Request, Response]{
 		step: step,
-		call: connect.NewClient[Request, result[Response]](client, "http://peer"+path(step), connect.WithCodec(messageCodec)),
+		call: connect.NewClient[Request, result[Response]](client, "http://peer"+path(step), connect.WithSendGzip(), wireOptions),
 	}
 }
 
@@ -63,7 +78,7 @@
 		}
 		return connect.NewResponse(&result[Response]{Value: value}), nil
 	}
-	mux.Handle(path(step), connect.NewUnaryHandler(path(step), unary, connect.WithCodec(messageCodec)))
+	mux.Handle(path(step), connect.NewUnaryHandler(path(step), unary, wireOptions))
 }
 
 func toWireError(step string, err error) *wireError {
