Run net/http handlers on the request's own goroutine

Cause: the library's adaptor starts a goroutine for each request and hands its answer over through a channel; its request context never ends. Change: transport.Adapt calls the handler in place, with a context that ends with the connection.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -10,7 +10,6 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
 // reportInterval is how old a value on the page may be.
@@ -47,7 +46,7 @@
 		refusals:    counters(root, "refusals_total", state.Reasons),
 		retries:     counters(root, "retries_total", state.Reasons),
 		connections: counters(root, "transport_refusals_total", transport.Reasons),
-		page:        fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
+		page:        transport.Adapt(reporter.HTTPHandler()),
 		closer:      closer,
 	}
 }
--- a/protocol/peer/bench_test.go
+++ b/protocol/peer/bench_test.go
@@ -1,12 +1,11 @@
 package peer
 
 import (
+	"comfreystream/transport"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"comfreystream/transport"
 )
 
 // BenchmarkCall measures one call between two entries over loopback, with
--- a/protocol/peer/service.go
+++ b/protocol/peer/service.go
@@ -2,13 +2,13 @@
 
 import (
 	"comfreystream/state"
+	"comfreystream/transport"
 	"context"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
 // Hold asks the home of a rack for leases for one attempt, all or none.
@@ -69,7 +69,7 @@
 	s.handleJobs(mux)
 	s.handleRacks(mux)
 	s.handleManifest(mux)
-	return fasthttpadaptor.NewFastHTTPHandler(mux)
+	return transport.Adapt(mux)
 }
 
 type none struct{}
