--- a/transport/reader.go
+++ b/transport/reader.go
@@ -9,6 +9,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// chunkedLength is what fasthttp gives as the length of a chunked body.
+const chunkedLength = -1
+
 var headerEnd = []byte("\r\n\r\n")
 
 // reader cuts a connection's input into requests; each byte is looked at once.
@@ -87,13 +90,22 @@
 	x := newExchange()
 	err := x.ctx.Request.Header.Read(parser.buffered)
 	// A header that ends elsewhere for fasthttp would let a body pass for a request.
-	if err != nil || parser.buffered.Buffered() > 0 || parser.text.Len() > 0 {
+	if err != nil || parser.buffered.Buffered() > 0 || parser.text.Len() > 0 || hasTwoLengths(x, text) {
 		x.release()
 		return nil, BadRequest
 	}
 	return x, ""
 }
 
+// hasTwoLengths reports whether a chunked request also gives a length, over
+// which two readers of it could disagree (RFC 9112, section 6.1).
+func hasTwoLengths(x *exchange, text []byte) bool {
+	if x.ctx.Request.Header.ContentLength() != chunkedLength {
+		return false
+	}
+	return bytes.Contains(bytes.ToLower(text), []byte("\ncontent-length"))
+}
+
 func (r *reader) expectBody(conn gnet.Conn, x *exchange) string {
 	length := x.ctx.Request.Header.ContentLength()
 	if length > r.limits.BodyBytes {
@@ -101,7 +113,7 @@
 	}
 	r.current = x
 	r.remaining = max(length, 0)
-	if length == -1 {
+	if length == chunkedLength {
 		r.chunks = &chunkReader{limit: r.limits.BodyBytes}
 	}
 	if x.ctx.Request.MayContinue() {
