--- /dev/null
+++ b/protocol/caller/fuzz_test.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// FuzzHandler checks that whatever is sent gets an answer in the documented
+// form, and that what is refused as bad reaches no service.
+func FuzzHandler(f *testing.F) {
+	seeds := []struct{ method, path, body string }{
+		{"POST", "/v1/jobs", smallJob + `,"answerWithin":"1.5s","payload":"aGk="}`},
+		{"POST", "/v1/jobs", smallJob + `,"wait":null,"shape":null}`},
+		{"POST", "/v1/jobs", `{"organisation":"a","members":1e99}`},
+		{"POST", "/v1/jobs", `{"shape":{"memoryBytes":-9223372036854775808}}`},
+		{"POST", "/v1/jobs", `[]`},
+		{"POST", "/v1/jobs", "\xff\xfe{}"},
+		{"GET", "/v1/jobs/a.1?wait=1s", ""},
+		{"GET", "/v1/jobs/../v1/drain", ""},
+		{"DELETE", "/v1/jobs/a.1", ""},
+		{"GET", "/v1/jobs//answer", ""},
+		{"PUT", "/v1/manifest", "{}"},
+		{"PATCH", "/", ""},
+	}
+	for _, seed := range seeds {
+		f.Add(seed.method, seed.path, seed.body)
+	}
+	f.Fuzz(func(t *testing.T, method, path, body string) {
+		service := newFakeService()
+		status, text := ask(service, method, path, "", body)
+		if status < fasthttp.StatusBadRequest {
+			return
+		}
+		var failed errorBody
+		if err := decode([]byte(text), &failed); err != nil {
+			t.Fatalf("status %d: %s: %v", status, text, err)
+		}
+		words := []string{"not run", "ran", "outcome unknown"}
+		if failed.Reason == "" || !slices.Contains(words, failed.Ran) || failed.Retry && failed.Ran != "not run" {
+			t.Errorf("status %d: %s", status, text)
+		}
+		if status == fasthttp.StatusBadRequest && service.asked != nil {
+			t.Errorf("refused as bad, but asked %v", service.asked)
+		}
+	})
+}
+
+// FuzzSubmission checks that an accepted body is within the documented bounds.
+func FuzzSubmission(f *testing.F) {
+	f.Add([]byte(smallJob + `,"answerWithin":"1.5s","declaredRunTime":"1h","payload":"aGk=","urgency":"urgent"}`))
+	f.Add([]byte(`{"organisation":"a","members":4096,"shape":{"slots":1048576},"key":"k","availabilityZone":"a"}`))
+	f.Add([]byte(`{"organisation":"a","members":4097,"shape":{"slots":1},"key":"k"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var body submissionBody
+		if decode(text, &body) != nil {
+			return
+		}
+		job, err := body.job(start)
+		if err != nil {
+			return
+		}
+		shape := job.Shape
+		if job.Members < 1 || job.Members > maxMembers || shape.Slots < 0 || shape.Accelerators < 0 || shape.Cores < 0 || shape.MemoryBytes < 0 {
+			t.Errorf("job %+v", job)
+		}
+		if !job.Idempotent && job.Key == "" || job.Deadline.Before(start) && !job.Deadline.IsZero() || job.DeclaredRunTime < 0 {
+			t.Errorf("job %+v", job)
+		}
+		if !json.Valid(text) {
+			t.Errorf("accepted %q", text)
+		}
+	})
+}
--- /dev/null
+++ b/protocol/message/fuzz_test.go
@@ -0,0 +1,36 @@
+package message
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// FuzzHandle checks that any body gets an answer that the other side can read.
+func FuzzHandle(f *testing.F) {
+	for _, seed := range []string{
+		`{"Text":"a","Wait":1}`, `{"Text":"refused"}`, `{"Text":"untyped"}`, `{"Colour":1}`, `{}{}`, `null`, ``, "\xff",
+	} {
+		f.Add(seed)
+	}
+	handle := Handle(Limits{BodyBytes: 200}, decide)
+	f.Fuzz(func(t *testing.T, body string) {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI("/ask")
+		ctx.Request.SetBodyString(body)
+		handle(&ctx)
+		var value reply
+		var failed errorBody
+		text := ctx.Response.Body()
+		switch status := ctx.Response.StatusCode(); {
+		case status == fasthttp.StatusOK:
+			if err := decode(text, &value); err != nil {
+				t.Errorf("%s: %v", text, err)
+			}
+		default:
+			if err := decode(text, &failed); err != nil || failed.Reason == "" || failed.Step == "" {
+				t.Errorf("status %d, %s: %v", status, text, err)
+			}
+		}
+	})
+}
