Test the home of racks under faults, and mend its loop at the end

A renewal that ends with its context but without an error made the worker's loop spin on close; found by the first run of the fault table, which did not end. The loop now looks at the context itself. Rows: gang never called whole, replies lost, worker silent, home gone, two homes at once.

--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -1,10 +1,10 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 	"context"
 	"time"
-
-	"comfreystream/state"
 )
 
 const (
@@ -89,7 +89,7 @@
 			return
 		}
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
-		pause(d.ctx, storePause)
+		pause.For(d.ctx, storePause)
 	}
 }
 
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"context"
-	"time"
-
 	"comfreystream/coordination/gang"
+	"comfreystream/coordination/pause"
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
+	"context"
+	"time"
 )
 
 // start holds and starts the gang of one attempt, and settles what comes of it.
@@ -123,18 +123,9 @@
 			break
 		}
 		d.Count(state.ReasonOf(err, state.WorkerSilent))
-		pause(ctx, stopPause)
+		pause.For(ctx, stopPause)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.apply(state.MembersStopped)
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/front/run.go
+++ b/coordination/front/run.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 	"net/netip"
@@ -36,7 +37,7 @@
 		if outcome, over := f.giveUp(j, err); over {
 			return outcome
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return withJob(state.Progress{}, job.ID)
 		}
 	}
@@ -106,7 +107,7 @@
 			return err
 		}
 		f.Count(state.ReasonOf(err, state.HomeUnreachable))
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return err
 		}
 	}
@@ -132,14 +133,3 @@
 	progress.Outcome.Job = job
 	return progress
 }
-
-func pause(ctx context.Context, duration time.Duration) (goOn bool) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- /dev/null
+++ b/coordination/lease/keeper_test.go
@@ -0,0 +1,189 @@
+package lease_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"comfreystream/coordination/lease"
+	standin "comfreystream/standin/worker"
+	"comfreystream/state"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	rackOne       = state.Rack{Name: "r1", AvailabilityZone: "z"}
+	workerAddress = netip.MustParseAddrPort("127.0.0.1:9001")
+	capacity      = state.Resources{Slots: 8, Accelerators: 8, Cores: 32, MemoryBytes: 1 << 30}
+	firstAttempt  = state.JobAttempt{Job: "z.1", Attempt: 1}
+)
+
+// planner answers reports as a test asks for, and keeps what it was told.
+type planner struct {
+	mu     sync.Mutex
+	whole  bool
+	forget bool
+	// loseReplies takes that many reports in and loses the replies.
+	loseReplies int
+	full        int
+	tasks       map[state.JobAttempt]state.TaskPhase
+	listed      bool
+}
+
+func (p *planner) report(_ context.Context, report state.RackReport) (reply state.ReportReply, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if report.Full {
+		p.full++
+	}
+	for _, w := range report.Workers {
+		p.listed = w.Listed
+		for _, t := range w.Tasks {
+			attempt := state.JobAttempt{Job: t.Lease.Job, Attempt: t.Lease.Attempt}
+			p.tasks[attempt] = t.Phase
+		}
+	}
+	if p.loseReplies > 0 {
+		p.loseReplies--
+		return reply, errors.New("reply lost")
+	}
+	for attempt, phase := range p.tasks {
+		if p.whole && phase == state.TaskRunning {
+			reply.Whole = append(reply.Whole, attempt)
+		}
+		if p.forget && phase == state.TaskDone {
+			reply.Forget = append(reply.Forget, attempt)
+		}
+	}
+	return reply, nil
+}
+
+func (p *planner) phase(attempt state.JobAttempt) (state.TaskPhase, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	phase, found := p.tasks[attempt]
+	return phase, found
+}
+
+func newKeeper(w *standin.Worker, p *planner, self string) *lease.Keeper {
+	k := lease.New(netip.MustParseAddrPort(self))
+	k.Report = p.report
+	k.Workers = lease.WorkerCalls{
+		Attach: func(context.Context, netip.AddrPort) (state.Token, error) { return w.Attach() },
+		Hold: func(_ context.Context, _ netip.AddrPort, r state.HoldRequest) (state.Lease, error) {
+			return w.Hold(r)
+		},
+		Start: func(_ context.Context, _ netip.AddrPort, token state.Token, a state.JobAttempt) error {
+			return w.Start(token, a)
+		},
+		Stop: func(_ context.Context, _ netip.AddrPort, token state.Token, a state.JobAttempt) (bool, error) {
+			return w.Stop(token, a)
+		},
+		Checkpoint: func(_ context.Context, _ netip.AddrPort, token state.Token, a state.JobAttempt) ([]byte, error) {
+			return w.Checkpoint(token, a)
+		},
+		Renew: func(ctx context.Context, _ netip.AddrPort, r state.RenewRequest) (state.RenewReply, error) {
+			if w.Faults().Silent {
+				<-ctx.Done()
+				return state.RenewReply{}, ctx.Err()
+			}
+			return w.Renew(ctx, r)
+		},
+	}
+	k.SetWorkers([]state.Worker{w.Describe()})
+	return k
+}
+
+func startJob(t *testing.T, k *lease.Keeper, run string) {
+	t.Helper()
+	job := &state.Job{ID: "z.1", Members: 2, Shape: state.Resources{Slots: 1}, Payload: []byte(`{"run":"` + run + `"}`)}
+	placements := []state.Placement{{Worker: workerAddress, Rack: "r1", Members: 2}}
+	leases, err := k.Hold(t.Context(), "r1", job, 1, placements, 8*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context(), "r1", leases); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestKeeper(t *testing.T) {
+	tests := []struct {
+		name    string
+		planner planner
+		run     string
+		// fault is brought about once the job has started.
+		fault func(k *lease.Keeper, w *standin.Worker, p *planner)
+		after time.Duration
+		want  state.TaskPhase
+		gone  bool
+	}{
+		{"gang not called whole ends by expiry", planner{}, "1h", nil, 9 * time.Second, state.TaskStopped, false},
+		{"whole gang is renewed beyond its first lease", planner{whole: true}, "1h", nil, time.Minute, state.TaskRunning, false},
+		{"task's end is reported at once", planner{whole: true}, "2s", nil, 2*time.Second + 50*time.Millisecond, state.TaskDone, false},
+		{"forgotten once the planner says so", planner{whole: true, forget: true}, "1s", nil, 10 * time.Second, state.TaskDone, true},
+		{"lost replies are made up for by a full report", planner{whole: true, loseReplies: 3}, "1h", nil, time.Minute, state.TaskRunning, false},
+		{"worker silent for good stops by expiry", planner{whole: true}, "1h", func(_ *lease.Keeper, w *standin.Worker, _ *planner) {
+			w.Set(standin.Faults{Silent: true})
+		}, 30 * time.Second, state.TaskStopped, false},
+		{"home gone for good stops by expiry", planner{whole: true}, "1h", func(k *lease.Keeper, _ *standin.Worker, _ *planner) {
+			_ = k.Close()
+		}, 30 * time.Second, state.TaskStopped, false},
+	}
+	for i := range tests {
+		tt := &tests[i]
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := standin.New(state.Worker{Address: workerAddress, Rack: rackOne, Capacity: capacity})
+				p := &tt.planner
+				p.tasks = make(map[state.JobAttempt]state.TaskPhase)
+				k := newKeeper(w, p, "127.0.0.1:1")
+				<-time.After(time.Second)
+				startJob(t, k, tt.run)
+				if tt.fault != nil {
+					<-time.After(5 * time.Second)
+					tt.fault(k, w, p)
+				}
+				<-time.After(tt.after)
+				if phase, found := w.Phase(firstAttempt); found == tt.gone || found && phase != tt.want {
+					t.Errorf("worker has phase %v (found %v), want %v", phase, found, tt.want)
+				}
+				_ = k.Close()
+				_ = w.Close()
+			})
+		})
+	}
+}
+
+// TestTwoHomes has a second home attach while the first one believes that the
+// rack is still its own: whatever the first one asks for is refused.
+func TestTwoHomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := standin.New(state.Worker{Address: workerAddress, Rack: rackOne, Capacity: capacity})
+		first, second := &planner{tasks: map[state.JobAttempt]state.TaskPhase{}}, &planner{tasks: map[state.JobAttempt]state.TaskPhase{}, whole: true}
+		old := newKeeper(w, first, "127.0.0.1:1")
+		<-time.After(time.Second)
+		startJob(t, old, "1h")
+		stale, _ := w.Attach()
+		current := newKeeper(w, second, "127.0.0.1:2")
+		<-time.After(time.Second)
+		_ = old.Close()
+		<-time.After(time.Second)
+		if err := w.Start(stale, firstAttempt); state.ReasonOf(err, "") != state.StaleToken {
+			t.Errorf("start under a stale token: %v", err)
+		}
+		if phase, found := second.phase(firstAttempt); !found || phase != state.TaskRunning {
+			t.Errorf("the new home reported phase %v (found %v) of the running task", phase, found)
+		}
+		<-time.After(time.Minute)
+		if phase, _ := w.Phase(firstAttempt); phase != state.TaskRunning {
+			t.Errorf("the adopted task has phase %v", phase)
+		}
+		_ = current.Close()
+		_ = w.Close()
+	})
+}
--- a/coordination/lease/report.go
+++ b/coordination/lease/report.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 	"time"
@@ -19,7 +20,7 @@
 		}
 		if err := r.report(); err != nil {
 			r.keeper.Count(state.ReasonOf(err, state.HomeUnreachable))
-			pause(r.ctx, retryPause)
+			pause.For(r.ctx, retryPause)
 			r.signal()
 		}
 		timer.Reset(reportInterval)
--- a/coordination/lease/tend.go
+++ b/coordination/lease/tend.go
@@ -1,10 +1,10 @@
 package lease
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 	"math/rand/v2"
-	"time"
 )
 
 // tend attaches to a worker and renews its leases until ctx ends; after a
@@ -13,7 +13,7 @@
 	lastAnswer := r.keeper.Now()
 	for ctx.Err() == nil {
 		err := r.attach(ctx, w)
-		for err == nil {
+		for err == nil && ctx.Err() == nil {
 			lastAnswer = r.keeper.Now()
 			err = r.renew(ctx, w)
 		}
@@ -22,7 +22,7 @@
 		}
 		r.keeper.Count(state.ReasonOf(err, state.WorkerSilent))
 		r.unlist(w, r.keeper.Now().Sub(lastAnswer) > confirmedTTL)
-		pause(ctx, retryPause+rand.N(retryPause))
+		pause.For(ctx, retryPause+rand.N(retryPause))
 	}
 }
 
@@ -102,12 +102,3 @@
 	w.listed, w.lost = false, lost
 	r.noteChange(w)
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/coordination/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits between two tries of something that failed.
+package pause
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -97,6 +97,17 @@
 	return w.started[job]
 }
 
+// Phase returns how far the attempt has come here, if it is known.
+func (w *Worker) Phase(attempt state.JobAttempt) (phase state.TaskPhase, found bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t, found := w.tasks[attempt]
+	if !found {
+		return 0, false
+	}
+	return t.record.Phase, true
+}
+
 // Running returns the attempts whose members run now.
 func (w *Worker) Running() (attempts []state.JobAttempt) {
 	w.mu.Lock()
