--- a/coordination/planning/entry.go
+++ b/coordination/planning/entry.go
@@ -70,6 +70,8 @@
 	// claims is set while the holds wait for other work to make way.
 	claims  bool
 	started time.Time
+	// moves counts how often the job was stopped to make room for a larger gang.
+	moves int
 }
 
 func (e *entry) avoids(w *worker) bool {
--- a/coordination/planning/reclaim.go
+++ b/coordination/planning/reclaim.go
@@ -114,6 +114,7 @@
 	for other, members := range w.jobs {
 		switch {
 		case other == e || other.tenure != borrowed:
+		case reason == state.RackMoved && !other.movableFor(e) && other.queue.phaseOf(other) != stopping:
 		case e.tenure != covered && other.job.Urgency == state.Urgent:
 		case other.claims:
 			if e.tenure == covered {
@@ -153,6 +154,9 @@
 
 func (p *Planner) stop(r *round, victim, beneficiary *entry, reason state.Reason) {
 	victim.queue.stop(victim)
+	if reason == state.RackMoved {
+		victim.moves++
+	}
 	r.Reclaims = append(r.Reclaims, Reclaim{
 		Job:        victim.job.ID,
 		Attempt:    victim.attempt,
--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -23,6 +23,10 @@
 	reservationCheck = 2 * time.Second
 	// shiftInterval is how long after one try to move guarantees the next may come.
 	shiftInterval = 30 * time.Second
+	// maxMoves is how often one job may be moved for larger gangs.
+	maxMoves = 2
+	// moveRatio is how many times larger a gang must be than what it has moved.
+	moveRatio = 2
 )
 
 // horizons are the waits that a reservation tries, shortest first.
@@ -106,7 +110,7 @@
 			if !w.open() || e.avoids(w) {
 				return 0
 			}
-			return e.job.Shape.CountIn(w.roomBy(r.now, by, e.ownTenure()))
+			return e.job.Shape.CountIn(w.roomBy(r.now, by, e))
 		})
 		if shares == nil {
 			continue
@@ -120,23 +124,21 @@
 	}
 }
 
-// roomBy returns what will be free at a time if all work that can be stopped is.
-func (w *worker) roomBy(now, by time.Time, right tenure) state.Resources {
-	free := w.free().Plus(w.stoppable)
+// roomBy returns what the gang could have at a time if all that it may move is moved.
+func (w *worker) roomBy(now, by time.Time, e *entry) state.Resources {
+	free := w.free()
 	unpinned := w.unpinned()
-	if by.After(now) {
-		for e, members := range w.jobs {
-			if e.stoppable() || e.claims || e.expectedEnd(now).After(by) {
-				continue
-			}
-			amount := e.job.Shape.Times(members)
-			free = free.Plus(amount)
-			if e.tenure == firm {
-				unpinned = unpinned.Plus(amount)
-			}
+	for other, members := range w.jobs {
+		if other.claims || (!other.movableFor(e) && other.expectedEnd(now).After(by)) {
+			continue
+		}
+		amount := other.job.Shape.Times(members)
+		free = free.Plus(amount)
+		if other.tenure == firm {
+			unpinned = unpinned.Plus(amount)
 		}
 	}
-	if right == firm {
+	if e.ownTenure() == firm {
 		return smaller(free, unpinned)
 	}
 	return free
@@ -155,24 +157,33 @@
 		if !p.reserved.includes(w) {
 			return 0
 		}
-		return e.job.Shape.CountIn(p.room(r, e, w, w.free().Plus(w.stoppable)))
+		return e.job.Shape.CountIn(p.room(r, e, w, w.roomBy(r.now, r.now, e)))
 	})
 	if shares == nil {
 		return
 	}
 	waited := r.now.Sub(e.job.Submitted) * time.Duration(max(1, e.job.Total().Accelerators))
-	if p.lossOn(r, shares) > waited {
+	if p.lossOn(r, e, shares) > waited {
 		return
 	}
 	p.assign(r, e, e.ownTenure(), nil, shares, state.RackMoved)
 }
 
-// lossOn returns the accelerator time lost if all stoppable work on the places is stopped.
-func (p *Planner) lossOn(r *round, shares []share) (total time.Duration) {
+// movableFor reports whether the gang may have the job moved. It must be much
+// smaller, and no job is moved again and again, so that gangs do not take turns
+// in moving each other.
+func (e *entry) movableFor(g *entry) bool {
+	return e.stoppable() && e.moves < maxMoves &&
+		e.job.Total().Accelerators*moveRatio <= g.job.Total().Accelerators
+}
+
+// lossOn returns the accelerator time lost if all that the gang may move from
+// the places is moved.
+func (p *Planner) lossOn(r *round, g *entry, shares []share) (total time.Duration) {
 	seen := make(map[*entry]bool)
 	for _, part := range shares {
 		for e := range part.worker.jobs {
-			if seen[e] || e.claims || !e.stoppable() {
+			if seen[e] || e.claims || !e.movableFor(g) {
 				continue
 			}
 			seen[e] = true
