Let urgent work have its organisation's guarantee back from ordinary work

Cause: ordinary work of the same organisation took the guarantee, and an urgent job waited for it to end. Ordinary work that must not be stopped now takes the guarantee last, and other work on it makes way for urgent work. Also, a gang that waits for guarantees to be moved gets its round.

--- a/coordination/planning/guarantee.go
+++ b/coordination/planning/guarantee.go
@@ -144,6 +144,8 @@
 
 func (p *Planner) uncover(e *entry) {
 	p.account(e, -1)
+	e.guarantee.trim()
+	p.unsettled = true
 	e.guarantee = nil
 	e.tenure = e.ownTenure()
 	for i := range e.holds {
@@ -152,6 +154,48 @@
 	p.account(e, 1)
 }
 
+// uncoverFor gives the urgent job's organisation its guarantees back from its
+// own work that can be stopped, if that leaves enough places.
+func (p *Planner) uncoverFor(urgent *entry) bool {
+	for _, g := range p.guarantees {
+		perUnit := urgent.job.Shape.CountIn(g.Shape)
+		if g.organisation != urgent.job.Organisation || perUnit == 0 {
+			continue
+		}
+		own := g.stoppableWork()
+		idle := g.pinned - g.used
+		for _, e := range own {
+			for _, h := range e.holds {
+				idle += h.units
+			}
+		}
+		if idle < unitsFor(urgent.job.Members, perUnit) {
+			continue
+		}
+		for _, e := range own {
+			if (g.pinned-g.used)*perUnit < urgent.job.Members {
+				p.uncover(e)
+			}
+		}
+		return len(own) > 0
+	}
+	return false
+}
+
+// stoppableWork returns the work on the guarantee that urgent work of the same
+// organisation may stop.
+func (g *guarantee) stoppableWork() (work []*entry) {
+	for _, w := range g.workers() {
+		for e := range w.jobs {
+			if e.guarantee == g && !e.claims && e.job.Borrows() && e.job.Urgency != state.Urgent && !slices.Contains(work, e) {
+				work = append(work, e)
+			}
+		}
+	}
+	slices.SortFunc(work, func(a, b *entry) int { return cmp.Compare(a.job.ID, b.job.ID) })
+	return work
+}
+
 // settle restores guarantees after anything changed that they depend on.
 func (p *Planner) settle() {
 	if !p.unsettled {
--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -92,7 +92,11 @@
 func (p *Planner) chooseWorkers(r *round, reserved *reservation) {
 	p.chooseClearest(r, reserved)
 	e := reserved.entry
-	if reserved.workers != nil || e.ownTenure() != firm || r.now.Sub(p.shifted) < shiftInterval {
+	if reserved.workers != nil || e.ownTenure() != firm {
+		return
+	}
+	if next := p.shifted.Add(shiftInterval); r.now.Before(next) {
+		r.Next = earlier(r.Next, next)
 		return
 	}
 	p.shifted = r.now
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -33,7 +33,9 @@
 	Job        *state.Job
 	Attempt    state.Attempt
 	Placements []state.Placement
-	// Borrowed is set if the job may be reclaimed.
+	// Borrowed is set if the job may be reclaimed. One on its organisation's
+	// guarantee may come to borrow when the guarantee goes, or when urgent work of
+	// the organisation needs it, if it can be saved or repeated.
 	Borrowed bool
 }
 
@@ -259,13 +261,11 @@
 		e.queue.wait(e, WaitingForQuota)
 		return false
 	}
-	if p.placeCovered(r, e, false) || (e.job.Urgency != state.Urgent && p.placeFree(r, e)) {
-		return true
-	}
-	if p.placeCovered(r, e, true) {
-		return true
-	}
-	if e.job.Urgency == state.Urgent && (p.placeFree(r, e) || p.placeByReclaim(r, e)) {
+	if e.job.Urgency == state.Urgent {
+		if p.placeUrgent(r, e) {
+			return true
+		}
+	} else if p.placeOrdinary(r, e) {
 		return true
 	}
 	e.queue.wait(e, WaitingForRoom)
@@ -275,6 +275,27 @@
 	return false
 }
 
+// placeUrgent prefers the guarantee, even if others, its organisation's own
+// stoppable work included, have to make way there.
+func (p *Planner) placeUrgent(r *round, e *entry) bool {
+	if p.placeCovered(r, e, false) || p.placeCovered(r, e, true) {
+		return true
+	}
+	if p.placeFree(r, e) {
+		return true
+	}
+	return (p.uncoverFor(e) && p.placeCovered(r, e, true)) || p.placeByReclaim(r, e)
+}
+
+// placeOrdinary keeps the guarantee free of work that must not be stopped for
+// as long as there is other room, since urgent work may need it.
+func (p *Planner) placeOrdinary(r *round, e *entry) bool {
+	if e.ownTenure() == firm && p.placeFree(r, e) {
+		return true
+	}
+	return p.placeCovered(r, e, false) || p.placeFree(r, e) || p.placeCovered(r, e, true)
+}
+
 // placeCovered puts the job on its organisation's guarantee.
 func (p *Planner) placeCovered(r *round, e *entry, reclaim bool) bool {
 	for _, g := range p.guarantees {
