Stop work that can checkpoint first, and move no other for a gang

Cause: 10 to 27 % of the accelerator time went into work that was stopped and began anew, most of it gangs without checkpoint that were moved for larger ones. Reclaims now count first on room of work with checkpoints; only such work is moved; work without goes beside the guarantees first.

--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -177,7 +177,7 @@
 // smaller, and no job is moved again and again, so that gangs do not take turns
 // in moving each other.
 func (e *entry) movableFor(g *entry) bool {
-	return e.stoppable() && e.moves < maxMoves &&
+	return e.stoppable() && e.job.Checkpointable && e.moves < maxMoves &&
 		e.job.Total().Accelerators*moveRatio <= g.job.Total().Accelerators
 }
 
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -278,13 +278,13 @@
 // placeUrgent prefers the guarantee, even if others, its organisation's own
 // stoppable work included, have to make way there.
 func (p *Planner) placeUrgent(r *round, e *entry) bool {
-	if p.placeCovered(r, e, false) || p.placeCovered(r, e, true) {
+	if p.placeCovered(r, e, fromFree) || p.reclaimGuarantee(r, e) || p.placeFree(r, e) {
 		return true
 	}
-	if p.placeFree(r, e) {
+	if p.uncoverFor(e) && p.reclaimGuarantee(r, e) {
 		return true
 	}
-	return (p.uncoverFor(e) && p.placeCovered(r, e, true)) || p.placeByReclaim(r, e)
+	return p.placeByReclaim(r, e, fromCheap) || p.placeByReclaim(r, e, fromAll)
 }
 
 // placeOrdinary keeps the guarantee free of work that must not be stopped for
@@ -293,11 +293,27 @@
 	if e.ownTenure() == firm && p.placeFree(r, e) {
 		return true
 	}
-	return p.placeCovered(r, e, false) || p.placeFree(r, e) || p.placeCovered(r, e, true)
+	return p.placeCovered(r, e, fromFree) || p.placeFree(r, e) || p.reclaimGuarantee(r, e)
 }
 
+func (p *Planner) reclaimGuarantee(r *round, e *entry) bool {
+	return p.placeCovered(r, e, fromCheap) || p.placeCovered(r, e, fromAll)
+}
+
+// source says which room a placement counts on.
+type source uint8
+
+const (
+	// fromFree is room that nobody holds.
+	fromFree source = iota
+	// fromCheap adds the room of work that can checkpoint.
+	fromCheap
+	// fromAll adds the room of all work that may be stopped.
+	fromAll
+)
+
 // placeCovered puts the job on its organisation's guarantee.
-func (p *Planner) placeCovered(r *round, e *entry, reclaim bool) bool {
+func (p *Planner) placeCovered(r *round, e *entry, from source) bool {
 	for _, g := range p.guarantees {
 		if g.organisation != e.job.Organisation {
 			continue
@@ -311,10 +327,14 @@
 			if units == 0 || !w.open() || e.avoids(w) {
 				return 0
 			}
-			if reclaim {
+			room := w.free()
+			switch from {
+			case fromCheap:
+				room = room.Plus(w.cheap)
+			case fromAll:
 				return units * perUnit
 			}
-			return min(units*perUnit, e.job.Shape.CountIn(w.free()))
+			return min(units*perUnit, e.job.Shape.CountIn(room))
 		}
 		shares := findLayout(p.zone.racks, p.gangOf(e), count)
 		if shares == nil {
@@ -339,9 +359,17 @@
 	if fewest, found := r.failed[key]; found && known && e.job.Members >= fewest {
 		return false
 	}
-	shares := findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
-		return e.job.Shape.CountIn(p.room(r, e, w, w.free()))
-	})
+	var shares []share
+	if right == borrowed && !e.job.Checkpointable {
+		shares = findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
+			return e.job.Shape.CountIn(smaller(p.room(r, e, w, w.free()), w.unpinned().Minus(w.costly)))
+		})
+	}
+	if shares == nil {
+		shares = findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
+			return e.job.Shape.CountIn(p.room(r, e, w, w.free()))
+		})
+	}
 	if shares == nil {
 		if known && e.job.Adjacency != state.AdjacentRacks {
 			r.failed[key] = e.job.Members
@@ -352,13 +380,17 @@
 }
 
 // placeByReclaim puts urgent work where work that can be stopped makes way.
-func (p *Planner) placeByReclaim(r *round, e *entry) bool {
+func (p *Planner) placeByReclaim(r *round, e *entry, from source) bool {
 	right := e.ownTenure()
 	if right == firm && !r.firmAllowed {
 		return false
 	}
 	shares := findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
-		return e.job.Shape.CountIn(p.room(r, e, w, w.free().Plus(w.stoppable)))
+		room := w.free().Plus(w.stoppable)
+		if from == fromCheap {
+			room = w.free().Plus(w.cheap)
+		}
+		return e.job.Shape.CountIn(p.room(r, e, w, room))
 	})
 	if shares == nil {
 		return false
--- a/coordination/planning/zone.go
+++ b/coordination/planning/zone.go
@@ -39,8 +39,12 @@
 	// firm and covered are the parts of held and claimed that no reclaim frees.
 	firm    state.Resources
 	covered state.Resources
-	// stoppable is the part of held that any reclaim may free.
+	// stoppable is the part of held that any reclaim may free, and cheap that of
+	// all borrowed work which can checkpoint.
 	stoppable state.Resources
+	cheap     state.Resources
+	// costly is the part of held and claimed that borrows but cannot checkpoint.
+	costly state.Resources
 	// pinned is what the guarantees keep here, whether in use or not.
 	pinned state.Resources
 	jobs   map[*entry]int
@@ -129,12 +133,19 @@
 			if e.stoppable() {
 				w.stoppable = w.stoppable.Plus(amount)
 			}
+			if e.stoppable() && e.job.Checkpointable {
+				w.cheap = w.cheap.Plus(amount)
+			}
 		}
 		switch e.tenure {
 		case firm:
 			w.firm = w.firm.Plus(amount)
 		case covered:
 			w.covered = w.covered.Plus(amount)
+		case borrowed:
+			if !e.job.Checkpointable {
+				w.costly = w.costly.Plus(amount)
+			}
 		}
 		w.jobs[e] += members * sign
 		if w.jobs[e] == 0 {
