Group work that cannot be moved, and keep a reservation's places

Cause: work that cannot be moved was spread over all racks, so none could be cleared for a gang; and a reservation that was due was chosen anew, which let short estimates put it off. Such work now goes to the most rigid rack, and nothing that cannot be moved goes to places that are due.

--- a/coordination/planning/guarantee.go
+++ b/coordination/planning/guarantee.go
@@ -52,7 +52,10 @@
 		return
 	}
 	change := g.Shape.Times(next.units - previous.units)
-	w.rack.update(func() { w.pinned = w.pinned.Plus(change) })
+	w.rack.update(func() {
+		w.pinned = w.pinned.Plus(change)
+		w.rack.rigid += change.Accelerators
+	})
 }
 
 func (g *guarantee) unpin(w *worker) {
--- a/coordination/planning/layout.go
+++ b/coordination/planning/layout.go
@@ -14,6 +14,9 @@
 	span int
 	// scatter lets a gang that may run anywhere use up small remainders.
 	scatter bool
+	// rigid is set for work that cannot be moved. It goes where more of its kind
+	// is, so that other racks can be cleared.
+	rigid bool
 }
 
 // share is a number of members on one worker.
@@ -28,7 +31,7 @@
 // on a worker. It writes the fits fields of racks and workers.
 func findLayout(racks []*rack, g gang, count func(*worker) int) []share {
 	if g.members == 1 {
-		return findWorker(racks, count)
+		return findWorker(racks, g.rigid, count)
 	}
 	total := 0
 	for _, r := range racks {
@@ -44,27 +47,31 @@
 	}
 	switch g.adjacency {
 	case state.SameRack:
-		return fill(findRun(racks, g.members, 1), g.members)
+		return fill(findRun(racks, g, 1), g.members)
 	case state.AdjacentRacks:
-		return fill(findRun(racks, g.members, g.span), g.members)
+		return fill(findRun(racks, g, g.span), g.members)
 	default:
 		return findAnywhere(racks, g)
 	}
 }
 
 // findWorker returns the fitting worker with the fewest free accelerators,
-// then with the least room, then on the rack with the least room.
-func findWorker(racks []*rack, count func(*worker) int) []share {
+// then with the least room; rigid work looks for the most rigid rack first.
+func findWorker(racks []*rack, rigid bool, count func(*worker) int) []share {
 	var best *worker
 	bestIdle := 0
 	for _, r := range racks {
+		if rigid && best != nil && r.rigid < best.rack.rigid {
+			continue
+		}
 		for _, w := range r.workers {
 			w.fits = count(w)
 			if w.fits < 1 {
 				continue
 			}
 			idle := w.free().Accelerators
-			if best == nil || idle < bestIdle || (idle == bestIdle && w.fits < best.fits) {
+			better := best == nil || idle < bestIdle || (idle == bestIdle && w.fits < best.fits)
+			if better || (rigid && r.rigid > best.rack.rigid) {
 				best, bestIdle = w, idle
 			}
 		}
@@ -75,24 +82,30 @@
 	return []share{{best, 1}}
 }
 
-// findRun returns the shortest run of at most span neighbouring racks that
-// holds the members, and of equal ones that with the least left over.
-func findRun(racks []*rack, members, span int) []*rack {
+// findRun returns the shortest run of neighbouring racks that holds the gang,
+// at most span of them; of equal runs, for rigid work the most rigid, then
+// the one with the least left over.
+func findRun(racks []*rack, g gang, span int) []*rack {
 	var best []*rack
-	bestLeft := 0
+	bestLeft, bestRigid := 0, 0
 	for i := range racks {
-		sum := 0
+		sum, rigid := 0, 0
 		for j := i; j < len(racks) && j-i < span; j++ {
 			if racks[j].fits == 0 || (j > i && racks[j].Position-racks[j-1].Position > 1) {
 				break
 			}
 			sum += racks[j].fits
-			if sum < members {
+			if g.rigid {
+				rigid += racks[j].rigid
+			}
+			if sum < g.members {
 				continue
 			}
 			run := racks[i : j+1]
-			if best == nil || len(run) < len(best) || (len(run) == len(best) && sum-members < bestLeft) {
-				best, bestLeft = run, sum-members
+			left := sum - g.members
+			order := cmp.Or(cmp.Compare(len(run), len(best)), cmp.Compare(bestRigid, rigid), cmp.Compare(left, bestLeft))
+			if best == nil || order < 0 {
+				best, bestLeft, bestRigid = run, left, rigid
 			}
 			break
 		}
@@ -102,7 +115,7 @@
 
 func findAnywhere(racks []*rack, g gang) []share {
 	if !g.scatter {
-		if run := findRun(racks, g.members, len(racks)); run != nil {
+		if run := findRun(racks, g, len(racks)); run != nil {
 			return fill(run, g.members)
 		}
 	}
--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -11,6 +11,9 @@
 	entry   *entry
 	workers map[*worker]bool
 	ready   time.Time
+	// due is set once ready has passed; from then on nothing more goes there that
+	// could not be moved, so that wrong estimates cannot put the gang off for good.
+	due bool
 }
 
 func (s *reservation) includes(w *worker) bool { return s.workers[w] }
@@ -24,7 +27,7 @@
 	// shiftInterval is how long after one try to move guarantees the next may come.
 	shiftInterval = 30 * time.Second
 	// maxMoves is how often one job may be moved for larger gangs.
-	maxMoves = 2
+	maxMoves = 4
 	// moveRatio is how many times larger a gang must be than what it has moved.
 	moveRatio = 2
 )
@@ -44,11 +47,10 @@
 	if p.reserved == nil || p.reserved.entry == e || !p.reserved.includes(w) || e.job.Urgency == state.Urgent {
 		return true
 	}
-	left := p.reserved.ready.Sub(r.now)
-	if e.ownTenure() == firm {
-		return firmMargin*e.estimate <= left
+	if e.movableFor(p.reserved.entry) {
+		return true
 	}
-	return e.estimate <= left
+	return !p.reserved.due && firmMargin*e.estimate <= p.reserved.ready.Sub(r.now)
 }
 
 // checkReservation gives up a reservation whose gang has left the queue.
@@ -72,7 +74,7 @@
 		return
 	}
 	e := p.reserved.entry
-	if p.reserved.workers == nil || !r.now.Before(p.reserved.ready) {
+	if p.reserved.workers == nil {
 		p.chooseWorkers(r, p.reserved)
 	}
 	if p.reserved.workers == nil {
@@ -83,6 +85,7 @@
 		r.Next = earlier(r.Next, p.reserved.ready)
 		return
 	}
+	p.reserved.due = true
 	r.Next = earlier(r.Next, r.now.Add(reservationCheck))
 	p.clear(r, e)
 }
@@ -166,8 +169,7 @@
 	if shares == nil {
 		return
 	}
-	waited := r.now.Sub(e.job.Submitted) * time.Duration(max(1, e.job.Total().Accelerators))
-	if p.lossOn(r, e, shares) > waited {
+	if p.lossOn(r, e, shares) > e.pressure(r.now) {
 		return
 	}
 	p.assign(r, e, e.ownTenure(), nil, shares, state.RackMoved)
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -269,12 +269,17 @@
 		return true
 	}
 	e.queue.wait(e, WaitingForRoom)
-	if e.job.Members > 1 && r.blocked == nil {
+	if e.job.Members > 1 && (r.blocked == nil || e.pressure(r.now) > r.blocked.pressure(r.now)) {
 		r.blocked = e
 	}
 	return false
 }
 
+// pressure orders blocked gangs by the accelerator time that they waited for.
+func (e *entry) pressure(now time.Time) time.Duration {
+	return now.Sub(e.job.Submitted) * time.Duration(max(1, e.job.Total().Accelerators))
+}
+
 // placeUrgent prefers the guarantee, even if others, its organisation's own
 // stoppable work included, have to make way there.
 func (p *Planner) placeUrgent(r *round, e *entry) bool {
@@ -410,7 +415,7 @@
 }
 
 func (p *Planner) gangOf(e *entry) gang {
-	g := gang{members: e.job.Members, adjacency: e.job.Adjacency}
+	g := gang{members: e.job.Members, adjacency: e.job.Adjacency, rigid: !e.job.Checkpointable}
 	if g.members > 1 && g.adjacency == state.AdjacentRacks {
 		g.span = p.sizes.span(e.job.Shape, e.job.Members, e.job.Adjacency)
 	}
--- a/coordination/planning/zone.go
+++ b/coordination/planning/zone.go
@@ -22,6 +22,8 @@
 	mu sync.Mutex
 	state.Rack
 	workers []*worker
+	// rigid counts the accelerators that guarantees and work which cannot be moved take.
+	rigid int
 	// fits is scratch space of findLayout.
 	fits int
 }
@@ -147,6 +149,9 @@
 				w.costly = w.costly.Plus(amount)
 			}
 		}
+		if e.tenure != borrowed || !e.job.Checkpointable {
+			w.rack.rigid += amount.Accelerators
+		}
 		w.jobs[e] += members * sign
 		if w.jobs[e] == 0 {
 			delete(w.jobs, e)
