Keep reserved places for work that can be moved alone

Cause: gangs waited for up to four hours at a load of 0.8. A reservation was dated by declared run times, which are wrong by factors of up to ninety: it lay far off, so that everything was let in before it, and was not looked at until then. Reserved places now take only work that can be moved, the places are chosen anew when others are clear sooner, and each round may clear them.

--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -10,18 +10,14 @@
 type reservation struct {
 	entry   *entry
 	workers map[*worker]bool
+	// ready is when the places should be clear, as last looked at.
 	ready   time.Time
-	// due is set once ready has passed; from then on nothing more goes there that
-	// could not be moved, so that wrong estimates cannot put the gang off for good.
-	due bool
+	checked time.Time
 }
 
 func (s *reservation) includes(w *worker) bool { return s.workers[w] }
 
 const (
-	// firmMargin is by how much the run time of work that must not be stopped
-	// may be underestimated before it would delay a reservation.
-	firmMargin = 2
 	// reservationCheck is how soon a reservation that is due is looked at again.
 	reservationCheck = 2 * time.Second
 	// shiftInterval is how long after one try to move guarantees the next may come.
@@ -43,14 +39,11 @@
 }
 
 // mayUse reports whether the job may run on a worker that is kept for another.
-func (p *Planner) mayUse(r *round, e *entry, w *worker) bool {
+func (p *Planner) mayUse(e *entry, w *worker) bool {
 	if p.reserved == nil || p.reserved.entry == e || !p.reserved.includes(w) || e.job.Urgency == state.Urgent {
 		return true
 	}
-	if e.movableFor(p.reserved.entry) {
-		return true
-	}
-	return !p.reserved.due && firmMargin*e.estimate <= p.reserved.ready.Sub(r.now)
+	return e.movableFor(p.reserved.entry)
 }
 
 // checkReservation gives up a reservation whose gang has left the queue.
@@ -73,21 +66,15 @@
 	if p.reserved == nil {
 		return
 	}
-	e := p.reserved.entry
-	if p.reserved.workers == nil {
+	if p.reserved.workers == nil || !r.now.Before(p.reserved.checked.Add(reservationCheck)) {
 		p.chooseWorkers(r, p.reserved)
 	}
 	if p.reserved.workers == nil {
 		p.reserved = nil
 		return
 	}
-	if r.now.Before(p.reserved.ready) {
-		r.Next = earlier(r.Next, p.reserved.ready)
-		return
-	}
-	p.reserved.due = true
 	r.Next = earlier(r.Next, r.now.Add(reservationCheck))
-	p.clear(r, e)
+	p.clear(r, p.reserved.entry)
 }
 
 // chooseWorkers finds the places that are clear the soonest, moving idle
@@ -109,10 +96,13 @@
 }
 
 func (p *Planner) chooseClearest(r *round, reserved *reservation) {
-	reserved.workers = nil
+	reserved.checked = r.now
 	e := reserved.entry
 	for _, horizon := range horizons {
 		by := r.now.Add(horizon)
+		if reserved.workers != nil && !by.Before(reserved.ready) {
+			return
+		}
 		shares := findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
 			if !w.open() || e.avoids(w) {
 				return 0
@@ -164,7 +154,7 @@
 		if !p.reserved.includes(w) {
 			return 0
 		}
-		return e.job.Shape.CountIn(p.room(r, e, w, w.roomBy(r.now, r.now, e)))
+		return e.job.Shape.CountIn(p.room(e, w, w.roomBy(r.now, r.now, e)))
 	})
 	if shares == nil {
 		return
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -75,7 +75,8 @@
 	shape     state.Resources
 	adjacency state.Adjacency
 	tenure    tenure
-	until     time.Duration
+	// movable is set if the request may use reserved places.
+	movable bool
 }
 
 // Plan runs one planning round.
@@ -358,7 +359,7 @@
 	}
 	key := requestKey{shape: e.job.Shape, adjacency: e.job.Adjacency, tenure: right}
 	if p.reserved != nil {
-		key.until = e.estimate
+		key.movable = e.movableFor(p.reserved.entry)
 	}
 	known := len(e.avoid) == 0 && !p.holdsReservation(e)
 	if fewest, found := r.failed[key]; found && known && e.job.Members >= fewest {
@@ -367,12 +368,12 @@
 	var shares []share
 	if right == borrowed && !e.job.Checkpointable {
 		shares = findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
-			return e.job.Shape.CountIn(smaller(p.room(r, e, w, w.free()), w.unpinned().Minus(w.costly)))
+			return e.job.Shape.CountIn(smaller(p.room(e, w, w.free()), w.unpinned().Minus(w.costly)))
 		})
 	}
 	if shares == nil {
 		shares = findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
-			return e.job.Shape.CountIn(p.room(r, e, w, w.free()))
+			return e.job.Shape.CountIn(p.room(e, w, w.free()))
 		})
 	}
 	if shares == nil {
@@ -395,7 +396,7 @@
 		if from == fromCheap {
 			room = w.free().Plus(w.cheap)
 		}
-		return e.job.Shape.CountIn(p.room(r, e, w, room))
+		return e.job.Shape.CountIn(p.room(e, w, room))
 	})
 	if shares == nil {
 		return false
@@ -404,8 +405,8 @@
 }
 
 // room limits what is free on a worker to what the job may take there.
-func (p *Planner) room(r *round, e *entry, w *worker, free state.Resources) state.Resources {
-	if !w.open() || e.avoids(w) || !p.mayUse(r, e, w) {
+func (p *Planner) room(e *entry, w *worker, free state.Resources) state.Resources {
+	if !w.open() || e.avoids(w) || !p.mayUse(e, w) {
 		return state.Resources{}
 	}
 	if e.ownTenure() == firm {
