Bound a table's number of values on request

Cause: tables keyed by what callers name (kinds, jobs) must not grow without bound. Change: state.NewBoundedTable; in a full shard a new value displaces another. Measurement: go test -race ./state passes; 6,400 keys leave at most 64 values.

--- a/state/table.go
+++ b/state/table.go
@@ -10,7 +10,9 @@
 // Table is a map split into shards, each under its own lock; it is safe for
 // several goroutines.
 type Table[K comparable, V any] struct {
-	seed   maphash.Seed
+	seed maphash.Seed
+	// shardLimit bounds the values of a shard; 0 is no bound.
+	shardLimit int
 	shards [tableShards]tableShard[K, V]
 }
 
@@ -28,6 +30,14 @@
 	return t
 }
 
+// NewBoundedTable returns an empty table of at most about limit values; when a
+// shard is full, a new value displaces an arbitrary one.
+func NewBoundedTable[K comparable, V any](limit int) *Table[K, V] {
+	t := NewTable[K, V]()
+	t.shardLimit = max(limit/tableShards, 1)
+	return t
+}
+
 // Get returns the value under key and whether there is one.
 func (t *Table[K, V]) Get(key K) (V, bool) {
 	s := t.shard(key)
@@ -46,7 +56,7 @@
 	value, found := s.entries[key]
 	next, keep := change(value, found)
 	if keep {
-		s.entries[key] = next
+		t.put(s, key, next)
 		return
 	}
 	delete(s.entries, key)
@@ -57,7 +67,7 @@
 	s := t.shard(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries[key] = value
+	t.put(s, key, value)
 }
 
 // PutNew stores the value under key unless there is one, and reports whether it did.
@@ -68,7 +78,7 @@
 	if _, found := s.entries[key]; found {
 		return false
 	}
-	s.entries[key] = value
+	t.put(s, key, value)
 	return true
 }
 
@@ -107,6 +117,20 @@
 	return values
 }
 
+// put stores the value in a locked shard.
+func (t *Table[K, V]) put(s *tableShard[K, V], key K, value V) {
+	s.entries[key] = value
+	if t.shardLimit == 0 || len(s.entries) <= t.shardLimit {
+		return
+	}
+	for other := range s.entries {
+		if other != key {
+			delete(s.entries, other)
+			return
+		}
+	}
+}
+
 func (t *Table[K, V]) shard(key K) *tableShard[K, V] {
 	return &t.shards[maphash.Comparable(t.seed, key)%tableShards]
 }
--- a/state/table_test.go
+++ b/state/table_test.go
@@ -37,3 +37,17 @@
 		})
 	}
 }
+
+func TestBoundedTableStaysBounded(t *testing.T) {
+	const limit = 64
+	table := NewBoundedTable[int, int](limit)
+	for i := range 100 * limit {
+		table.Put(i, i)
+		if got, found := table.Get(i); !found || got != i {
+			t.Fatalf("the newest value %d was displaced", i)
+		}
+	}
+	if table.Len() > limit {
+		t.Errorf("%d values, want at most %d", table.Len(), limit)
+	}
+}
