--- /dev/null
+++ b/coordination/retry/backoff.go
@@ -0,0 +1,23 @@
+package retry
+
+import (
+	"comfreystream/state"
+	"time"
+)
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 10 * time.Second
+)
+
+// backoff returns the wait after a failed attempt: it doubles with each one up
+// to maxBackoff, and its second half is random, so that jobs that failed
+// together do not come back together.
+func backoff(attempt state.Attempt, random float64) time.Duration {
+	ceiling := firstBackoff
+	for i := state.Attempt(1); i < attempt && ceiling < maxBackoff; i++ {
+		ceiling *= 2
+	}
+	half := min(ceiling, maxBackoff) / 2
+	return half + time.Duration(random*float64(half))
+}
--- /dev/null
+++ b/coordination/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether and when a failed attempt of a job is repeated.
+package retry
--- a/state/table.go
+++ b/state/table.go
@@ -13,7 +13,7 @@
 	seed maphash.Seed
 	// shardLimit bounds the values of a shard; 0 is no bound.
 	shardLimit int
-	shards [tableShards]tableShard[K, V]
+	shards     [tableShards]tableShard[K, V]
 }
 
 type tableShard[K comparable, V any] struct {
