Check that refused retries cost a worker's budget nothing

Cause: dropping the cancellation of reservations went unseen by the tests. Change: a row that asks again after many refusals. Measurement: go test ./coordination/retry passes, and fails without CancelAt.

--- a/coordination/retry/retries_test.go
+++ b/coordination/retry/retries_test.go
@@ -21,41 +21,46 @@
 		return state.Job{Organisation: "andina", Idempotent: true, Deadline: start.Add(after)}
 	}
 	tests := []struct {
-		name     string
-		job      state.Job
-		attempt  state.Attempt
-		ran      state.Ran
-		failed   []netip.AddrPort
-		earlier  int
+		name    string
+		job     state.Job
+		attempt state.Attempt
+		ran     state.Ran
+		failed  []netip.AddrPort
+		earlier int
+		// later is how long after the earlier failures this one comes.
+		later    time.Duration
 		want     state.Reason
 		from, to time.Duration
 	}{
-		{"first failure", idempotent, 1, state.Unknown, failed, 0, "", 25 * time.Millisecond, 50 * time.Millisecond},
-		{"fourth failure", idempotent, 4, state.Unknown, failed, 0, "", 200 * time.Millisecond, 400 * time.Millisecond},
-		{"far attempt is capped", idempotent, 4e9, state.Unknown, failed, 0, "", 5 * time.Second, 10 * time.Second},
-		{"non-idempotent that may have run", once, 1, state.Unknown, failed, 0, state.AmbiguousStart, 0, 0},
-		{"non-idempotent that did not run", once, 1, state.NotRun, failed, 0, "", 25 * time.Millisecond, 50 * time.Millisecond},
-		{"ran whole", once, 1, state.RanWhole, nil, 0, "", 0, 0},
-		{"deadline passed", due(0), 1, state.NotRun, failed, 0, state.DeadlinePassed, 0, 0},
-		{"deadline before the backoff's end", due(20 * time.Millisecond), 1, state.NotRun, failed, 0, state.DeadlineTooClose, 0, 0},
-		{"worker's burst is spent", idempotent, 1, state.Unknown, failed, 3, "", time.Second, time.Second},
-		{"deadline before the worker's next retry", due(time.Second / 2), 1, state.Unknown, failed, 3, state.DeadlineTooClose, 0, 0},
-		{"worker's retries reach too far ahead", idempotent, 1, state.Unknown, failed, 20, state.RetryBudgetSpent, 0, 0},
-		{"organisation's budget is spent", idempotent, 1, state.Unknown, nil, 15, state.RetryBudgetSpent, 0, 0},
-		{"refused lease costs no budget", idempotent, 1, state.NotRun, nil, 1000, "", 25 * time.Millisecond, 50 * time.Millisecond},
+		{"first failure", idempotent, 1, state.Unknown, failed, 0, 0, "", 25 * time.Millisecond, 50 * time.Millisecond},
+		{"fourth failure", idempotent, 4, state.Unknown, failed, 0, 0, "", 200 * time.Millisecond, 400 * time.Millisecond},
+		{"far attempt is capped", idempotent, 4e9, state.Unknown, failed, 0, 0, "", 5 * time.Second, 10 * time.Second},
+		{"non-idempotent that may have run", once, 1, state.Unknown, failed, 0, 0, state.AmbiguousStart, 0, 0},
+		{"non-idempotent that did not run", once, 1, state.NotRun, failed, 0, 0, "", 25 * time.Millisecond, 50 * time.Millisecond},
+		{"ran whole", once, 1, state.RanWhole, nil, 0, 0, "", 0, 0},
+		{"deadline passed", due(0), 1, state.NotRun, failed, 0, 0, state.DeadlinePassed, 0, 0},
+		{"deadline before the backoff's end", due(20 * time.Millisecond), 1, state.NotRun, failed, 0, 0, state.DeadlineTooClose, 0, 0},
+		{"worker's burst is spent", idempotent, 1, state.Unknown, failed, 3, 0, "", time.Second, time.Second},
+		{"deadline before the worker's next retry", due(time.Second / 2), 1, state.Unknown, failed, 3, 0, state.DeadlineTooClose, 0, 0},
+		{"worker's retries reach too far ahead", idempotent, 1, state.Unknown, failed, 20, 0, state.RetryBudgetSpent, 0, 0},
+		{"refused retries cost the worker nothing", idempotent, 1, state.Unknown, failed, 100, 5 * time.Second, "", 5 * time.Second, 7 * time.Second},
+		{"organisation's budget is spent", idempotent, 1, state.Unknown, nil, 15, 0, state.RetryBudgetSpent, 0, 0},
+		{"refused lease costs no budget", idempotent, 1, state.NotRun, nil, 1000, 0, "", 25 * time.Millisecond, 50 * time.Millisecond},
 	}
 	settings := Settings{Ratio: 0.2, Burst: 15, WorkerInterval: time.Second, WorkerBurst: 3}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := New(settings, func() time.Time { return start }, rand.New(rand.NewPCG(1, 2)).Float64)
+			now := start
+			r := New(settings, func() time.Time { return now }, rand.New(rand.NewPCG(1, 2)).Float64)
 			for range tt.earlier {
 				r.Next(&state.Job{Organisation: "andina", Idempotent: true}, 1, tt.ran, tt.failed)
 			}
+			now = now.Add(tt.later)
 			got := r.Next(&tt.job, tt.attempt, tt.ran, tt.failed)
 			if got.Reason != tt.want || got.Again != (tt.to > 0) {
 				t.Fatalf("got %+v, want reason %q", got, tt.want)
 			}
-			if wait := got.NotBefore.Sub(start); got.Again && (wait < tt.from || wait > tt.to) {
+			if wait := got.NotBefore.Sub(now); got.Again && (wait < tt.from || wait > tt.to) {
 				t.Errorf("waits %v, want %v to %v", wait, tt.from, tt.to)
 			}
 		})
