--- a/state/reason.go
+++ b/state/reason.go
@@ -17,6 +17,7 @@
 	DeadlineTooClose    Reason = "deadlineTooClose"
 	DeadlinePassed      Reason = "deadlinePassed"
 	ShedByShare         Reason = "shedByShare"
+	ShedByUrgency       Reason = "shedByUrgency"
 	DuplicateKey        Reason = "duplicateKey"
 	ClaimUnavailable    Reason = "claimUnavailable"
 	NotDurable          Reason = "notDurable"
