Name the refusal when a job's owner gives no reason

Cause: an owner that has moved on to another attempt refuses the start without a reason, and a refusal without one is counted nowhere. Change: such a start is refused as cancelled; a row for it, and a benchmark of a whole start.

--- a/coordination/gang/fake_test.go
+++ b/coordination/gang/fake_test.go
@@ -10,18 +10,13 @@
 	"github.com/pkg/errors"
 )
 
-type attemptKey struct {
-	job     state.JobID
-	attempt state.Attempt
-}
-
 // fakeWorker grants leases that lapse, and keeps a record of what it started.
 type fakeWorker struct {
 	address netip.AddrPort
 	free    int
-	leases  map[attemptKey]*fakeLease
-	voided  map[attemptKey]bool
-	started map[attemptKey]bool
+	leases  map[state.JobAttempt]*fakeLease
+	voided  map[state.JobAttempt]bool
+	started map[state.JobAttempt]bool
 }
 
 type fakeLease struct {
@@ -39,7 +34,7 @@
 	return members
 }
 
-func (w *fakeWorker) running(k attemptKey, now time.Time) int {
+func (w *fakeWorker) running(k state.JobAttempt, now time.Time) int {
 	l := w.leases[k]
 	if l == nil || !l.running || !now.Before(l.expires) {
 		return 0
@@ -113,10 +108,10 @@
 }
 
 func (z *fakeZone) hold(_ context.Context, rack string, r HoldRequest) (leases []state.Lease, err error) {
-	k := attemptKey{r.Job.ID, r.Attempt}
+	k := state.JobAttempt{Job: r.Job.ID, Attempt: r.Attempt}
 	for _, p := range r.Placements {
 		w := z.worker(rack, p.Worker)
-		err := z.deliver(message{"hold", p.Worker, k.job}, func() bool {
+		err := z.deliver(message{"hold", p.Worker, k.Job}, func() bool {
 			if w.voided[k] || w.free-w.used(time.Now()) < p.Members {
 				return false
 			}
@@ -126,13 +121,13 @@
 		if err != nil {
 			return nil, z.undo(rack, k, err)
 		}
-		leases = append(leases, state.Lease{Worker: p.Worker, Job: k.job, Attempt: k.attempt, Members: p.Members, Expires: time.Now().Add(r.TTL)})
+		leases = append(leases, state.Lease{Worker: p.Worker, Job: k.Job, Attempt: k.Attempt, Members: p.Members, Expires: time.Now().Add(r.TTL)})
 	}
 	return leases, nil
 }
 
 // undo keeps the home's promise that a refused hold leaves nothing in the rack.
-func (z *fakeZone) undo(rack string, k attemptKey, cause error) error {
+func (z *fakeZone) undo(rack string, k state.JobAttempt, cause error) error {
 	if state.IsAmbiguous(cause) {
 		return cause
 	}
@@ -147,8 +142,8 @@
 func (z *fakeZone) start(_ context.Context, rack string, leases []state.Lease) error {
 	for _, l := range leases {
 		w := z.worker(rack, l.Worker)
-		k := attemptKey{l.Job, l.Attempt}
-		err := z.deliver(message{"start", l.Worker, k.job}, func() bool {
+		k := state.JobAttempt{Job: l.Job, Attempt: l.Attempt}
+		err := z.deliver(message{"start", l.Worker, k.Job}, func() bool {
 			held := w.leases[k]
 			if held == nil || w.voided[k] || !time.Now().Before(held.expires) {
 				return false
@@ -165,7 +160,7 @@
 }
 
 func (z *fakeZone) stop(_ context.Context, rack string, job state.JobID, attempt state.Attempt) (bool, error) {
-	k := attemptKey{job, attempt}
+	k := state.JobAttempt{Job: job, Attempt: attempt}
 	neverStarted := true
 	var lost error
 	for _, w := range z.racks[rack] {
--- a/coordination/gang/hold.go
+++ b/coordination/gang/hold.go
@@ -39,10 +39,15 @@
 	if s.Commit == nil {
 		return nil
 	}
-	if err := s.Commit(g.job.ID, g.attempt); err != nil {
-		return &failure{reason: state.ReasonOf(err, state.Cancelled)}
+	err := s.Commit(g.job.ID, g.attempt)
+	if err == nil {
+		return nil
 	}
-	return nil
+	reason := state.ReasonOf(err, state.Cancelled)
+	if reason == "" {
+		reason = state.Cancelled
+	}
+	return &failure{reason: reason}
 }
 
 // release voids the holds of a gang that was never started; what a rack does
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -27,7 +27,7 @@
 	for _, p := range across {
 		w := &fakeWorker{
 			address: p.Worker, free: 2,
-			leases: make(map[attemptKey]*fakeLease), voided: make(map[attemptKey]bool), started: make(map[attemptKey]bool),
+			leases: make(map[state.JobAttempt]*fakeLease), voided: make(map[state.JobAttempt]bool), started: make(map[state.JobAttempt]bool),
 		}
 		z.racks[p.Rack] = append(z.racks[p.Rack], w)
 	}
@@ -49,7 +49,7 @@
 // checks what must hold whatever failed.
 func checkSettled(t *testing.T, z *fakeZone, job *state.Job, result Result) {
 	t.Helper()
-	k := attemptKey{job.ID, 1}
+	k := state.JobAttempt{Job: job.ID, Attempt: 1}
 	z.renew(result)
 	z.pending.Wait()
 	<-time.After(holdTTL)
@@ -76,7 +76,7 @@
 	for _, l := range result.Leases {
 		for _, workers := range z.racks {
 			for _, w := range workers {
-				if held := w.leases[attemptKey{l.Job, l.Attempt}]; held != nil {
+				if held := w.leases[state.JobAttempt{Job: l.Job, Attempt: l.Attempt}]; held != nil {
 					held.expires = held.expires.Add(time.Hour)
 				}
 			}
@@ -230,6 +230,11 @@
 				return &state.TransitionError{Phase: state.JobDone, Event: state.StartSent}
 			}
 		}, state.Cancelled},
+		{"job's owner has moved on", func(s *Starter) {
+			s.Commit = func(state.JobID, state.Attempt) error {
+				return state.NewStepError("commit", netip.AddrPort{}, "", nil)
+			}
+		}, state.Cancelled},
 		{"one member is missing", func(s *Starter) {
 			hold := s.Hold
 			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
@@ -253,3 +258,29 @@
 		})
 	}
 }
+
+func BenchmarkRun(b *testing.B) {
+	const racks, perRack, members = 11, 6, 8
+	var placements []state.Placement
+	for i := range racks * perRack {
+		worker := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7070)
+		placements = append(placements, state.Placement{Worker: worker, Rack: fmt.Sprint("r", i%racks), Members: members})
+	}
+	s := &Starter{
+		Now:   time.Now,
+		Start: func(context.Context, string, []state.Lease) error { return nil },
+		Hold: func(_ context.Context, _ string, r HoldRequest) (leases []state.Lease, err error) {
+			for _, p := range r.Placements {
+				leases = append(leases, state.Lease{Worker: p.Worker, Job: r.Job.ID, Attempt: r.Attempt, Members: p.Members, Expires: time.Now().Add(r.TTL)})
+			}
+			return leases, nil
+		},
+	}
+	job := state.Job{ID: "z.1", Members: racks * perRack * members}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !s.Run(b.Context(), &job, 1, placements).Started {
+			b.Fatal("not started")
+		}
+	}
+}
