Call a job bad sooner when its kind fails everywhere

Change: three workers suffice if the kind is suspect; a failure that does not count no longer displaces one that may.

--- a/coordination/quarantine/failures.go
+++ b/coordination/quarantine/failures.go
@@ -11,7 +11,7 @@
 	// severalWorkers is on how many a job or kind must fail to be the suspect.
 	severalWorkers = 3
 	// jobWorkers is how many failures of a job are kept, and on how many workers
-	// it must fail to be bad if none of them has succeeded since.
+	// it must fail to be bad if nothing else speaks against it.
 	jobWorkers = 6
 	// failureWindow is how long a job's or a kind's failures count.
 	failureWindow = 10 * time.Minute
@@ -23,12 +23,13 @@
 	// since is when the job first failed on each worker.
 	since [jobWorkers]time.Time
 	count int
+	kind  string
 	last  time.Time
 }
 
-func (f jobFailures) add(worker netip.AddrPort, now time.Time) jobFailures {
+func (f jobFailures) add(worker netip.AddrPort, kind string, now time.Time) jobFailures {
 	if now.Sub(f.last) > failureWindow {
-		f = jobFailures{}
+		f = jobFailures{kind: kind}
 	}
 	f.last = now
 	if slices.Contains(f.workers[:f.count], worker) {
@@ -75,8 +76,12 @@
 	if job.count >= severalWorkers && now.Sub(job.last) <= failureWindow {
 		return true
 	}
-	kind, _ := q.kinds.Get(f.kind)
-	return kind.count >= severalWorkers && now.Sub(kind.last) <= failureWindow
+	return q.suspectKind(f.kind, now)
+}
+
+func (q *Quarantine) suspectKind(kind string, now time.Time) bool {
+	f, _ := q.kinds.Get(kind)
+	return f.count >= severalWorkers && now.Sub(f.last) <= failureWindow
 }
 
 // evidence counts the failures that speak against the worker.
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -44,7 +44,7 @@
 // Failed notes that the worker failed a member of the job.
 func (q *Quarantine) Failed(worker netip.AddrPort, job state.JobID, kind string) {
 	now := q.now()
-	q.jobs.Update(job, func(f jobFailures, _ bool) (jobFailures, bool) { return f.add(worker, now), true })
+	q.jobs.Update(job, func(f jobFailures, _ bool) (jobFailures, bool) { return f.add(worker, kind, now), true })
 	q.kinds.Update(kind, func(f kindFailures, _ bool) (kindFailures, bool) { return f.add(worker, job, now), true })
 	counts := !q.suspect(failure{job, kind})
 	var r record
@@ -52,7 +52,7 @@
 	q.workers.Update(worker, func(known record, _ bool) (record, bool) {
 		wasOut = known.quarantined()
 		known.worker = worker
-		known.note(failure{job, kind})
+		known.note(failure{job, kind}, counts)
 		if known.quarantined() && known.probe == job {
 			known.endProbe(now, counts)
 		}
@@ -118,8 +118,9 @@
 }
 
 // JobIsBad reports whether the job failed on so many workers that the fault is
-// its own. Only workers count that have succeeded and that fail no other job:
-// a few of them if they succeeded after the job's failure, else more.
+// its own. Only workers count that have succeeded and that fail no other job: a
+// few if they succeeded after the job's failure or its kind fails everywhere,
+// else more.
 func (q *Quarantine) JobIsBad(job state.JobID) bool {
 	f, _ := q.jobs.Get(job)
 	good, wereGood := 0, 0
@@ -133,6 +134,9 @@
 			good++
 		}
 	}
+	if q.suspectKind(f.kind, q.now()) {
+		good = wereGood
+	}
 	return good >= severalWorkers || wereGood >= jobWorkers
 }
 
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -41,14 +41,19 @@
 	return r.probe == "" || now.Sub(r.probeSince) >= probeTimeout
 }
 
-// note adds a failure, unless the job already failed here; the oldest gives way.
-func (r *record) note(f failure) {
+// note adds a failure, unless the job already failed here. The oldest gives way
+// to a failure that counts against the worker now; others are kept while there
+// is room, as they may count later.
+func (r *record) note(f failure, counts bool) {
 	for _, known := range r.streak[:r.count] {
 		if known.job == f.job {
 			return
 		}
 	}
 	if r.count == streakLength {
+		if !counts {
+			return
+		}
 		copy(r.streak[:], r.streak[1:])
 		r.count--
 	}
