Test a starter that is paused while another one aborts

Cause: a starter paused between two messages must do no harm when it goes on. Change: a pause before each of its holds and starts, during which a second starter aborts the gang; and starters that die without anyone cleaning up.

--- a/coordination/gang/fake_test.go
+++ b/coordination/gang/fake_test.go
@@ -49,6 +49,8 @@
 	job    state.JobID
 }
 
+const pauseTime = 2 * time.Second
+
 type fault int
 
 const (
@@ -58,6 +60,8 @@
 	answerLost
 	// late loses the answer and delivers the request again after the stop.
 	late
+	// pause is a starter that goes on only after pauseTime.
+	pause
 	// death is the end of the starter: this message and all later ones are lost.
 	death
 )
@@ -80,9 +84,14 @@
 func (z *fakeZone) deliver(m message, act func() bool) error {
 	<-time.After(time.Millisecond)
 	z.mu.Lock()
-	defer z.mu.Unlock()
 	z.count++
 	f := z.fault(m, z.count)
+	z.mu.Unlock()
+	if f == pause {
+		<-time.After(pauseTime)
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
 	z.dead = z.dead || f == death
 	switch {
 	case z.dead, f == requestLost:
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -156,10 +156,12 @@
 						})
 						result := z.starter().Run(t.Context(), &gangJob, 1, across)
 						if z.dead {
-							// Nobody hears the result of a dead starter; a second one cleans up.
+							// Nobody hears the result of a dead starter.
+							result = Result{Ran: state.Unknown}
+						}
+						if z.dead && second != none {
 							z.dead = false
-							never, err := z.starter().Abort(t.Context(), gangJob.ID, 1, []string{"a", "b"})
-							result = Result{Ran: map[bool]state.Ran{true: state.NotRun, false: state.Unknown}[never && err == nil]}
+							result.Ran = z.abort(t)
 						}
 						checkSettled(t, z, &gangJob, result)
 					})
@@ -169,6 +171,39 @@
 	}
 }
 
+// abort has a second starter stop the gang and returns what it may say.
+func (z *fakeZone) abort(t *testing.T) state.Ran {
+	neverStarted, err := z.starter().Abort(t.Context(), gangJob.ID, 1, []string{"a", "b"})
+	if neverStarted && err == nil {
+		return state.NotRun
+	}
+	return state.Unknown
+}
+
+// TestPausedStarter has another starter abort the gang while the first one
+// is paused before each of its holds and starts.
+func TestPausedStarter(t *testing.T) {
+	const holdsAndStarts = 8
+	for at := 1; at <= holdsAndStarts; at++ {
+		t.Run(fmt.Sprint("before message ", at), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newFakeZone(func(_ message, count int) fault { return map[int]fault{at: pause}[count] })
+				aborted := make(chan state.Ran, 1)
+				go func() {
+					<-time.After(pauseTime / 2)
+					aborted <- z.abort(t)
+				}()
+				result := z.starter().Run(t.Context(), &gangJob, 1, across)
+				if result.Started {
+					t.Error("an aborted gang was started")
+				}
+				checkSettled(t, z, &gangJob, result)
+				checkSettled(t, z, &gangJob, Result{Ran: <-aborted})
+			})
+		})
+	}
+}
+
 func TestContention(t *testing.T) {
 	tests := []struct {
 		name  string
