Blame a worker only for its own failure to start

Cause: the start of a rack and the caller's giving up shared one long closure, and an answer that came after the caller gave up was told apart in two places. Change: one method starts a rack; what ended the caller's wait is looked at once. Rows for a caller that gives up, a deadline and an owner that refuses; the test's fake has its own file.

--- a/coordination/gang/failure.go
+++ b/coordination/gang/failure.go
@@ -21,10 +21,7 @@
 
 // failureOf reads what a rack's error says; one without a step means that the
 // rack's home gave no answer.
-func failureOf(ctx context.Context, p *part, err error) *failure {
-	if ctx.Err() != nil {
-		return ended(ctx)
-	}
+func failureOf(p *part, err error) *failure {
 	f := &failure{reason: state.ReasonOf(err, state.HomeUnreachable)}
 	var step *state.StepError
 	if errors.As(err, &step) && blames(step.Reason) && p.uses(step.Peer) {
@@ -33,12 +30,16 @@
 	return f
 }
 
-// ended is the failure of a start whose own caller gave up.
-func ended(ctx context.Context) *failure {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// orEnded returns f, or what ended ctx if the caller gave up meanwhile.
+func (f *failure) orEnded(ctx context.Context) *failure {
+	switch {
+	case f == nil || ctx.Err() == nil:
+		return f
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &failure{reason: state.DeadlinePassed}
+	default:
+		return &failure{reason: state.Cancelled}
 	}
-	return &failure{reason: state.Cancelled}
 }
 
 // blames reports whether the reason counts against the worker that gave it.
--- a/coordination/gang/fake_test.go
+++ b/coordination/gang/fake_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +77,18 @@
 	pending sync.WaitGroup
 }
 
+func newFakeZone(fault func(m message, count int) fault) *fakeZone {
+	z := &fakeZone{racks: make(map[string][]*fakeWorker), fault: fault}
+	for _, p := range across {
+		w := &fakeWorker{
+			address: p.Worker, free: 2,
+			leases: make(map[state.JobAttempt]*fakeLease), voided: make(map[state.JobAttempt]bool), started: make(map[state.JobAttempt]bool),
+		}
+		z.racks[p.Rack] = append(z.racks[p.Rack], w)
+	}
+	return z
+}
+
 func (z *fakeZone) starter() *Starter {
 	return &Starter{Now: time.Now, Hold: z.hold, Start: z.start, Stop: z.stop}
 }
@@ -203,3 +216,51 @@
 	}
 	return nil
 }
+
+// renew does the part of the racks' homes once a gang has started.
+func (z *fakeZone) renew(result Result) {
+	for _, l := range result.Leases {
+		for _, workers := range z.racks {
+			for _, w := range workers {
+				if held := w.leases[state.JobAttempt{Job: l.Job, Attempt: l.Attempt}]; held != nil {
+					held.expires = held.expires.Add(time.Hour)
+				}
+			}
+		}
+	}
+}
+
+// abort has a second starter stop the gang and returns what it may say.
+func (z *fakeZone) abort(t *testing.T) state.Ran {
+	neverStarted, err := z.starter().Abort(t.Context(), gangJob.ID, 1, []string{"a", "b"})
+	if neverStarted && err == nil {
+		return state.NotRun
+	}
+	return state.Unknown
+}
+
+// checkSettled waits until every lease that nobody renews has lapsed, and
+// checks what must hold whatever failed.
+func checkSettled(t *testing.T, z *fakeZone, job *state.Job, result Result) {
+	t.Helper()
+	k := state.JobAttempt{Job: job.ID, Attempt: 1}
+	z.renew(result)
+	z.pending.Wait()
+	<-time.After(holdTTL)
+	running, started := 0, false
+	for _, workers := range z.racks {
+		for _, w := range workers {
+			running += w.running(k, time.Now())
+			started = started || w.started[k]
+		}
+	}
+	if want := map[bool]int{true: job.Members}[result.Started]; running != want {
+		t.Errorf("%d members run, want %d of %d", running, want, job.Members)
+	}
+	if result.Ran == state.NotRun && started {
+		t.Error("the answer is not run, but a worker started a member")
+	}
+	if used := z.used(); !result.Started && used > 0 {
+		t.Errorf("%d members' capacity is still held", used)
+	}
+}
--- a/coordination/gang/hold.go
+++ b/coordination/gang/hold.go
@@ -9,7 +9,7 @@
 func (s *Starter) holdAll(ctx context.Context, g *gang) *failure {
 	for _, p := range g.parts {
 		if f := s.hold(ctx, g, p); f != nil {
-			return f
+			return f.orEnded(ctx)
 		}
 	}
 	return nil
@@ -17,7 +17,7 @@
 
 func (s *Starter) hold(ctx context.Context, g *gang, p *part) *failure {
 	if ctx.Err() != nil {
-		return ended(ctx)
+		return failureOf(p, ctx.Err())
 	}
 	bounded, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
@@ -26,7 +26,7 @@
 	leases, err := s.Hold(bounded, p.rack, request)
 	if err != nil {
 		p.mayHold = state.IsAmbiguous(err)
-		return failureOf(ctx, p, err)
+		return failureOf(p, err)
 	}
 	p.mayHold = true
 	if !p.keep(g, leases, asked) {
--- a/coordination/gang/start.go
+++ b/coordination/gang/start.go
@@ -4,39 +4,43 @@
 	"comfreystream/state"
 	"context"
 	"sync"
+	"time"
 )
 
-// startAll starts the racks in parallel; the first failure ends the others'
-// wait. A start is sent only if its answer is due before any lease lapses.
+// startAll starts the racks in parallel and returns the first failure, which
+// ends the others' wait.
 func (s *Starter) startAll(ctx context.Context, g *gang) *failure {
 	bounded, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	heldUntil := g.heldUntil()
-	var once sync.Once
-	var first *failure
-	fail := func(f *failure) {
-		once.Do(func() { first = f })
-		cancel()
-	}
+	failures := make(chan *failure, len(g.parts))
 	var all sync.WaitGroup
 	for _, p := range g.parts {
 		all.Go(func() {
-			if bounded.Err() != nil {
-				fail(ended(bounded))
-				return
-			}
-			if heldUntil.Sub(s.Now()) < startTimeout {
-				fail(&failure{reason: state.LeaseLapsed})
-				return
-			}
-			p.startSent = true
-			if err := s.Start(bounded, p.rack, p.leases); err != nil {
-				fail(failureOf(ctx, p, err))
+			if f := s.start(bounded, p, heldUntil); f != nil {
+				failures <- f
+				cancel()
 			}
 		})
 	}
 	all.Wait()
-	return first
+	close(failures)
+	return (<-failures).orEnded(ctx)
+}
+
+// start sends a rack its start only if the answer is due before any lease lapses.
+func (s *Starter) start(ctx context.Context, p *part, heldUntil time.Time) *failure {
+	if ctx.Err() != nil {
+		return failureOf(p, ctx.Err())
+	}
+	if heldUntil.Sub(s.Now()) < startTimeout {
+		return &failure{reason: state.LeaseLapsed}
+	}
+	p.startSent = true
+	if err := s.Start(ctx, p.rack, p.leases); err != nil {
+		return failureOf(p, err)
+	}
+	return nil
 }
 
 // stopStarted stops every part and says what is known of the work.
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -22,18 +22,6 @@
 	gangJob = state.Job{ID: "z.1", Members: 7}
 )
 
-func newFakeZone(fault func(m message, count int) fault) *fakeZone {
-	z := &fakeZone{racks: make(map[string][]*fakeWorker), fault: fault}
-	for _, p := range across {
-		w := &fakeWorker{
-			address: p.Worker, free: 2,
-			leases: make(map[state.JobAttempt]*fakeLease), voided: make(map[state.JobAttempt]bool), started: make(map[state.JobAttempt]bool),
-		}
-		z.racks[p.Rack] = append(z.racks[p.Rack], w)
-	}
-	return z
-}
-
 // on hits the first times messages of a step to a worker with a fault.
 func on(step string, worker netip.AddrPort, f fault, times int) func(message, int) fault {
 	return func(m message, _ int) fault {
@@ -45,45 +33,6 @@
 	}
 }
 
-// checkSettled waits until every lease that nobody renews has lapsed, and
-// checks what must hold whatever failed.
-func checkSettled(t *testing.T, z *fakeZone, job *state.Job, result Result) {
-	t.Helper()
-	k := state.JobAttempt{Job: job.ID, Attempt: 1}
-	z.renew(result)
-	z.pending.Wait()
-	<-time.After(holdTTL)
-	running, started := 0, false
-	for _, workers := range z.racks {
-		for _, w := range workers {
-			running += w.running(k, time.Now())
-			started = started || w.started[k]
-		}
-	}
-	if want := map[bool]int{true: job.Members}[result.Started]; running != want {
-		t.Errorf("%d members run, want %d of %d", running, want, job.Members)
-	}
-	if result.Ran == state.NotRun && started {
-		t.Error("the answer is not run, but a worker started a member")
-	}
-	if used := z.used(); !result.Started && used > 0 {
-		t.Errorf("%d members' capacity is still held", used)
-	}
-}
-
-// renew does the part of the racks' homes once a gang has started.
-func (z *fakeZone) renew(result Result) {
-	for _, l := range result.Leases {
-		for _, workers := range z.racks {
-			for _, w := range workers {
-				if held := w.leases[state.JobAttempt{Job: l.Job, Attempt: l.Attempt}]; held != nil {
-					held.expires = held.expires.Add(time.Hour)
-				}
-			}
-		}
-	}
-}
-
 func TestRun(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -171,15 +120,6 @@
 	}
 }
 
-// abort has a second starter stop the gang and returns what it may say.
-func (z *fakeZone) abort(t *testing.T) state.Ran {
-	neverStarted, err := z.starter().Abort(t.Context(), gangJob.ID, 1, []string{"a", "b"})
-	if neverStarted && err == nil {
-		return state.NotRun
-	}
-	return state.Unknown
-}
-
 // TestPausedStarter has another starter abort the gang while the first one
 // is paused before each of its holds and starts.
 func TestPausedStarter(t *testing.T) {
@@ -241,36 +181,45 @@
 }
 
 func TestHeldGangIsNotStarted(t *testing.T) {
+	const deadline = time.Minute
+	slow := func(delay time.Duration) func(*Starter, func()) {
+		return func(s *Starter, _ func()) {
+			hold := s.Hold
+			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
+				<-time.After(map[string]time.Duration{"b": delay}[rack])
+				return hold(ctx, rack, r)
+			}
+		}
+	}
+	commit := func(err error) func(*Starter, func()) {
+		return func(s *Starter, _ func()) {
+			s.Commit = func(state.JobID, state.Attempt) error { return err }
+		}
+	}
 	tests := []struct {
 		name   string
-		change func(s *Starter)
+		change func(s *Starter, cancel func())
 		want   state.Reason
 	}{
-		{"holds were slow", func(s *Starter) {
-			hold := s.Hold
-			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
-				<-time.After(map[string]time.Duration{"b": holdTTL - startTimeout}[rack])
-				return hold(ctx, rack, r)
+		{"holds were slow", slow(holdTTL - startTimeout), state.LeaseLapsed},
+		{"holds outlasted the deadline", slow(deadline), state.DeadlinePassed},
+		{"job has ended", commit(&state.TransitionError{Phase: state.JobDone, Event: state.StartSent}), state.Cancelled},
+		{"owner has moved on", commit(state.NewStepError("commit", netip.AddrPort{}, "", nil)), state.Cancelled},
+		{"owner refuses", commit(state.NewStepError("claim", netip.AddrPort{}, state.DuplicateKey, nil)), state.DuplicateKey},
+		{"caller gave up", func(s *Starter, cancel func()) {
+			s.Commit = func(state.JobID, state.Attempt) error {
+				cancel()
+				return nil
 			}
-		}, state.LeaseLapsed},
-		{"leases are short", func(s *Starter) {
+		}, state.Cancelled},
+		{"leases are short", func(s *Starter, _ func()) {
 			hold := s.Hold
 			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
 				r.TTL = startTimeout
 				return hold(ctx, rack, r)
 			}
 		}, state.LeaseLapsed},
-		{"job was cancelled", func(s *Starter) {
-			s.Commit = func(state.JobID, state.Attempt) error {
-				return &state.TransitionError{Phase: state.JobDone, Event: state.StartSent}
-			}
-		}, state.Cancelled},
-		{"job's owner has moved on", func(s *Starter) {
-			s.Commit = func(state.JobID, state.Attempt) error {
-				return state.NewStepError("commit", netip.AddrPort{}, "", nil)
-			}
-		}, state.Cancelled},
-		{"one member is missing", func(s *Starter) {
+		{"a lease is missing", func(s *Starter, _ func()) {
 			hold := s.Hold
 			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
 				leases, err := hold(ctx, rack, r)
@@ -283,8 +232,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				z := newFakeZone(on("", a1, none, 0))
 				s := z.starter()
-				tt.change(s)
-				got := s.Run(t.Context(), &gangJob, 1, across)
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				tt.change(s, cancel)
+				got := s.Run(ctx, &gangJob, 1, across)
 				if got.Started || got.Ran != state.NotRun || got.Reason != tt.want {
 					t.Errorf("got %+v, want not run, %v", got, tt.want)
 				}
