Keep what failed jobs prove until it is old

Cause: dropping an ended job's failures would let three bad jobs that ended count against the healthy workers on which they failed. Change: Quarantine.Ended is gone (nothing called it); the bounded table and the ten minutes' window already limit what is kept. Measurement: go test -race of the five packages and ./state passes.

--- a/coordination/gang/start.go
+++ b/coordination/gang/start.go
@@ -3,6 +3,7 @@
 import (
 	"comfreystream/state"
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -45,8 +46,7 @@
 
 // stopStarted stops every part and says what is known of the work.
 func (s *Starter) stopStarted(ctx context.Context, g *gang) state.Ran {
-	maySent := g.racks(func(p *part) bool { return p.startSent })
-	if len(maySent) == 0 {
+	if !slices.ContainsFunc(g.parts, func(p *part) bool { return p.startSent }) {
 		s.release(ctx, g)
 		return state.NotRun
 	}
--- a/coordination/gang/stop.go
+++ b/coordination/gang/stop.go
@@ -14,10 +14,10 @@
 	neverStarted = true
 	var mu sync.Mutex
 	inParallel(racks, func(rack string) {
-		clean, stopErr := s.stop(context.WithoutCancel(ctx), rack, job, attempt)
+		never, stopErr := s.stop(context.WithoutCancel(ctx), rack, job, attempt)
 		mu.Lock()
 		defer mu.Unlock()
-		neverStarted = neverStarted && clean && stopErr == nil
+		neverStarted = neverStarted && never && stopErr == nil
 		if err == nil {
 			err = stopErr
 		}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -140,9 +140,6 @@
 	return good >= severalWorkers || wereGood >= jobWorkers
 }
 
-// Ended drops what is known of a job that will not run again.
-func (q *Quarantine) Ended(job state.JobID) { q.jobs.Delete(job) }
-
 // Forget drops what is known of a worker that has left.
 func (q *Quarantine) Forget(worker netip.AddrPort) { q.workers.Delete(worker) }
 
