--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"context"
+
+	"comfreystream/state"
 )
 
 // ClaimState is what a claim's record says when a job asks for it.
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -1,6 +1,11 @@
 package dispatch
 
 import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/estimate"
 	"comfreystream/coordination/gang"
@@ -8,10 +13,6 @@
 	"comfreystream/coordination/quarantine"
 	"comfreystream/coordination/retry"
 	"comfreystream/state"
-	"context"
-	"net/netip"
-	"sync"
-	"time"
 )
 
 const (
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"context"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"net/netip"
+
+	"comfreystream/state"
 )
 
 // Report takes in what a rack's home says of its workers and answers what is
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -1,11 +1,12 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/planning"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
+
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"context"
+
+	"comfreystream/state"
 )
 
 // Submit takes a job in. It may be called again with the same job, by an entry
