Call the store through a breaker, a budget and read-back by write id

Cause: the store has outages, loses answers after a write took effect, answers old data, and counts each call. Conclusion: 11 fault rows of one write end in success, a conflict, a typed refusal or an ambiguous error, and never in a wrong one of these. Down for a minute at 20 attempts a second, at most 65 calls are sent.

--- /dev/null
+++ b/coordination/storage/call.go
@@ -0,0 +1,78 @@
+package storage
+
+import (
+	"comfreystream/state"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sony/gobreaker/v2"
+)
+
+// call sends one call within the budget, through the breaker. Its error is a
+// *state.StepError or a *state.WriteConflict.
+func (s *Storage) call(ctx context.Context, breaker *gobreaker.CircuitBreaker[struct{}], step string, purpose Purpose, timeout time.Duration, send func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := s.limiter.Wait(ctx); err != nil {
+		s.count(purpose, Throttled)
+		return state.NewStepError(step, s.Peer, state.StoreUnavailable, errors.Wrap(err, "the budget of calls is spent"))
+	}
+	_, err := breaker.Execute(func() (struct{}, error) {
+		s.sent[purpose].Add(1)
+		return struct{}{}, send(ctx)
+	})
+	s.count(purpose, resultOf(err))
+	return s.stepError(step, err)
+}
+
+func (s *Storage) stepError(step string, err error) error {
+	var conflict *state.WriteConflict
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return conflict
+	case notSent(err) || !state.IsAmbiguous(err):
+		return state.NewStepError(step, s.Peer, state.ReasonOf(err, state.StoreUnavailable), err)
+	default:
+		return state.AmbiguousStep(step, s.Peer, state.ReasonOf(err, state.StoreUnavailable), err)
+	}
+}
+
+func (s *Storage) count(purpose Purpose, result Result) {
+	if s.Count != nil {
+		s.Count(purpose, result)
+	}
+}
+
+func resultOf(err error) Result {
+	var conflict *state.WriteConflict
+	switch {
+	case err == nil:
+		return Answered
+	case errors.As(err, &conflict):
+		return Conflict
+	case notSent(err):
+		return Stopped
+	default:
+		return Failed
+	}
+}
+
+func notSent(err error) bool {
+	return errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests)
+}
+
+func newBreaker(name string) *gobreaker.CircuitBreaker[struct{}] {
+	return gobreaker.NewCircuitBreaker[struct{}](gobreaker.Settings{
+		Name:        name,
+		Timeout:     breakerOpen,
+		ReadyToTrip: func(counts gobreaker.Counts) bool { return counts.ConsecutiveFailures >= breakerFailures },
+		IsSuccessful: func(err error) bool {
+			var conflict *state.WriteConflict
+			return err == nil || errors.As(err, &conflict)
+		},
+		IsExcluded: func(err error) bool { return errors.Is(err, context.Canceled) },
+	})
+}
--- /dev/null
+++ b/coordination/storage/storage_test.go
@@ -0,0 +1,206 @@
+package storage_test
+
+import (
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/store"
+	"comfreystream/state"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	standin "comfreystream/standin/store"
+)
+
+const key = "manifest/head"
+
+type fault struct {
+	operation standin.Operation
+	// from and to number the calls of the operation that fail, from 1.
+	from, to int
+	faults   standin.Faults
+}
+
+func inject(s *standin.Store, faults ...fault) {
+	var seen [5]int
+	s.Inject(func(operation standin.Operation, _ string) standin.Faults {
+		seen[operation]++
+		for _, f := range faults {
+			if f.operation == operation && f.from <= seen[operation] && seen[operation] <= f.to {
+				return f.faults
+			}
+		}
+		return standin.Faults{}
+	})
+}
+
+func TestPutUnderFaults(t *testing.T) {
+	lost := standin.Faults{LoseAnswer: true}
+	old := standin.Faults{OldData: true}
+	tests := []struct {
+		name   string
+		faults []fault
+		// rival writes behind the writer's back, after the writer's first call.
+		rival     string
+		value     string
+		want      string
+		conflict  bool
+		reason    state.Reason
+		ambiguous bool
+	}{
+		{name: "no fault", want: "mine"},
+		{name: "answer lost after the effect", faults: []fault{{standin.CompareAndSwap, 1, 1, lost}}, want: "mine"},
+		{name: "answer lost, then overwritten", faults: []fault{{standin.CompareAndSwap, 1, 1, lost}}, rival: "rival", want: "rival"},
+		{name: "failed before the effect", faults: []fault{{standin.CompareAndSwap, 1, 1, standin.Faults{Down: true}}}, want: "mine"},
+		{name: "failed before the effect, then a rival wins", faults: []fault{{standin.CompareAndSwap, 1, 1, standin.Faults{Down: true}}}, rival: "rival", want: "rival", conflict: true},
+		{name: "effect after the caller gave up", faults: []fault{{standin.CompareAndSwap, 1, 1, standin.Faults{Slow: 1500 * time.Millisecond}}}, want: "mine"},
+		{name: "old data while reading back", faults: []fault{{standin.CompareAndSwap, 1, 1, lost}, {standin.Get, 1, 3, old}}, want: "mine"},
+		{name: "old data for too long", faults: []fault{{standin.CompareAndSwap, 1, 1, lost}, {standin.Get, 1, 99, old}}, want: "mine", reason: state.StoreUnavailable, ambiguous: true},
+		{name: "down after the effect", faults: []fault{{standin.CompareAndSwap, 1, 1, lost}, {standin.CompareAndSwap, 2, 99, standin.Faults{Down: true}}}, want: "mine", reason: state.StoreUnavailable, ambiguous: true},
+		{name: "refused", faults: []fault{{standin.CompareAndSwap, 1, 1, standin.Faults{Refuse: true}}}, want: "before", reason: state.StoreUnavailable},
+		{name: "too large", value: strings.Repeat("x", 1<<20), want: "before", reason: state.BodyTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform := standin.New()
+				defer platform.Close()
+				calls := store.Sealed(platform.Raw())
+				writer, rival := storage.New(calls, 0), storage.New(store.Sealed(platform.Raw()), 0)
+				ctx := context.Background()
+				if _, err := rival.Put(ctx, storage.ForManifest, state.Entry{Key: key}, []byte("before"), 0); err != nil {
+					t.Fatal(err)
+				}
+				platform.Freeze()
+				previous, err := writer.Get(ctx, storage.ForManifest, key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				inject(platform, tt.faults...)
+				if tt.rival != "" {
+					time.AfterFunc(time.Millisecond, func() {
+						overwrite(t, rival, tt.rival)
+					})
+				}
+				value := "mine"
+				if tt.value != "" {
+					value = tt.value
+				}
+				written, err := writer.Put(ctx, storage.ForManifest, previous, []byte(value), 0)
+				var conflict *state.WriteConflict
+				var step *state.StepError
+				switch {
+				case errors.As(err, &conflict) != tt.conflict:
+					t.Errorf("conflict %v, want %v", err, tt.conflict)
+				case errors.As(err, &step) && (step.Reason != tt.reason || step.Ambiguous != tt.ambiguous):
+					t.Errorf("error %v, ambiguous %v; want %q, %v", err, step.Ambiguous, tt.reason, tt.ambiguous)
+				case err == nil && (tt.conflict || tt.reason != "" || string(written.Value) != tt.want):
+					t.Errorf("wrote %q without an error", written.Value)
+				}
+				platform.Inject(nil)
+				if now, err := rival.Get(ctx, storage.ForManifest, key); err != nil || string(now.Value) != tt.want {
+					t.Errorf("the store holds %q, want %q (%v)", now.Value, tt.want, err)
+				}
+			})
+		})
+	}
+}
+
+func overwrite(t *testing.T, rival *storage.Storage, value string) {
+	_, err := rival.Update(context.Background(), storage.ForManifest, state.Entry{Key: key}, 0, func(state.Entry) ([]byte, bool, error) {
+		return []byte(value), true, nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+func TestBreakerAndBudget(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		// attempts a second, for a minute.
+		attempts int
+		mostSent uint64
+		result   storage.Result
+	}{
+		{"down", standin.Faults{Down: true}, 20, 5 + 60, storage.Stopped},
+		{"slower than a call may take", standin.Faults{Slow: time.Minute}, 1, 5 + 60, storage.Stopped},
+		{"more than the budget", standin.Faults{}, 200, 50 + 60*50, storage.Throttled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform := standin.New()
+				defer platform.Close()
+				platform.Inject(standin.Always(tt.faults))
+				s := storage.New(store.Sealed(platform.Raw()), 50)
+				seen := make(map[storage.Result]int)
+				s.Count = func(_ storage.Purpose, result storage.Result) { seen[result]++ }
+				for start := time.Now(); time.Since(start) < time.Minute; {
+					burst, cancel := context.WithTimeout(context.Background(), time.Second)
+					for range tt.attempts {
+						_, err := s.Get(burst, storage.ForClaim, key)
+						if err != nil && state.ReasonOf(err, "") != state.StoreUnavailable {
+							t.Fatal(err)
+						}
+					}
+					<-burst.Done()
+					cancel()
+				}
+				if s.Sent(storage.ForClaim) > tt.mostSent || seen[tt.result] == 0 {
+					t.Errorf("sent %d, want at most %d; results %v", s.Sent(storage.ForClaim), tt.mostSent, seen)
+				}
+				platform.Inject(nil)
+				s.Pause(context.Background(), 10)
+				s.Pause(context.Background(), 10)
+				if _, err := s.Get(context.Background(), storage.ForClaim, key); err != nil || !s.Available() {
+					t.Errorf("not in use again after the store came back: %v", err)
+				}
+			})
+		})
+	}
+}
+
+func TestLeaseAndWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := standin.New()
+		defer platform.Close()
+		s := storage.New(store.Sealed(platform.Raw()), 0)
+		ctx := context.Background()
+		lease, err := s.Grant(ctx, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(time.Second, func() {
+			if _, err := s.Put(ctx, storage.ForClaim, state.Entry{Key: "claim/a"}, []byte("1"), lease); err != nil {
+				t.Error(err)
+			}
+		})
+		start := time.Now()
+		entries, latest, err := s.Watch(ctx, "claim/", 0, 5*time.Second)
+		if err != nil || len(entries) != 1 || time.Since(start) != time.Second {
+			t.Fatalf("%v, %v after %v", entries, err, time.Since(start))
+		}
+		if entries, _, err = s.Watch(ctx, "claim/", latest, 5*time.Second); err != nil || len(entries) != 0 {
+			t.Fatalf("watched again: %v, %v", entries, err)
+		}
+		timer := time.NewTimer(50 * time.Second)
+		<-timer.C
+		if err := s.KeepAlive(ctx, lease); err != nil {
+			t.Fatal(err)
+		}
+		timer.Reset(61 * time.Second)
+		<-timer.C
+		entry, err := s.Get(ctx, storage.ForClaim, "claim/a")
+		if err != nil || entry.Version != 0 {
+			t.Errorf("still there after the lease: %v, %v", entry, err)
+		}
+		if err := s.KeepAlive(ctx, lease); state.ReasonOf(err, "") != state.LeaseLapsed {
+			t.Errorf("kept an expired lease: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/protocol/store/envelope.go
@@ -0,0 +1,71 @@
+package store
+
+import (
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+type envelope struct {
+	_      struct{} `cbor:",toarray"`
+	Writes []state.WriteID
+	Value  []byte
+}
+
+// Sealed returns calls that keep the write ids of an entry in an envelope
+// around its value, over raw calls that know keys, values and versions only.
+func Sealed(raw storage.Calls) storage.Calls {
+	sealed := raw
+	sealed.Get = func(ctx context.Context, key string) (state.Entry, error) {
+		entry, err := raw.Get(ctx, key)
+		if err != nil {
+			return entry, err
+		}
+		return open(entry)
+	}
+	sealed.CompareAndSwap = func(ctx context.Context, write state.Write) (state.Version, error) {
+		value, err := seal(write)
+		if err != nil {
+			return 0, err
+		}
+		write.Value = value
+		return raw.CompareAndSwap(ctx, write)
+	}
+	sealed.Watch = func(ctx context.Context, prefix string, after state.Version, wait time.Duration) ([]state.Entry, state.Version, error) {
+		entries, latest, err := raw.Watch(ctx, prefix, after, wait)
+		if err != nil {
+			return nil, 0, err
+		}
+		for i := range entries {
+			if entries[i], err = open(entries[i]); err != nil {
+				return nil, 0, err
+			}
+		}
+		return entries, latest, nil
+	}
+	return sealed
+}
+
+func seal(write state.Write) ([]byte, error) {
+	if write.Value == nil {
+		return nil, nil
+	}
+	value, err := cbor.Marshal(envelope{Writes: write.Writes, Value: write.Value})
+	return value, errors.Wrapf(err, "seal the value of %s", write.Key)
+}
+
+func open(entry state.Entry) (state.Entry, error) {
+	if entry.Value == nil {
+		return entry, nil
+	}
+	var e envelope
+	if err := cbor.Unmarshal(entry.Value, &e); err != nil {
+		return state.Entry{}, errors.Wrapf(err, "open the value of %s", entry.Key)
+	}
+	entry.Value, entry.Writes = e.Value, e.Writes
+	return entry, nil
+}
--- /dev/null
+++ b/standin/store/faults.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"comfreystream/state"
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Operation is one of the store's calls.
+type Operation uint8
+
+// The store's calls.
+const (
+	Get Operation = iota
+	CompareAndSwap
+	Watch
+	Grant
+	KeepAlive
+)
+
+// Faults says how one call goes wrong; the zero value is a call that goes well.
+type Faults struct {
+	// Down fails the call without an effect.
+	Down bool
+	// Refuse answers that the call was not carried out.
+	Refuse bool
+	// Slow delays the effect and the answer; a caller who gives up meanwhile
+	// does not undo the effect.
+	Slow time.Duration
+	// LoseAnswer fails the call after its effect.
+	LoseAnswer bool
+	// OldData answers reads from the time of the last Freeze.
+	OldData bool
+}
+
+// Always returns the same faults for every call.
+func Always(faults Faults) func(Operation, string) Faults {
+	return func(Operation, string) Faults { return faults }
+}
+
+// Inject sets what decides on the faults of each call, by operation and key; nil ends them.
+func (s *Store) Inject(decide func(operation Operation, key string) Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decide = decide
+}
+
+// Freeze keeps the present data for calls that answer old data.
+func (s *Store) Freeze() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = make(map[string]record, len(s.records))
+	for key, r := range s.records {
+		s.frozen[key] = r
+	}
+	s.frozenAt = s.version
+}
+
+// carryOut counts a call and performs effect under its faults.
+func (s *Store) carryOut(ctx context.Context, operation Operation, key string, effect func(Faults) error) error {
+	faults := s.begin(operation, key)
+	switch {
+	case faults.Down:
+		return errors.New("the store is down")
+	case faults.Refuse:
+		return state.NewStepError("call the store", netip.AddrPort{}, state.StoreUnavailable, errors.New("refused"))
+	}
+	err := s.delayed(ctx, faults, effect)
+	if err == nil && faults.LoseAnswer {
+		return errors.New("the answer was lost")
+	}
+	return err
+}
+
+func (s *Store) begin(operation Operation, key string) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[operation]++
+	if s.decide == nil {
+		return Faults{}
+	}
+	return s.decide(operation, key)
+}
+
+func (s *Store) delayed(ctx context.Context, faults Faults, effect func(Faults) error) error {
+	if faults.Slow == 0 {
+		return effect(faults)
+	}
+	done := make(chan error, 1)
+	s.late.Go(func() {
+		timer := time.NewTimer(faults.Slow)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			done <- effect(faults)
+		case <-s.closed:
+			done <- errors.New("the store is closed")
+		}
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
