--- /dev/null
+++ b/coordination/rollout/await.go
@@ -0,0 +1,69 @@
+package rollout
+
+import (
+	"comfreystream/state"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+const awaitInterval = 100 * time.Millisecond
+
+// Progress says which entries have a generation, or a higher one, in force.
+type Progress struct {
+	Generation state.Generation
+	Reached    []netip.AddrPort
+	// Behind answered with an older generation.
+	Behind []netip.AddrPort
+	// Unreachable did not answer the last time they were asked.
+	Unreachable []netip.AddrPort
+}
+
+// Complete reports whether every entry has the generation in force.
+func (p Progress) Complete() bool {
+	return len(p.Behind) == 0 && len(p.Unreachable) == 0
+}
+
+// Await asks the entries until each has the generation in force or ctx is
+// done, and returns how far they came; ask returns what an entry advertises.
+func Await(ctx context.Context, generation state.Generation, entries []netip.AddrPort, ask func(ctx context.Context, entry netip.AddrPort) (Have, error)) Progress {
+	progress := Progress{Generation: generation}
+	for {
+		round := askAll(ctx, generation, entries, ask)
+		progress.Reached = append(progress.Reached, round.Reached...)
+		progress.Behind, progress.Unreachable = round.Behind, round.Unreachable
+		entries = slices.Concat(round.Behind, round.Unreachable)
+		if progress.Complete() || ctx.Err() != nil {
+			return progress
+		}
+		pause(ctx, awaitInterval)
+	}
+}
+
+func askAll(ctx context.Context, generation state.Generation, entries []netip.AddrPort, ask func(context.Context, netip.AddrPort) (Have, error)) Progress {
+	answers := make([]Have, len(entries))
+	failures := make([]error, len(entries))
+	var all sync.WaitGroup
+	for i, entry := range entries {
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			answers[i], failures[i] = ask(ctx, entry)
+		})
+	}
+	all.Wait()
+	var progress Progress
+	for i, entry := range entries {
+		switch {
+		case failures[i] != nil:
+			progress.Unreachable = append(progress.Unreachable, entry)
+		case answers[i].Generation < generation:
+			progress.Behind = append(progress.Behind, entry)
+		default:
+			progress.Reached = append(progress.Reached, entry)
+		}
+	}
+	return progress
+}
--- a/coordination/storage/storage_test.go
+++ b/coordination/storage/storage_test.go
@@ -6,6 +6,7 @@
 	"comfreystream/state"
 	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,8 +26,11 @@
 }
 
 func inject(s *standin.Store, faults ...fault) {
+	var mu sync.Mutex
 	var seen [5]int
 	s.Inject(func(operation standin.Operation, _ string) standin.Faults {
+		mu.Lock()
+		defer mu.Unlock()
 		seen[operation]++
 		for _, f := range faults {
 			if f.operation == operation && f.from <= seen[operation] && seen[operation] <= f.to {
--- /dev/null
+++ b/protocol/manifest/codec.go
@@ -0,0 +1,138 @@
+package manifest
+
+import (
+	"comfreystream/coordination/rollout"
+	"comfreystream/state"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+type headRecord struct {
+	_              struct{} `cbor:",toarray"`
+	Generation     state.Generation
+	Digest         uint64
+	CompletionTime float64
+	Fragmentation  float64
+	Parts          []refRecord
+}
+
+type refRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Changed state.Generation
+	Key     string
+	Version state.Version
+	Hash    uint64
+}
+
+type partRecord struct {
+	_             struct{} `cbor:",toarray"`
+	Name          string
+	Share         float64
+	Quota         resourcesRecord
+	BurstJobs     int
+	JobsPerSecond float64
+	Guarantees    []guaranteeRecord
+}
+
+type guaranteeRecord struct {
+	_                struct{} `cbor:",toarray"`
+	AvailabilityZone string
+	Members          int
+	Shape            resourcesRecord
+	Adjacency        state.Adjacency
+}
+
+type resourcesRecord struct {
+	_            struct{} `cbor:",toarray"`
+	Slots        int
+	Accelerators int
+	Cores        int
+	MemoryBytes  int64
+}
+
+// Codec returns the encoding of the manifest in the store and between entries.
+func Codec() rollout.Codec {
+	return rollout.Codec{
+		EncodePart: encodePart,
+		DecodePart: decodePart,
+		EncodeHead: encodeHead,
+		DecodeHead: decodeHead,
+	}
+}
+
+func encodePart(o *state.Organisation) ([]byte, error) {
+	part := partRecord{
+		Name:          o.Name,
+		Share:         o.Share,
+		Quota:         toRecord(o.Quota),
+		BurstJobs:     o.BurstJobs,
+		JobsPerSecond: o.JobsPerSecond,
+	}
+	for _, g := range o.Guarantees {
+		part.Guarantees = append(part.Guarantees, guaranteeRecord{
+			AvailabilityZone: g.AvailabilityZone, Members: g.Members, Shape: toRecord(g.Shape), Adjacency: g.Adjacency,
+		})
+	}
+	return cbor.Marshal(part)
+}
+
+func decodePart(body []byte) (state.Organisation, error) {
+	var part partRecord
+	if err := cbor.Unmarshal(body, &part); err != nil {
+		return state.Organisation{}, errors.Wrap(err, "decode organisation")
+	}
+	o := state.Organisation{
+		Name:          part.Name,
+		Share:         part.Share,
+		Quota:         part.Quota.resources(),
+		BurstJobs:     part.BurstJobs,
+		JobsPerSecond: part.JobsPerSecond,
+	}
+	for _, g := range part.Guarantees {
+		o.Guarantees = append(o.Guarantees, state.Guarantee{
+			AvailabilityZone: g.AvailabilityZone, Members: g.Members, Shape: g.Shape.resources(), Adjacency: g.Adjacency,
+		})
+	}
+	return o, nil
+}
+
+func encodeHead(head rollout.Head) ([]byte, error) {
+	record := headRecord{
+		Generation:     head.Generation,
+		Digest:         head.Digest,
+		CompletionTime: head.Weights.CompletionTime,
+		Fragmentation:  head.Weights.Fragmentation,
+		Parts:          make([]refRecord, len(head.Parts)),
+	}
+	for i, ref := range head.Parts {
+		record.Parts[i] = refRecord{Name: ref.Name, Changed: ref.Changed, Key: ref.Key, Version: ref.Version, Hash: ref.Hash}
+	}
+	return cbor.Marshal(record)
+}
+
+func decodeHead(value []byte) (rollout.Head, error) {
+	var record headRecord
+	if err := cbor.Unmarshal(value, &record); err != nil {
+		return rollout.Head{}, errors.Wrap(err, "decode the manifest's head")
+	}
+	head := rollout.Head{
+		Generation: record.Generation,
+		Digest:     record.Digest,
+		Weights:    state.Weights{CompletionTime: record.CompletionTime, Fragmentation: record.Fragmentation},
+		Parts:      make([]rollout.Ref, len(record.Parts)),
+	}
+	for i, ref := range record.Parts {
+		head.Parts[i] = rollout.Ref{Name: ref.Name, Changed: ref.Changed, Key: ref.Key, Version: ref.Version, Hash: ref.Hash}
+	}
+	return head, nil
+}
+
+func toRecord(r state.Resources) resourcesRecord {
+	return resourcesRecord{Slots: r.Slots, Accelerators: r.Accelerators, Cores: r.Cores, MemoryBytes: r.MemoryBytes}
+}
+
+func (r resourcesRecord) resources() state.Resources {
+	return state.Resources{Slots: r.Slots, Accelerators: r.Accelerators, Cores: r.Cores, MemoryBytes: r.MemoryBytes}
+}
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -77,12 +77,13 @@
 
 func (s *Store) begin(operation Operation, key string) Faults {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls[operation]++
-	if s.decide == nil {
+	decide := s.decide
+	s.mu.Unlock()
+	if decide == nil {
 		return Faults{}
 	}
-	return s.decide(operation, key)
+	return decide(operation, key)
 }
 
 func (s *Store) delayed(ctx context.Context, faults Faults, effect func(Faults) error) error {
