--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
-
-	"comfreystream/state"
 )
 
 // adoption collects the parts of a gang that an earlier planner started.
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"context"
-
 	"comfreystream/state"
+	"context"
 )
 
 // ClaimState is what a claim's record says when a job asks for it.
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -1,11 +1,6 @@
 package dispatch
 
 import (
-	"context"
-	"net/netip"
-	"sync"
-	"time"
-
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/estimate"
 	"comfreystream/coordination/gang"
@@ -13,6 +8,10 @@
 	"comfreystream/coordination/quarantine"
 	"comfreystream/coordination/retry"
 	"comfreystream/state"
+	"context"
+	"net/netip"
+	"sync"
+	"time"
 )
 
 const (
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -1,10 +1,9 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"context"
 	"time"
-
-	"comfreystream/state"
 )
 
 const (
--- a/coordination/dispatch/outbox.go
+++ b/coordination/dispatch/outbox.go
@@ -1,10 +1,9 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"net/netip"
 	"sync"
-
-	"comfreystream/state"
 )
 
 // outbox is a rack's shard: which report of its home came last, and what the
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -1,11 +1,10 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
-
-	"comfreystream/state"
 )
 
 // Await waits up to wait for the job's outcome. It fails with unknownJob for a
--- a/coordination/dispatch/record.go
+++ b/coordination/dispatch/record.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 	"net/netip"
 	"sync"
 	"time"
-
-	"comfreystream/coordination/planning"
-	"comfreystream/state"
 )
 
 // record is one job's shard: what is known of it, under its own lock.
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"net/netip"
-
 	"comfreystream/state"
+	"net/netip"
 )
 
 // Report takes in what a rack's home says of its workers and answers what is
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
-	"context"
-	"time"
-
 	"comfreystream/coordination/gang"
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
+	"context"
+	"time"
 )
 
 // start holds and starts the gang of one attempt, and settles what comes of it.
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
-
-	"comfreystream/coordination/planning"
-	"comfreystream/state"
 )
 
 const (
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"context"
-
 	"comfreystream/state"
+	"context"
 )
 
 // Submit takes a job in. It may be called again with the same job, by an entry
--- a/coordination/dispatch/sweep.go
+++ b/coordination/dispatch/sweep.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"time"
-
 	"comfreystream/state"
+	"time"
 )
 
 // sweepLoop drops what has outlived its use.
--- /dev/null
+++ b/protocol/instancelist/doc.go
@@ -0,0 +1,2 @@
+// Package instancelist speaks the protocol of the platform's instance list.
+package instancelist
--- /dev/null
+++ b/standin/instancelist/instancelist.go
@@ -0,0 +1,135 @@
+package instancelist
+
+import (
+	"comfreystream/state"
+	"comfreystream/transport"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	listprotocol "comfreystream/protocol/instancelist"
+)
+
+// List is the instance list; it is safe for several goroutines.
+type List struct {
+	mu   sync.Mutex
+	lag  time.Duration
+	down bool
+	// versions holds the lists since the last one that every reader sees, the oldest first.
+	versions []version
+}
+
+type version struct {
+	since time.Time
+	list  state.InstanceList
+}
+
+// New returns an empty list that shows each change after lag.
+func New(lag time.Duration) *List {
+	return &List{lag: lag, versions: []version{{}}}
+}
+
+// SetLag sets for how long a change stays unseen.
+func (l *List) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// SetDown makes the list refuse to answer, or answer again.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// AddWorker lists a worker, in place of the one with its address.
+func (l *List) AddWorker(worker state.Worker) {
+	l.change(func(list *state.InstanceList) {
+		list.Workers = slices.DeleteFunc(list.Workers, func(w state.Worker) bool { return w.Address == worker.Address })
+		list.Workers = append(list.Workers, worker)
+	})
+}
+
+// AddEntry lists an entry, in place of the one with its address.
+func (l *List) AddEntry(entry state.Instance) {
+	l.change(func(list *state.InstanceList) {
+		list.Entries = slices.DeleteFunc(list.Entries, func(e state.Instance) bool { return e.Address == entry.Address })
+		list.Entries = append(list.Entries, entry)
+	})
+}
+
+// Leave marks the instance at the address as leaving.
+func (l *List) Leave(address netip.AddrPort) {
+	l.change(func(list *state.InstanceList) {
+		for i := range list.Workers {
+			w := &list.Workers[i]
+			w.Leaving = w.Leaving || w.Address == address
+		}
+		for i := range list.Entries {
+			e := &list.Entries[i]
+			e.Leaving = e.Leaving || e.Address == address
+		}
+	})
+}
+
+// Remove takes the instance at the address off the list.
+func (l *List) Remove(address netip.AddrPort) {
+	l.change(func(list *state.InstanceList) {
+		list.Workers = slices.DeleteFunc(list.Workers, func(w state.Worker) bool { return w.Address == address })
+		list.Entries = slices.DeleteFunc(list.Entries, func(e state.Instance) bool { return e.Address == address })
+	})
+}
+
+// Instances returns the list as it was one lag ago.
+func (l *List) Instances(context.Context) (state.InstanceList, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return state.InstanceList{}, state.NewStepError("list instances", netip.AddrPort{}, state.ConnectionLost, errors.New("the instance list is down"))
+	}
+	seen := time.Now().Add(-l.lag)
+	for len(l.versions) > 1 && !l.versions[1].since.After(seen) {
+		l.versions = l.versions[1:]
+	}
+	return clone(l.versions[0].list), nil
+}
+
+func (l *List) change(edit func(list *state.InstanceList)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := clone(l.versions[len(l.versions)-1].list)
+	edit(&next)
+	l.versions = append(l.versions, version{since: time.Now(), list: next})
+}
+
+func clone(list state.InstanceList) state.InstanceList {
+	return state.InstanceList{Workers: slices.Clone(list.Workers), Entries: slices.Clone(list.Entries)}
+}
+
+// Served is a stand-in list behind a real port.
+type Served struct {
+	*List
+	server *transport.Server
+}
+
+// Serve starts a list on the address; port 0 takes a free one.
+func Serve(address netip.AddrPort, lag time.Duration) (*Served, error) {
+	l := New(lag)
+	service := &listprotocol.Service{List: l.Instances}
+	server, err := transport.Listen(address, service.Handler(), transport.Limits{})
+	if err != nil {
+		return nil, err
+	}
+	return &Served{List: l, server: server}, nil
+}
+
+// Address returns the address on which the list answers.
+func (s *Served) Address() netip.AddrPort { return s.server.Address() }
+
+// Close stops the server and waits.
+func (s *Served) Close() error { return s.server.Close() }
--- /dev/null
+++ b/standin/store/serve.go
@@ -0,0 +1,34 @@
+package store
+
+import (
+	"comfreystream/transport"
+	"net/netip"
+
+	storeprotocol "comfreystream/protocol/store"
+)
+
+// Served is a stand-in store behind a real port.
+type Served struct {
+	*Store
+	server *transport.Server
+}
+
+// Serve starts a store on the address; port 0 takes a free one.
+func Serve(address netip.AddrPort) (*Served, error) {
+	s := New()
+	service := &storeprotocol.Service{Calls: s.Raw()}
+	server, err := transport.Listen(address, service.Handler(), transport.Limits{})
+	if err != nil {
+		return nil, err
+	}
+	return &Served{Store: s, server: server}, nil
+}
+
+// Address returns the address on which the store answers.
+func (s *Served) Address() netip.AddrPort { return s.server.Address() }
+
+// Close stops the store and its server, and waits.
+func (s *Served) Close() error {
+	s.Store.Close()
+	return s.server.Close()
+}
