Claim non-idempotent requests once, and check it with porcupine

Cause: a non-idempotent request runs at most once, whichever entries get it and whatever the store does in between. Change: coordination/claim creates a record for (organisation, key) before the first start, one write without a read; the record says whether the outcome is known, and a job that did not run gives the key free. A claim in doubt is written over, so that it conflicts if it still arrives. The stand-in passes results of late calls without sharing them. Apply refuses to name a winner that is older than what the operator expects.

--- /dev/null
+++ b/coordination/claim/claim_test.go
@@ -0,0 +1,212 @@
+package claim_test
+
+import (
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/protocol/store"
+	"comfreystream/state"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "comfreystream/standin/store"
+)
+
+// rig is two planners over one store.
+type rig struct {
+	t     *testing.T
+	store *standin.Store
+	a, b  *claim.Claims
+}
+
+func newRig(t *testing.T) *rig {
+	s := standin.New()
+	t.Cleanup(s.Close)
+	calls := store.Sealed(s.Raw())
+	return &rig{t: t, store: s, a: claim.New(storage.New(calls, 0), record.Claims()), b: claim.New(storage.New(calls, 0), record.Claims())}
+}
+
+func job(id state.JobID) *state.Job {
+	return &state.Job{ID: id, Organisation: "org", Key: "order 7", Members: 1}
+}
+
+func ran() state.Outcome {
+	const id = state.JobID("z.1")
+	return state.Outcome{Job: id, Attempt: 1, Ran: state.RanWhole, Answer: []byte("answer of " + string(id))}
+}
+
+func (r *rig) take(c *claim.Claims, id state.JobID, want claim.State) claim.Result {
+	r.t.Helper()
+	result, err := c.Take(context.Background(), job(id))
+	if err != nil || result.State != want {
+		r.t.Errorf("%s: %+v, %v; want state %d", id, result, err, want)
+	}
+	return result
+}
+
+func (r *rig) refused(c *claim.Claims, id state.JobID, ambiguous bool) {
+	r.t.Helper()
+	result, err := c.Take(context.Background(), job(id))
+	if state.ReasonOf(err, "") != state.ClaimUnavailable || state.IsAmbiguous(err) != ambiguous {
+		r.t.Errorf("%s: %+v, %v", id, result, err)
+	}
+}
+
+func (r *rig) settle(c *claim.Claims, outcome state.Outcome) {
+	r.t.Helper()
+	if err := c.Settle(context.Background(), job(outcome.Job), outcome); err != nil {
+		r.t.Error(err)
+	}
+}
+
+// fail lets the faults hit each write, or each read, from now on.
+func (r *rig) fail(operation standin.Operation, faults standin.Faults) {
+	r.store.Inject(func(o standin.Operation, _ string) standin.Faults {
+		if o != operation {
+			return standin.Faults{}
+		}
+		return faults
+	})
+}
+
+// failOnce lets the faults hit the next write only, and the others after it.
+func (r *rig) failOnce(faults, after standin.Faults) {
+	hit := false
+	r.store.Inject(func(o standin.Operation, _ string) standin.Faults {
+		switch {
+		case hit:
+			return after
+		case o == standin.CompareAndSwap:
+			hit = true
+			return faults
+		default:
+			return standin.Faults{}
+		}
+	})
+}
+
+func (r *rig) heal() {
+	r.store.Inject(nil)
+	<-time.After(5 * time.Second)
+	synctest.Wait()
+}
+
+func TestClaimUnderFaults(t *testing.T) {
+	lost, down := standin.Faults{LoseAnswer: true}, standin.Faults{Down: true}
+	tests := []struct {
+		name string
+		run  func(r *rig)
+	}{
+		{"two entries, one after the other: the second is told the holder", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			if result := r.take(r.b, "z.2", claim.Taken); result.Holder != "z.1" || result.Outcome.Job != "" {
+				r.t.Errorf("%+v", result)
+			}
+		}},
+		{"the answer of the claim is lost", func(r *rig) {
+			r.failOnce(lost, standin.Faults{})
+			r.take(r.a, "z.1", claim.Fresh)
+			r.take(r.b, "z.2", claim.Taken)
+		}},
+		{"the answer is lost and the store goes down: not run, and the key gets free", func(r *rig) {
+			r.failOnce(lost, down)
+			r.refused(r.a, "z.1", true)
+			r.heal()
+			r.take(r.b, "z.2", claim.Taken)
+			r.settle(r.a, state.Refusal("z.1", state.ClaimUnavailable))
+			r.take(r.b, "z.2", claim.Fresh)
+		}},
+		{"the claim arrives after the job was refused: it does not hold the key", func(r *rig) {
+			r.failOnce(standin.Faults{Slow: 20 * time.Second}, down)
+			r.refused(r.a, "z.1", true)
+			r.heal()
+			r.settle(r.a, state.Refusal("z.1", state.ClaimUnavailable))
+			<-time.After(time.Minute)
+			r.take(r.b, "z.2", claim.Fresh)
+		}},
+		{"the store is down", func(r *rig) {
+			r.store.Inject(standin.Always(down))
+			r.refused(r.a, "z.1", false)
+			r.heal()
+			r.take(r.b, "z.2", claim.Fresh)
+		}},
+		{"the store refuses", func(r *rig) {
+			r.take(r.a, "z.0", claim.Fresh)
+			r.settle(r.a, state.Refusal("z.0", state.NeverFits))
+			r.store.Inject(standin.Always(standin.Faults{Refuse: true}))
+			r.refused(r.a, "z.1", false)
+			r.heal()
+			r.take(r.b, "z.2", claim.Fresh)
+		}},
+		{"the store answers old data, in which the key is free", func(r *rig) {
+			r.store.Freeze()
+			r.take(r.a, "z.1", claim.Fresh)
+			r.fail(standin.Get, standin.Faults{OldData: true})
+			r.refused(r.b, "z.2", false)
+			r.heal()
+			r.take(r.b, "z.2", claim.Taken)
+		}},
+		{"the claimant dies before its outcome is known", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			r.take(r.b, "z.1", claim.Own)
+			r.take(r.b, "z.2", claim.Taken)
+			r.settle(r.b, state.Outcome{Job: "z.1", Ran: state.Unknown, Reason: state.AmbiguousStart})
+			if result := r.take(r.a, "z.2", claim.Taken); result.Outcome.Ran != state.Unknown {
+				r.t.Errorf("%+v", result)
+			}
+		}},
+		{"the claimant dies after the end: the outcome is there", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			r.settle(r.a, ran())
+			if result := r.take(r.b, "z.1", claim.Ended); string(result.Outcome.Answer) != "answer of z.1" {
+				r.t.Errorf("%+v", result)
+			}
+			if result := r.take(r.b, "z.2", claim.Taken); result.Outcome.Ran != state.RanWhole {
+				r.t.Errorf("%+v", result)
+			}
+		}},
+		{"the answer of the settlement is lost", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			r.failOnce(lost, standin.Faults{})
+			r.settle(r.a, ran())
+			r.take(r.b, "z.1", claim.Ended)
+		}},
+		{"the settlement reads old data", func(r *rig) {
+			r.store.Freeze()
+			r.take(r.a, "z.1", claim.Fresh)
+			r.fail(standin.Get, standin.Faults{OldData: true})
+			if err := r.b.Settle(context.Background(), job("z.1"), ran()); err == nil {
+				r.t.Error("settled on old data")
+			}
+			r.heal()
+			r.settle(r.b, ran())
+			r.take(r.b, "z.1", claim.Ended)
+		}},
+		{"an answer over the store's limit is left out", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			r.settle(r.a, state.Outcome{Job: "z.1", Ran: state.RanWhole, Answer: make([]byte, 2<<20)})
+			if result := r.take(r.b, "z.1", claim.Ended); result.Outcome.Ran != state.RanWhole || result.Outcome.Answer != nil {
+				r.t.Errorf("%+v", result.Outcome.Ran)
+			}
+		}},
+		{"the holder alone settles", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			r.settle(r.b, state.Refusal("z.2", state.DuplicateKey))
+			r.take(r.b, "z.2", claim.Taken)
+		}},
+		{"a key is free after the retention", func(r *rig) {
+			r.take(r.a, "z.1", claim.Fresh)
+			<-time.After(claim.Retention)
+			r.take(r.b, "z.2", claim.Taken)
+			<-time.After(2 * time.Hour)
+			r.take(r.b, "z.2", claim.Fresh)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.run(newRig(t)) })
+		})
+	}
+}
--- a/coordination/rollout/apply.go
+++ b/coordination/rollout/apply.go
@@ -41,7 +41,10 @@
 		return 0, err
 	}
 	known := max(head.Generation, r.newest().have().Generation)
-	if expected != 0 && known != expected {
+	switch {
+	case expected > known:
+		return 0, r.stepError(state.StoreUnavailable, errors.Errorf("the store answers generation %d, not yet %d", known, expected))
+	case expected != 0 && expected < known:
 		return 0, r.beaten(known)
 	}
 	d, err := r.difference(head, known+1, manifest)
@@ -195,16 +198,15 @@
 // lost names the generation that won. While the store answers old data it
 // cannot be named, and the error says no more than that nothing was applied.
 func (r *Rollout) lost(ctx context.Context, conflict *state.WriteConflict) error {
-	for attempt := range readsOfOldData {
-		head, entry, err := r.readHead(ctx)
-		if err == nil && entry.Version >= conflict.Current {
-			return r.beaten(head.Generation)
-		}
-		if !r.Storage.Pause(ctx, attempt) {
-			break
-		}
+	entry, err := r.Storage.ReadFrom(ctx, storage.ForManifest, headKey, conflict.Current)
+	if err != nil {
+		return withoutDoubt(err)
+	}
+	head, err := r.Codec.DecodeHead(entry.Value)
+	if err != nil {
+		return errors.Wrap(err, "decode "+headKey)
 	}
-	return r.stepError(state.StoreUnavailable, conflict)
+	return r.beaten(head.Generation)
 }
 
 // adopt takes in the manifest that was just accepted, unless a newer one is here.
--- /dev/null
+++ b/coordination/rollout/linear_test.go
@@ -0,0 +1,151 @@
+package rollout_test
+
+import (
+	"comfreystream/coordination/rollout"
+	"comfreystream/protocol/manifest"
+	"comfreystream/state"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+
+	standin "comfreystream/standin/store"
+)
+
+// applied is one call of Apply and what came of it.
+type applied struct {
+	expected state.Generation
+	// generation is the one that the call made, or the one that beat it.
+	generation state.Generation
+	beaten     bool
+	unknown    bool
+	refused    bool
+}
+
+// applyModel is the generation in force.
+var applyModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{state.Generation(1)} },
+	Step: func(before, _, out any) []any {
+		inForce, a := before.(state.Generation), out.(applied)
+		switch {
+		case a.refused:
+			return []any{inForce}
+		case a.unknown && inForce == a.expected:
+			return []any{inForce, inForce + 1}
+		case a.unknown:
+			return []any{inForce}
+		case a.beaten && a.generation > a.expected && a.generation <= inForce,
+			!a.beaten && a.generation == a.expected+1 && inForce == a.expected:
+			return []any{max(inForce, a.generation)}
+		default:
+			return nil
+		}
+	},
+}
+
+func TestApplyIsLinearizable(t *testing.T) {
+	const operators, appliesEach = 3, 6
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, operators, 2)
+				f.apply(0, sample(3, 0), 0)
+				f.store.Freeze()
+				f.settle(inForceWithin)
+				injectAtRandom(f, rand.New(rand.NewPCG(seed, 1)))
+				var clock atomic.Int64
+				var mu sync.Mutex
+				var history []porcupine.Operation
+				var all sync.WaitGroup
+				for operator := range operators {
+					random := rand.New(rand.NewPCG(seed, uint64(operator)+2))
+					e := f.get(operator, 0)
+					all.Go(func() {
+						for i := range appliesEach {
+							<-time.After(time.Duration(random.IntN(300)) * time.Millisecond)
+							expected, _ := e.Advert()
+							call := clock.Add(1)
+							out := apply(e.Rollout, sample(3, operator*100+i+1), expected)
+							end := clock.Add(1)
+							if out.unknown {
+								end = math.MaxInt64
+							}
+							mu.Lock()
+							history = append(history, porcupine.Operation{ClientId: operator, Call: call, Output: out, Return: end})
+							mu.Unlock()
+						}
+					})
+				}
+				all.Wait()
+				if !porcupine.CheckOperations(applyModel.ToModel(), history) {
+					t.Errorf("not linearizable: %+v", history)
+				}
+				f.store.Inject(nil)
+				f.settle(10 * time.Second)
+				f.checkAllHaveStored()
+				f.checkNoneFellBack()
+			})
+		})
+	}
+}
+
+func apply(r *rollout.Rollout, m *state.Manifest, expected state.Generation) applied {
+	generation, err := r.Apply(context.Background(), m, expected)
+	var beaten *rollout.Beaten
+	switch {
+	case err == nil:
+		return applied{expected: expected, generation: generation}
+	case errors.As(err, &beaten):
+		return applied{expected: expected, generation: beaten.Generation, beaten: true}
+	case state.IsAmbiguous(err):
+		return applied{expected: expected, unknown: true}
+	default:
+		return applied{expected: expected, refused: true}
+	}
+}
+
+func injectAtRandom(f *fleet, random *rand.Rand) {
+	var mu sync.Mutex
+	f.store.Inject(func(standin.Operation, string) standin.Faults {
+		mu.Lock()
+		defer mu.Unlock()
+		switch random.IntN(12) {
+		case 0:
+			return standin.Faults{LoseAnswer: true}
+		case 1:
+			return standin.Faults{Down: true}
+		case 2:
+			return standin.Faults{Slow: time.Duration(random.IntN(3000)) * time.Millisecond}
+		case 3:
+			return standin.Faults{OldData: true}
+		default:
+			return standin.Faults{}
+		}
+	})
+}
+
+// checkAllHaveStored fails unless every entry has what the store's head names.
+func (f *fleet) checkAllHaveStored() {
+	f.t.Helper()
+	entry, err := f.get(0, 0).Storage.Get(context.Background(), 0, "manifest/head")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	head, err := manifest.Codec().DecodeHead(entry.Value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for address, e := range f.entries {
+		if generation, digest := e.Advert(); generation != head.Generation || digest != head.Digest {
+			f.t.Errorf("entry %v has %d (%x), the store %d (%x)", address, generation, digest, head.Generation, head.Digest)
+		}
+	}
+}
--- a/coordination/storage/update.go
+++ b/coordination/storage/update.go
@@ -18,9 +18,10 @@
 // change is returned as it is.
 func (s *Storage) Update(ctx context.Context, purpose Purpose, known state.Entry, lease state.StoreLease, change Change) (state.Entry, error) {
 	current, fresh := known, known.Version != 0
+	least := known.Version
 	for race := 0; ; race++ {
 		if !fresh {
-			read, err := s.Get(ctx, purpose, known.Key)
+			read, err := s.ReadFrom(ctx, purpose, known.Key, least)
 			if err != nil {
 				return known, err
 			}
@@ -35,7 +36,7 @@
 		if !errors.As(err, &conflict) {
 			return written, err
 		}
-		fresh = false
+		fresh, least = false, conflict.Current
 		if race == maxRaces || race > 0 && !s.Pause(ctx, race) {
 			return current, state.NewStepError("write "+known.Key, s.Peer, state.StoreUnavailable, conflict)
 		}
--- /dev/null
+++ b/protocol/record/claim.go
@@ -0,0 +1,51 @@
+package record
+
+import (
+	"comfreystream/coordination/claim"
+	"comfreystream/state"
+
+	"github.com/pkg/errors"
+)
+
+type claimRecord struct {
+	Organisation string `cbor:"1,keyasint"`
+	Key          string `cbor:"2,keyasint"`
+	Holder       string `cbor:"3,keyasint,omitempty"`
+	Taken        string `cbor:"4,keyasint,omitempty"`
+	Outcome      []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// Claims returns the encoding of claims in the store.
+func Claims() claim.Codec {
+	return claim.Codec{Encode: encodeClaim, Decode: decodeClaim}
+}
+
+func encodeClaim(c claim.Record) ([]byte, error) {
+	r := claimRecord{Organisation: c.Organisation, Key: c.Key, Holder: string(c.Holder), Taken: string(c.Taken)}
+	if c.Ended {
+		outcome, err := EncodeOutcome(&c.Outcome)
+		if err != nil {
+			return nil, err
+		}
+		r.Outcome = outcome
+	}
+	data, err := encoding.Marshal(r)
+	return data, errors.Wrap(err, "encode claim")
+}
+
+func decodeClaim(data []byte) (claim.Record, error) {
+	var r claimRecord
+	if err := decoding.Unmarshal(data, &r); err != nil {
+		return claim.Record{}, errors.Wrap(err, "decode claim")
+	}
+	c := claim.Record{Organisation: r.Organisation, Key: r.Key, Holder: state.JobID(r.Holder), Taken: state.WriteID(r.Taken)}
+	if r.Outcome == nil {
+		return c, nil
+	}
+	outcome, err := DecodeOutcome(r.Outcome)
+	if err != nil {
+		return claim.Record{}, err
+	}
+	c.Ended, c.Outcome = true, outcome
+	return c, nil
+}
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -3,7 +3,6 @@
 import (
 	"comfreystream/state"
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,20 +58,28 @@
 	s.frozenAt = s.version
 }
 
+// answer is what a call returns; each call fills its own fields.
+type answer struct {
+	entries []state.Entry
+	version state.Version
+	lease   state.StoreLease
+	err     error
+}
+
 // carryOut counts a call and performs effect under its faults.
-func (s *Store) carryOut(ctx context.Context, operation Operation, key string, effect func(Faults) error) error {
+func (s *Store) carryOut(ctx context.Context, operation Operation, key string, effect func(Faults) answer) answer {
 	faults := s.begin(operation, key)
 	switch {
 	case faults.Down:
-		return errors.New("the store is down")
+		return answer{err: errors.New("the store is down")}
 	case faults.Refuse:
-		return state.NewStepError("call the store", netip.AddrPort{}, state.StoreUnavailable, errors.New("refused"))
+		return answer{err: refusal(state.StoreUnavailable, "refused")}
 	}
-	err := s.delayed(ctx, faults, effect)
-	if err == nil && faults.LoseAnswer {
-		return errors.New("the answer was lost")
+	a := s.delayed(ctx, faults, effect)
+	if a.err == nil && faults.LoseAnswer {
+		return answer{err: errors.New("the answer was lost")}
 	}
-	return err
+	return a
 }
 
 func (s *Store) begin(operation Operation, key string) Faults {
@@ -86,11 +93,11 @@
 	return decide(operation, key)
 }
 
-func (s *Store) delayed(ctx context.Context, faults Faults, effect func(Faults) error) error {
+func (s *Store) delayed(ctx context.Context, faults Faults, effect func(Faults) answer) answer {
 	if faults.Slow == 0 {
 		return effect(faults)
 	}
-	done := make(chan error, 1)
+	done := make(chan answer, 1)
 	s.late.Go(func() {
 		timer := time.NewTimer(faults.Slow)
 		defer timer.Stop()
@@ -98,13 +105,13 @@
 		case <-timer.C:
 			done <- effect(faults)
 		case <-s.closed:
-			done <- errors.New("the store is closed")
+			done <- answer{err: errors.New("the store is closed")}
 		}
 	})
 	select {
-	case err := <-done:
-		return err
+	case a := <-done:
+		return a
 	case <-ctx.Done():
-		return ctx.Err()
+		return answer{err: ctx.Err()}
 	}
 }
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -72,83 +72,84 @@
 }
 
 // Get returns the value under key; version 0 says that there is none.
-func (s *Store) Get(ctx context.Context, key string) (entry state.Entry, err error) {
-	err = s.carryOut(ctx, Get, key, func(faults Faults) error {
+func (s *Store) Get(ctx context.Context, key string) (state.Entry, error) {
+	a := s.carryOut(ctx, Get, key, func(faults Faults) answer {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.expire()
 		records, _ := s.view(faults)
-		entry = toEntry(key, records[key])
-		return nil
+		return answer{entries: []state.Entry{toEntry(key, records[key])}}
 	})
-	return entry, err
+	if a.err != nil {
+		return state.Entry{}, a.err
+	}
+	return a.entries[0], nil
 }
 
 // CompareAndSwap replaces the value under a key whose version is still write.Old.
-func (s *Store) CompareAndSwap(ctx context.Context, write state.Write) (version state.Version, err error) {
-	err = s.carryOut(ctx, CompareAndSwap, write.Key, func(Faults) (err error) {
+func (s *Store) CompareAndSwap(ctx context.Context, write state.Write) (state.Version, error) {
+	a := s.carryOut(ctx, CompareAndSwap, write.Key, func(Faults) answer {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.expire()
-		version, err = s.swap(write)
-		return err
+		version, err := s.swap(write)
+		return answer{version: version, err: err}
 	})
-	return version, err
+	return a.version, a.err
 }
 
 // Watch returns the keys under prefix that were written after that version, and
 // waits up to wait for the first; a deleted key has a nil value.
-func (s *Store) Watch(ctx context.Context, prefix string, after state.Version, wait time.Duration) (entries []state.Entry, latest state.Version, err error) {
-	err = s.carryOut(ctx, Watch, prefix, func(faults Faults) error {
+func (s *Store) Watch(ctx context.Context, prefix string, after state.Version, wait time.Duration) ([]state.Entry, state.Version, error) {
+	a := s.carryOut(ctx, Watch, prefix, func(faults Faults) answer {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		for {
-			var changed chan struct{}
-			entries, latest, changed = s.since(faults, prefix, after)
+			entries, latest, changed := s.since(faults, prefix, after)
 			if len(entries) > 0 || wait == 0 {
-				return nil
+				return answer{entries: entries, version: latest}
 			}
 			select {
 			case <-changed:
 			case <-timer.C:
-				return nil
+				return answer{version: latest}
 			case <-ctx.Done():
-				return ctx.Err()
+				return answer{err: ctx.Err()}
 			case <-s.closed:
-				return errors.New("the store is closed")
+				return answer{err: errors.New("the store is closed")}
 			}
 		}
 	})
-	return entries, latest, err
+	return a.entries, a.version, a.err
 }
 
 // Grant returns a lease that lasts ttl from now and from each KeepAlive.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (granted state.StoreLease, err error) {
-	err = s.carryOut(ctx, Grant, "", func(Faults) error {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (state.StoreLease, error) {
+	a := s.carryOut(ctx, Grant, "", func(Faults) answer {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.version++
-		granted = state.StoreLease(s.version)
+		granted := state.StoreLease(s.version)
 		s.leases[granted] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
-		return nil
+		return answer{lease: granted}
 	})
-	return granted, err
+	return a.lease, a.err
 }
 
 // KeepAlive extends a lease; one that has expired is refused.
 func (s *Store) KeepAlive(ctx context.Context, id state.StoreLease) error {
-	return s.carryOut(ctx, KeepAlive, "", func(Faults) error {
+	return s.carryOut(ctx, KeepAlive, "", func(Faults) answer {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.expire()
 		held, found := s.leases[id]
 		if !found {
-			return refusal(state.LeaseLapsed, "the lease has expired")
+			return answer{err: refusal(state.LeaseLapsed, "the lease has expired")}
 		}
 		held.expires = time.Now().Add(held.ttl)
 		s.leases[id] = held
-		return nil
-	})
+		return answer{}
+	}).err
 }
 
 func (s *Store) swap(write state.Write) (state.Version, error) {
