--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -110,6 +110,14 @@
 			r.take(r.a, "z.1", claim.Fresh)
 			r.take(r.b, "z.2", claim.Taken)
 		}},
+		{"the answer is lost, and the key is freed and taken by another before it is read back", func(r *rig) {
+			r.failOnce(lost, standin.Faults{})
+			time.AfterFunc(time.Millisecond, func() {
+				r.settle(r.b, state.Refusal("z.1", state.Cancelled))
+				r.take(r.b, "z.2", claim.Fresh)
+			})
+			r.take(r.a, "z.1", claim.Taken)
+		}},
 		{"the answer is lost and the store goes down: not run, and the key gets free", func(r *rig) {
 			r.failOnce(lost, down)
 			r.refused(r.a, "z.1", true)
@@ -194,7 +202,10 @@
 		{"the holder alone settles", func(r *rig) {
 			r.take(r.a, "z.1", claim.Fresh)
 			r.settle(r.b, state.Refusal("z.2", state.DuplicateKey))
-			r.take(r.b, "z.2", claim.Taken)
+			r.settle(r.b, state.Outcome{Job: "z.2", Ran: state.RanWhole})
+			if result := r.take(r.b, "z.2", claim.Taken); result.Holder != "z.1" {
+				r.t.Errorf("%+v", result)
+			}
 		}},
 		{"a key is free after the retention", func(r *rig) {
 			r.take(r.a, "z.1", claim.Fresh)
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -223,6 +223,40 @@
 	})
 }
 
+func TestApplyOfTheSameManifest(t *testing.T) {
+	tests := []struct {
+		name   string
+		burst  int
+		faults standin.Faults
+		reason state.Reason
+	}{
+		{"keeps the generation", 2, standin.Faults{}, ""},
+		{"is not taken for old data of the store", 1, standin.Faults{OldData: true}, state.StoreUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 1)
+				f.apply(0, sample(3, 1), 0)
+				f.store.Freeze()
+				f.apply(0, sample(3, 2), 0)
+				f.store.Inject(func(operation standin.Operation, _ string) standin.Faults {
+					if operation != standin.Get {
+						return standin.Faults{}
+					}
+					return tt.faults
+				})
+				// An entry that has no manifest yet cannot tell old data by itself.
+				fresh := rollout.New(f.get(0, 0).Storage, f.get(0, 0).Codec)
+				generation, err := fresh.Apply(context.Background(), sample(3, tt.burst), 0)
+				if state.ReasonOf(err, "") != tt.reason || err == nil && generation != 2 {
+					t.Errorf("generation %d, %v", generation, err)
+				}
+			})
+		})
+	}
+}
+
 func TestApplyGoesPastLostWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, 1)
