Save accepted jobs in batches, with their outcomes in place

Cause: a job that was accepted while its caller does not wait outlives every entry; the store takes several hundred writes a second and counts each call, and jobs come in bursts.

--- /dev/null
+++ b/coordination/claim/bench_test.go
@@ -0,0 +1,36 @@
+package claim_test
+
+import (
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/protocol/store"
+	"comfreystream/state"
+	"context"
+	"fmt"
+	"testing"
+
+	standin "comfreystream/standin/store"
+)
+
+// BenchmarkClaim reports the calls to the store for one job's claim and settlement.
+func BenchmarkClaim(b *testing.B) {
+	platform := standin.New()
+	defer platform.Close()
+	s := storage.New(store.Sealed(platform.Raw()), 1e9)
+	claims := claim.New(s, record.Claims())
+	b.ReportAllocs()
+	jobs := 0
+	for b.Loop() {
+		jobs++
+		job := &state.Job{ID: state.JobID(fmt.Sprint("z.", jobs)), Organisation: "org", Key: fmt.Sprint(jobs), Members: 1}
+		if result, err := claims.Take(context.Background(), job); err != nil || result.State != claim.Fresh {
+			b.Fatal(result, err)
+		}
+		if err := claims.Settle(context.Background(), job, state.Outcome{Job: job.ID, Ran: state.RanWhole}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	calls := s.Sent(storage.ForClaim) + s.Sent(storage.ForLease)
+	b.ReportMetric(float64(calls)/float64(jobs), "calls/job")
+}
--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -6,7 +6,6 @@
 	"comfreystream/state"
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,10 +53,7 @@
 	// held maps a job to its claim's entry; doubt marks those whose write is in doubt.
 	held  *state.Table[state.JobID, state.Entry]
 	doubt *state.Table[state.JobID, bool]
-
-	mu      sync.Mutex
-	lease   state.StoreLease
-	granted time.Time
+	lease *storage.SharedLease
 }
 
 // New returns Claims over the store.
@@ -68,6 +64,7 @@
 		Codec:   codec,
 		held:    state.NewTable[state.JobID, state.Entry](),
 		doubt:   state.NewTable[state.JobID, bool](),
+		lease:   storage.NewSharedLease(store, Retention, leaseInterval),
 	}
 }
 
@@ -88,9 +85,9 @@
 }
 
 func (c *Claims) take(ctx context.Context, job *state.Job) (Result, error) {
-	lease, err := c.currentLease(ctx)
+	lease, err := c.lease.Current(ctx, c.Now())
 	if err != nil {
-		return Result{}, err
+		return Result{}, notWritten(err)
 	}
 	value, err := c.Codec.Encode(Record{Organisation: job.Organisation, Key: job.Key, Holder: job.ID, Taken: c.Storage.NewWriteID()})
 	if err != nil {
@@ -107,7 +104,7 @@
 			current, err = c.Storage.ReadFrom(ctx, storage.ForClaim, previous.Key, conflict.Current)
 			err = notWritten(err)
 		case err != nil:
-			c.forgetLease(err, lease)
+			c.lease.Check(err, lease)
 		case bytes.Equal(current.Value, value):
 			c.held.Put(job.ID, current)
 			return Result{State: Fresh, Holder: job.ID}, nil
--- a/coordination/claim/settle.go
+++ b/coordination/claim/settle.go
@@ -18,7 +18,7 @@
 func (c *Claims) Settle(ctx context.Context, job *state.Job, outcome state.Outcome) error {
 	known, _ := c.held.Get(job.ID)
 	known.Key = storeKey(job)
-	lease, err := c.currentLease(ctx)
+	lease, err := c.lease.Current(ctx, c.Now())
 	if err != nil {
 		return err
 	}
@@ -26,7 +26,7 @@
 		return c.settled(job, outcome, current)
 	})
 	if err != nil {
-		c.forgetLease(err, lease)
+		c.lease.Check(err, lease)
 		return err
 	}
 	c.held.Delete(job.ID)
@@ -67,34 +67,3 @@
 	}
 	return Record{Organisation: job.Organisation, Key: job.Key, Holder: job.ID, Ended: true, Outcome: outcome}
 }
-
-// currentLease returns a lease that ends claims after Retention; one is shared
-// by all the claims of an hour.
-func (c *Claims) currentLease(ctx context.Context) (state.StoreLease, error) {
-	c.mu.Lock()
-	lease, fresh := c.lease, c.lease != 0 && c.Now().Sub(c.granted) < leaseInterval
-	c.mu.Unlock()
-	if fresh {
-		return lease, nil
-	}
-	granted, err := c.Storage.Grant(ctx, Retention+leaseInterval)
-	if err != nil {
-		return 0, notWritten(err)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lease, c.granted = granted, c.Now()
-	return granted, nil
-}
-
-// forgetLease drops a lease that the store says has expired, so that the next call takes another.
-func (c *Claims) forgetLease(err error, lease state.StoreLease) {
-	if state.ReasonOf(err, "") != state.LeaseLapsed {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lease == lease {
-		c.lease = 0
-	}
-}
--- /dev/null
+++ b/coordination/ledger/segment.go
@@ -0,0 +1,43 @@
+package ledger
+
+import (
+	"comfreystream/state"
+	"time"
+)
+
+// Item is a saved job, or its outcome once it has ended.
+type Item struct {
+	// ID is the job's identity, also once the job itself is dropped.
+	ID state.JobID
+	// Job is nil once the job has ended.
+	Job     *state.Job
+	Ended   time.Time
+	Outcome state.Outcome
+	// AnswerApart says that the answer is kept under a key of its own.
+	AnswerApart bool
+}
+
+// Segment is a batch of jobs that were saved in one write.
+type Segment struct {
+	Items []Item
+}
+
+// Codec encodes segments for the store.
+type Codec struct {
+	EncodeSegment func(segment Segment) ([]byte, error)
+	DecodeSegment func(value []byte) (Segment, error)
+}
+
+// finish puts the outcomes in place of their jobs and reports whether all of
+// the segment's jobs have ended.
+func (s *Segment) finish(outcomes map[state.JobID]Item) (allEnded bool) {
+	allEnded = true
+	for i := range s.Items {
+		item := &s.Items[i]
+		if ended, found := outcomes[item.ID]; found && item.Job != nil {
+			*item = ended
+		}
+		allEnded = allEnded && item.Job == nil
+	}
+	return allEnded
+}
