--- a/coordination/rollout/bench_test.go
+++ b/coordination/rollout/bench_test.go
@@ -35,6 +35,11 @@
 			for purpose, now := range f.sent() {
 				b.ReportMetric(float64(now-sent[purpose])/elapsed, purpose.String()+"Calls/s")
 			}
+			head, err := f.get(0, 0).Storage.Get(b.Context(), storage.ForManifest, "manifest/head")
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(head.Value)), "headBytes")
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			b.ReportMetric(float64(f.bytes)/float64(b.N*max(1, entries-1)), "partBytes/change/entry")
--- a/coordination/rollout/fleet_test.go
+++ b/coordination/rollout/fleet_test.go
@@ -39,8 +39,10 @@
 	zone, index int
 	address     netip.AddrPort
 	seen        []state.Generation
-	stop        context.CancelFunc
-	done        chan struct{}
+	// moved is when the entry got its last generation.
+	moved time.Time
+	stop  context.CancelFunc
+	done  chan struct{}
 }
 
 func newFleet(t testing.TB, zones, entriesPerZone int) *fleet {
@@ -93,6 +95,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		e.seen = append(e.seen, m.Generation)
+		e.moved = time.Now()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
--- a/coordination/rollout/linear_test.go
+++ b/coordination/rollout/linear_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -97,6 +98,36 @@
 	}
 }
 
+// TestInForceEverywhereInTime applies a change while one call to the store in
+// three goes wrong, and logs how long the entries took in virtual time.
+func TestInForceEverywhereInTime(t *testing.T) {
+	const zones, entriesPerZone = 3, 8
+	var took []time.Duration
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, zones, entriesPerZone)
+			f.apply(0, sample(20, 0), 0)
+			f.store.Freeze()
+			f.settle(inForceWithin)
+			injectAtRandom(f, rand.New(rand.NewPCG(seed, 1)))
+			for out := (applied{refused: true}); out.refused; {
+				out = apply(f.get(0, 1).Rollout, sample(20, 1), 1)
+			}
+			accepted := time.Now()
+			f.settle(inForceWithin)
+			for address, e := range f.entries {
+				if generation, _ := e.Advert(); generation != 2 {
+					t.Errorf("seed %d: entry %v has %d after %v", seed, address, generation, inForceWithin)
+				}
+				took = append(took, max(0, e.moved.Sub(accepted)))
+			}
+			f.checkNoneFellBack()
+		})
+	}
+	slices.Sort(took)
+	t.Logf("in force after p50 %v, p99 %v, at most %v", took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
+}
+
 func apply(r *rollout.Rollout, m *state.Manifest, expected state.Generation) applied {
 	generation, err := r.Apply(context.Background(), m, expected)
 	var beaten *rollout.Beaten
