Carry out a zone's decisions, and pass manifests as updates

The dispatcher joins admission, planning, the gang's start, claims, retries, quarantine and the racks' reports. A claim is taken after all members are held and before the first start, so it exists only for a job that may have run. The calls between entries carry rollout's own updates.

--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -78,6 +78,7 @@
 	r.parts = a.parts
 	r.begun = d.Now()
 	r.whole = true
+	r.adopted = true
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
 	if !d.records.PutNew(a.job.ID, r) {
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -2,8 +2,10 @@
 
 import (
 	"comfreystream/coordination/admission"
+	"comfreystream/coordination/claim"
 	"comfreystream/coordination/estimate"
 	"comfreystream/coordination/gang"
+	"comfreystream/coordination/ledger"
 	"comfreystream/coordination/planning"
 	"comfreystream/coordination/quarantine"
 	"comfreystream/coordination/retry"
@@ -36,8 +38,10 @@
 	Gang *gang.Starter
 	// Checkpoint has an attempt's members on a rack save their state.
 	Checkpoint func(ctx context.Context, rack string, attempt state.JobAttempt) ([][]byte, error)
-	Claims     Claims
-	Ledger     Ledger
+	// Claims are the records of non-idempotent requests in the store.
+	Claims *claim.Claims
+	// Ledger keeps accepted jobs whose callers do not wait.
+	Ledger *ledger.Ledger
 	// Expected lists the workers of the zone that the instance list names.
 	Expected func() []netip.AddrPort
 	// Event logs one event about a job; reason may be empty.
@@ -56,6 +60,7 @@
 	workers  *state.Table[netip.AddrPort, bool]
 	adopting *state.Table[state.JobAttempt, *adoption]
 
+	waits     waits
 	began     time.Time
 	recovered chan struct{}
 	recovery  sync.Once
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -22,7 +22,7 @@
 	case partCrashed:
 		blamed := r.crashed()
 		for _, worker := range blamed {
-			d.Quarantine.Failed(worker, r.job.ID, r.job.Kind)
+			d.Quarantine.Failed(worker, r.job.ID, r.kind())
 		}
 		d.spawn(func() { d.stopAttempt(r, attempt, state.TaskFailed, blamed) })
 	case partLapsed:
@@ -41,7 +41,7 @@
 	runTime, placements := d.Now().Sub(r.begun), r.placements
 	r.mu.Unlock()
 	for _, p := range placements {
-		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.job.Kind)
+		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.kind())
 	}
 	d.Estimates.Observe(r.job.Organisation, r.job.Kind, r.job.DeclaredRunTime, runTime)
 	d.Planner.Ended(r.job.ID, attempt)
@@ -64,7 +64,7 @@
 // settle writes the outcome to the claim and the ledger until the store takes
 // it; only then may the workers forget the attempt.
 func (d *Dispatcher) settle(r *record) {
-	if !r.job.Idempotent {
+	if r.mayHaveClaim() {
 		d.persist(func(ctx context.Context) error { return d.Claims.Settle(ctx, &r.job, r.outcome) })
 	}
 	if r.saved {
@@ -116,3 +116,14 @@
 	}
 	return names
 }
+
+// mayHaveClaim reports whether the store may hold a claim of the job: one that
+// was found running had it taken by an earlier planner.
+func (r *record) mayHaveClaim() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.job.Idempotent && (r.claimTried || r.adopted)
+}
+
+// kind names the jobs that are alike, over all organisations.
+func (r *record) kind() string { return r.job.Organisation + "/" + r.job.Kind }
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/planning"
 	"comfreystream/state"
 	"context"
 	"net/netip"
@@ -52,7 +53,7 @@
 
 // cancelQueued ends the job if the planner still had it queued.
 func (d *Dispatcher) cancelQueued(r *record) {
-	if !d.Planner.Cancel(r.job.ID).WasQueued() {
+	if d.Planner.Cancel(r.job.ID) != planning.CancelQueued {
 		return
 	}
 	d.signal()
--- a/coordination/dispatch/record.go
+++ b/coordination/dispatch/record.go
@@ -25,8 +25,12 @@
 	stopReason state.Reason
 	// frozen is set once every member of the attempt is saved and makes no more progress.
 	frozen bool
+	// claimTried is set once the claim may be in the store.
+	claimTried bool
 	// claimed is set once the store holds the claim of a non-idempotent job.
 	claimed bool
+	// adopted is set for a job that was found running on workers.
+	adopted bool
 	// verdict is what the claim's record says of a job that may not start.
 	verdict *state.Outcome
 	// saved is set for a job that the ledger holds.
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -6,18 +6,24 @@
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
 	"context"
-	"time"
 )
 
 // start holds and starts the gang of one attempt, and settles what comes of it.
 func (d *Dispatcher) start(r *record, start planning.Start) {
 	job := r.snapshot()
+	if !d.probeAllowed(job.ID, start.Placements) {
+		d.notStarted(r, start.Attempt, gang.Result{Ran: state.NotRun, Reason: state.WorkerFailed})
+		return
+	}
 	result := d.Gang.Run(d.ctx, &job, start.Attempt, start.Placements)
 	if !result.Started {
 		d.notStarted(r, start.Attempt, result)
 		return
 	}
 	d.Event("jobStarted", job.ID, "")
+	if start.Attempt == 1 {
+		d.waits.observe(job.Urgency, d.Now().Sub(job.Submitted))
+	}
 	d.Planner.Started(job.ID, start.Attempt)
 	d.tellRacks(start.Placements, func(o *outbox) { o.whole = append(o.whole, r.name(start.Attempt)) })
 	effect, stopReason := r.markWhole()
@@ -28,6 +34,17 @@
 	d.follow(r, start.Attempt, effect)
 }
 
+// probeAllowed reports whether every worker takes the job; one that is probed
+// after a quarantine takes one job at a time.
+func (d *Dispatcher) probeAllowed(job state.JobID, placements []state.Placement) bool {
+	for _, p := range placements {
+		if !d.Quarantine.Begin(p.Worker, job) {
+			return false
+		}
+	}
+	return true
+}
+
 // Commit is the gang's seam before the first start is sent: from here on the
 // job can be called "not run" only if every worker confirms it.
 func (d *Dispatcher) Commit(job state.JobID, attempt state.Attempt) error {
@@ -45,7 +62,7 @@
 func (d *Dispatcher) notStarted(r *record, attempt state.Attempt, result gang.Result) {
 	d.Count(result.Reason)
 	for _, worker := range result.Failed {
-		d.Quarantine.Failed(worker, r.job.ID, r.job.Kind)
+		d.Quarantine.Failed(worker, r.job.ID, r.kind())
 	}
 	committed, reason := r.giveUp(result)
 	if committed && result.Ran != state.NotRun {
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/admission"
 	"comfreystream/state"
 	"context"
 )
@@ -41,7 +42,6 @@
 		return nil
 	}
 	if reason := d.admit(&job); reason != "" {
-		d.Count(reason)
 		return state.NewStepError("accept", d.noPeer(), reason, nil)
 	}
 	if err := d.Ledger.Save(ctx, &job); err != nil {
@@ -69,6 +69,7 @@
 
 // queue hands a job to the planner.
 func (d *Dispatcher) queue(r *record) {
+	d.Retries.FirstAttempt(r.job.Organisation)
 	if reason := d.Planner.Submit(r.job); reason != "" {
 		d.finish(r, state.Refusal(r.job.ID, reason))
 		return
@@ -90,3 +91,13 @@
 		return d.moved("recover")
 	}
 }
+
+// admit returns why the job may not join the queue, or "".
+func (d *Dispatcher) admit(job *state.Job) state.Reason {
+	demand := d.Planner.Demand(job.Organisation)
+	return d.Admission.Admit(job, admission.QueueView{
+		Jobs: demand.Jobs, OrganisationJobs: demand.OrganisationJobs,
+		Share: demand.Share, FairShare: demand.FairShare,
+		Wait: d.waits.expected(job.Urgency, demand.Jobs),
+	})
+}
--- a/coordination/lease/gang.go
+++ b/coordination/lease/gang.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return state.Lease{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	return r.keeper.Workers.Hold(ctx, address, request)
 }
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -16,6 +16,9 @@
 	renewWait = 2 * time.Second
 	// callTimeout bounds each call to a worker, less what the worker may wait.
 	callTimeout = time.Second
+	// holdTimeout bounds one request for a lease; it is below what the gang waits
+	// for the rack, so that a silent worker is named.
+	holdTimeout = 300 * time.Millisecond
 	// reportInterval is the longest time between two reports on a rack.
 	reportInterval = 2 * time.Second
 	// retryPause is the pause after a failed call to a worker or a planner.
--- a/protocol/peer/client.go
+++ b/protocol/peer/client.go
@@ -31,8 +31,8 @@
 			report:     newProcedure[wireRackReport, wireReportReply](h, stepReport),
 		},
 		manifest: manifestCalls{
-			push:  newProcedure[wireManifest, none](h, stepPushManifest),
-			fetch: newProcedure[fetchRequest, wireManifest](h, stepFetchManifest),
+			push:  newProcedure[wireUpdate, wireHave](h, stepPushManifest),
+			fetch: newProcedure[wireHave, wireUpdate](h, stepFetchManifest),
 		},
 	}
 }
--- a/protocol/peer/manifest.go
+++ b/protocol/peer/manifest.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"comfreystream/coordination/rollout"
 	"comfreystream/state"
 	"context"
 	"net/http"
@@ -12,39 +13,66 @@
 	stepFetchManifest = "fetchManifest"
 )
 
-type wireManifest struct {
-	Generation state.Generation `cbor:"1,keyasint"`
-	Digest     uint64           `cbor:"2,keyasint"`
-	Parts      [][]byte         `cbor:"3,keyasint,omitempty"`
+type wireUpdate struct {
+	Generation     state.Generation `cbor:"1,keyasint"`
+	Digest         uint64           `cbor:"2,keyasint"`
+	CompletionTime float64          `cbor:"3,keyasint"`
+	Fragmentation  float64          `cbor:"4,keyasint"`
+	Since          state.Generation `cbor:"5,keyasint,omitempty"`
+	Parts          []wirePart       `cbor:"6,keyasint,omitempty"`
 }
 
-type fetchRequest struct {
-	NewerThan state.Generation `cbor:"1,keyasint,omitempty"`
+type wirePart struct {
+	Name    string           `cbor:"1,keyasint"`
+	Changed state.Generation `cbor:"2,keyasint"`
+	Body    []byte           `cbor:"3,keyasint,omitempty"`
+}
+
+type wireHave struct {
+	Generation state.Generation `cbor:"1,keyasint,omitempty"`
+	Digest     uint64           `cbor:"2,keyasint,omitempty"`
 }
 
 type manifestCalls struct {
-	push  procedure[wireManifest, none]
-	fetch procedure[fetchRequest, wireManifest]
+	push  procedure[wireUpdate, wireHave]
+	fetch procedure[wireHave, wireUpdate]
 }
 
 func (s *Service) handleManifest(mux *http.ServeMux) {
-	handle(mux, stepPushManifest, func(ctx context.Context, w wireManifest) (none, error) {
-		return none{}, s.PushManifest(ctx, Manifest(w))
+	handle(mux, stepPushManifest, func(ctx context.Context, w wireUpdate) (wireHave, error) {
+		have, err := s.PushManifest(ctx, w.update())
+		return wireHave(have), err
 	})
-	handle(mux, stepFetchManifest, func(ctx context.Context, r fetchRequest) (wireManifest, error) {
-		manifest, err := s.FetchManifest(ctx, r.NewerThan)
-		return wireManifest(manifest), err
+	handle(mux, stepFetchManifest, func(ctx context.Context, w wireHave) (wireUpdate, error) {
+		update, err := s.FetchManifest(ctx, rollout.Have(w))
+		return toWireUpdate(update), err
 	})
 }
 
-// PushManifest gives the peer a manifest that is in force here.
-func (c *Client) PushManifest(ctx context.Context, peer netip.AddrPort, manifest Manifest) error {
-	_, err := c.manifest.push.ask(ctx, peer, wireManifest(manifest))
-	return err
+// PushManifest sends the peer an update, and returns what it has in force after it.
+func (c *Client) PushManifest(ctx context.Context, peer netip.AddrPort, update rollout.Update) (rollout.Have, error) {
+	have, err := c.manifest.push.ask(ctx, peer, toWireUpdate(update))
+	return rollout.Have(have), err
+}
+
+// FetchManifest asks the peer for the update from what this entry has.
+func (c *Client) FetchManifest(ctx context.Context, peer netip.AddrPort, have rollout.Have) (rollout.Update, error) {
+	w, err := c.manifest.fetch.ask(ctx, peer, wireHave(have))
+	return w.update(), err
+}
+
+func toWireUpdate(u rollout.Update) wireUpdate {
+	return wireUpdate{
+		Generation: u.Generation, Digest: u.Digest,
+		CompletionTime: u.Weights.CompletionTime, Fragmentation: u.Weights.Fragmentation,
+		Since: u.Since, Parts: convert(u.Parts, func(p rollout.Part) wirePart { return wirePart(p) }),
+	}
 }
 
-// FetchManifest returns the peer's manifest, without parts if it is not newer.
-func (c *Client) FetchManifest(ctx context.Context, peer netip.AddrPort, newerThan state.Generation) (Manifest, error) {
-	manifest, err := c.manifest.fetch.ask(ctx, peer, fetchRequest{NewerThan: newerThan})
-	return Manifest(manifest), err
+func (w wireUpdate) update() rollout.Update {
+	return rollout.Update{
+		Generation: w.Generation, Digest: w.Digest,
+		Weights: state.Weights{CompletionTime: w.CompletionTime, Fragmentation: w.Fragmentation},
+		Since:   w.Since, Parts: convert(w.Parts, func(p wirePart) rollout.Part { return rollout.Part(p) }),
+	}
 }
--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"comfreystream/coordination/rollout"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"context"
@@ -35,6 +36,11 @@
 	failure error
 }
 
+var sampleUpdate = rollout.Update{
+	Generation: 9, Digest: 8, Weights: state.Weights{CompletionTime: 0.3, Fragmentation: 0.7},
+	Since: 7, Parts: []rollout.Part{{Name: "north", Changed: 9, Body: []byte{7}}},
+}
+
 func (r *recorder) note(asked any) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -68,9 +74,11 @@
 		Report: func(_ context.Context, report state.RackReport) (state.ReportReply, error) {
 			return state.ReportReply{Resend: true, Stop: []state.JobAttempt{sampleAttempt}}, r.note(report)
 		},
-		PushManifest: func(_ context.Context, manifest Manifest) error { return r.note(manifest) },
-		FetchManifest: func(_ context.Context, newerThan state.Generation) (Manifest, error) {
-			return Manifest{Generation: 9, Digest: 8, Parts: [][]byte{{7}}}, r.note(newerThan)
+		PushManifest: func(_ context.Context, update rollout.Update) (rollout.Have, error) {
+			return rollout.Have{Generation: 9, Digest: 8}, r.note(update)
+		},
+		FetchManifest: func(_ context.Context, have rollout.Have) (rollout.Update, error) {
+			return sampleUpdate, r.note(have)
 		},
 	}
 }
@@ -94,7 +102,7 @@
 		Rack: state.Rack{Name: "r1", AvailabilityZone: "a", Position: 3}, Home: worker, Sequence: 4, Full: true,
 		Workers: []state.WorkerReport{{Worker: state.Worker{Address: worker, Capacity: sampleJob.Shape, Leaving: true}, Listed: true, Lost: true}},
 	}
-	manifest := Manifest{Generation: 9, Digest: 8, Parts: [][]byte{{7}}}
+	have := rollout.Have{Generation: 9, Digest: 8}
 	ctx := t.Context()
 	tests := []struct {
 		name  string
@@ -125,8 +133,8 @@
 			report,
 			state.ReportReply{Resend: true, Stop: []state.JobAttempt{sampleAttempt}},
 		},
-		{"push", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.PushManifest(ctx, p, manifest) }, manifest, nil},
-		{"fetch", func(c *Client, p netip.AddrPort) (any, error) { return c.FetchManifest(ctx, p, 8) }, state.Generation(8), manifest},
+		{"push", func(c *Client, p netip.AddrPort) (any, error) { return c.PushManifest(ctx, p, sampleUpdate) }, sampleUpdate, have},
+		{"fetch", func(c *Client, p netip.AddrPort) (any, error) { return c.FetchManifest(ctx, p, have) }, have, sampleUpdate},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/protocol/peer/service.go
+++ b/protocol/peer/service.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"comfreystream/coordination/rollout"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"context"
@@ -29,13 +30,6 @@
 	Workers []netip.AddrPort
 }
 
-// Manifest is an accepted manifest in parts; the parts are not looked into.
-type Manifest struct {
-	Generation state.Generation
-	Digest     uint64
-	Parts      [][]byte
-}
-
 // Service is what an entry does for its peers; every field must be set.
 // Errors are *state.StepError; others count as ambiguous.
 type Service struct {
@@ -54,10 +48,10 @@
 	Checkpoint func(ctx context.Context, rack string, attempt state.JobAttempt) ([][]byte, error)
 	// Report takes what the home of a rack tells the zone's planner.
 	Report func(ctx context.Context, report state.RackReport) (state.ReportReply, error)
-	// PushManifest takes a manifest that a peer has in force.
-	PushManifest func(ctx context.Context, manifest Manifest) error
-	// FetchManifest returns the manifest in force, without parts if it is not newer.
-	FetchManifest func(ctx context.Context, newerThan state.Generation) (Manifest, error)
+	// PushManifest takes in an update and returns what is in force after it.
+	PushManifest func(ctx context.Context, update rollout.Update) (rollout.Have, error)
+	// FetchManifest returns the update from what the peer has to what is in force.
+	FetchManifest func(ctx context.Context, have rollout.Have) (rollout.Update, error)
 }
 
 // PathPrefix begins the path of every call between entries.
