--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
-
-	"comfreystream/state"
 )
 
 // adoption collects the parts of a gang that an earlier planner started.
@@ -79,6 +78,7 @@
 	r.parts = a.parts
 	r.begun = d.Now()
 	r.whole = true
+	r.adopted = true
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
 	if !d.records.PutNew(a.job.ID, r) {
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -1,11 +1,11 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
-
-	"comfreystream/state"
 )
 
 // Await waits up to wait for the job's outcome. It fails with unknownJob for a
@@ -53,7 +53,7 @@
 
 // cancelQueued ends the job if the planner still had it queued.
 func (d *Dispatcher) cancelQueued(r *record) {
-	if !d.Planner.Cancel(r.job.ID).WasQueued() {
+	if d.Planner.Cancel(r.job.ID) != planning.CancelQueued {
 		return
 	}
 	d.signal()
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -22,18 +22,6 @@
 	gangJob = state.Job{ID: "z.1", Members: 7}
 )
 
-func newFakeZone(fault func(m message, count int) fault) *fakeZone {
-	z := &fakeZone{racks: make(map[string][]*fakeWorker), fault: fault}
-	for _, p := range across {
-		w := &fakeWorker{
-			address: p.Worker, free: 2,
-			leases: make(map[attemptKey]*fakeLease), voided: make(map[attemptKey]bool), started: make(map[attemptKey]bool),
-		}
-		z.racks[p.Rack] = append(z.racks[p.Rack], w)
-	}
-	return z
-}
-
 // on hits the first times messages of a step to a worker with a fault.
 func on(step string, worker netip.AddrPort, f fault, times int) func(message, int) fault {
 	return func(m message, _ int) fault {
@@ -45,45 +33,6 @@
 	}
 }
 
-// checkSettled waits until every lease that nobody renews has lapsed, and
-// checks what must hold whatever failed.
-func checkSettled(t *testing.T, z *fakeZone, job *state.Job, result Result) {
-	t.Helper()
-	k := attemptKey{job.ID, 1}
-	z.renew(result)
-	z.pending.Wait()
-	<-time.After(holdTTL)
-	running, started := 0, false
-	for _, workers := range z.racks {
-		for _, w := range workers {
-			running += w.running(k, time.Now())
-			started = started || w.started[k]
-		}
-	}
-	if want := map[bool]int{true: job.Members}[result.Started]; running != want {
-		t.Errorf("%d members run, want %d of %d", running, want, job.Members)
-	}
-	if result.Ran == state.NotRun && started {
-		t.Error("the answer is not run, but a worker started a member")
-	}
-	if used := z.used(); !result.Started && used > 0 {
-		t.Errorf("%d members' capacity is still held", used)
-	}
-}
-
-// renew does the part of the racks' homes once a gang has started.
-func (z *fakeZone) renew(result Result) {
-	for _, l := range result.Leases {
-		for _, workers := range z.racks {
-			for _, w := range workers {
-				if held := w.leases[attemptKey{l.Job, l.Attempt}]; held != nil {
-					held.expires = held.expires.Add(time.Hour)
-				}
-			}
-		}
-	}
-}
-
 func TestRun(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -156,10 +105,12 @@
 						})
 						result := z.starter().Run(t.Context(), &gangJob, 1, across)
 						if z.dead {
-							// Nobody hears the result of a dead starter; a second one cleans up.
+							// Nobody hears the result of a dead starter.
+							result = Result{Ran: state.Unknown}
+						}
+						if z.dead && second != none {
 							z.dead = false
-							never, err := z.starter().Abort(t.Context(), gangJob.ID, 1, []string{"a", "b"})
-							result = Result{Ran: map[bool]state.Ran{true: state.NotRun, false: state.Unknown}[never && err == nil]}
+							result.Ran = z.abort(t)
 						}
 						checkSettled(t, z, &gangJob, result)
 					})
@@ -169,6 +120,30 @@
 	}
 }
 
+// TestPausedStarter has another starter abort the gang while the first one
+// is paused before each of its holds and starts.
+func TestPausedStarter(t *testing.T) {
+	const holdsAndStarts = 8
+	for at := 1; at <= holdsAndStarts; at++ {
+		t.Run(fmt.Sprint("before message ", at), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newFakeZone(func(_ message, count int) fault { return map[int]fault{at: pause}[count] })
+				aborted := make(chan state.Ran, 1)
+				go func() {
+					<-time.After(pauseTime / 2)
+					aborted <- z.abort(t)
+				}()
+				result := z.starter().Run(t.Context(), &gangJob, 1, across)
+				if result.Started {
+					t.Error("an aborted gang was started")
+				}
+				checkSettled(t, z, &gangJob, result)
+				checkSettled(t, z, &gangJob, Result{Ran: <-aborted})
+			})
+		})
+	}
+}
+
 func TestContention(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -206,31 +181,45 @@
 }
 
 func TestHeldGangIsNotStarted(t *testing.T) {
+	const deadline = time.Minute
+	slow := func(delay time.Duration) func(*Starter, func()) {
+		return func(s *Starter, _ func()) {
+			hold := s.Hold
+			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
+				<-time.After(map[string]time.Duration{"b": delay}[rack])
+				return hold(ctx, rack, r)
+			}
+		}
+	}
+	commit := func(err error) func(*Starter, func()) {
+		return func(s *Starter, _ func()) {
+			s.Commit = func(state.JobID, state.Attempt) error { return err }
+		}
+	}
 	tests := []struct {
 		name   string
-		change func(s *Starter)
+		change func(s *Starter, cancel func())
 		want   state.Reason
 	}{
-		{"holds were slow", func(s *Starter) {
-			hold := s.Hold
-			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
-				<-time.After(map[string]time.Duration{"b": holdTTL - startTimeout}[rack])
-				return hold(ctx, rack, r)
+		{"holds were slow", slow(holdTTL - startTimeout), state.LeaseLapsed},
+		{"holds outlasted the deadline", slow(deadline), state.DeadlinePassed},
+		{"job has ended", commit(&state.TransitionError{Phase: state.JobDone, Event: state.StartSent}), state.Cancelled},
+		{"owner has moved on", commit(state.NewStepError("commit", netip.AddrPort{}, "", nil)), state.Cancelled},
+		{"owner refuses", commit(state.NewStepError("claim", netip.AddrPort{}, state.DuplicateKey, nil)), state.DuplicateKey},
+		{"caller gave up", func(s *Starter, cancel func()) {
+			s.Commit = func(state.JobID, state.Attempt) error {
+				cancel()
+				return nil
 			}
-		}, state.LeaseLapsed},
-		{"leases are short", func(s *Starter) {
+		}, state.Cancelled},
+		{"leases are short", func(s *Starter, _ func()) {
 			hold := s.Hold
 			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
 				r.TTL = startTimeout
 				return hold(ctx, rack, r)
 			}
 		}, state.LeaseLapsed},
-		{"job was cancelled", func(s *Starter) {
-			s.Commit = func(state.JobID, state.Attempt) error {
-				return &state.TransitionError{Phase: state.JobDone, Event: state.StartSent}
-			}
-		}, state.Cancelled},
-		{"one member is missing", func(s *Starter) {
+		{"a lease is missing", func(s *Starter, _ func()) {
 			hold := s.Hold
 			s.Hold = func(ctx context.Context, rack string, r HoldRequest) ([]state.Lease, error) {
 				leases, err := hold(ctx, rack, r)
@@ -243,8 +232,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				z := newFakeZone(on("", a1, none, 0))
 				s := z.starter()
-				tt.change(s)
-				got := s.Run(t.Context(), &gangJob, 1, across)
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				tt.change(s, cancel)
+				got := s.Run(ctx, &gangJob, 1, across)
 				if got.Started || got.Ran != state.NotRun || got.Reason != tt.want {
 					t.Errorf("got %+v, want not run, %v", got, tt.want)
 				}
@@ -253,3 +244,29 @@
 		})
 	}
 }
+
+func BenchmarkRun(b *testing.B) {
+	const racks, perRack, members = 11, 6, 8
+	var placements []state.Placement
+	for i := range racks * perRack {
+		worker := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7070)
+		placements = append(placements, state.Placement{Worker: worker, Rack: fmt.Sprint("r", i%racks), Members: members})
+	}
+	s := &Starter{
+		Now:   time.Now,
+		Start: func(context.Context, string, []state.Lease) error { return nil },
+		Hold: func(_ context.Context, _ string, r HoldRequest) (leases []state.Lease, err error) {
+			for _, p := range r.Placements {
+				leases = append(leases, state.Lease{Worker: p.Worker, Job: r.Job.ID, Attempt: r.Attempt, Members: p.Members, Expires: time.Now().Add(r.TTL)})
+			}
+			return leases, nil
+		},
+	}
+	job := state.Job{ID: "z.1", Members: racks * perRack * members}
+	b.ReportAllocs()
+	for b.Loop() {
+		if !s.Run(b.Context(), &job, 1, placements).Started {
+			b.Fatal("not started")
+		}
+	}
+}
