--- a/protocol/peer/fuzz_test.go
+++ b/protocol/peer/fuzz_test.go
@@ -46,7 +46,7 @@
 		holdRequest{Rack: "r1", Job: toWireJob(&sampleJob), Placements: []wirePlacement{{Worker: worker, Members: 1}}},
 		leasesMessage{Rack: "r1", Leases: []wireLease{now.toLease(lease)}},
 		now.toRackReport(report),
-		wireManifest{Generation: 7, Parts: [][]byte{{1}, nil}},
+		toWireUpdate(sampleUpdate),
 		map[int]any{1: map[int]any{7: 255}},
 	}
 	for _, seed := range seeds {
@@ -79,7 +79,7 @@
 				}
 			}
 		})
-		roundTrip(t, text, func(wireManifest) {})
+		roundTrip(t, text, func(m wireUpdate) { _ = m.update() })
 		roundTrip(t, text, func(m wireReportReply) { _ = m.reply() })
 	})
 }
