Tell a call that was refused unhandled from one that may have acted

Cause: a 503 by the peer's transport counted as ambiguous, so work was called "outcome unknown" that surely had not run. A server could not bind its address again at once after it had closed connections. Change: refusals before a handler are not ambiguous, in peer and message; an answer that can't be decoded is. The server sets SO_REUSEADDR. Checked: go test -race ./transport ./protocol/...; without SO_REUSEADDR the new TestListenAgainOnTheSameAddress fails.

--- a/protocol/message/call.go
+++ b/protocol/message/call.go
@@ -54,8 +54,23 @@
 func decodeError(path string, peer netip.AddrPort, answer *fasthttp.Response) error {
 	var body errorBody
 	if err := decode(answer.Body(), &body); err != nil || body.Reason == "" {
-		cause := errors.Errorf("status %d without a typed error", answer.StatusCode())
-		return state.AmbiguousStep(path, peer, state.ConnectionLost, cause)
+		return untypedError(path, peer, answer.StatusCode())
 	}
 	return body.stepError(path, peer)
 }
+
+// untypedError types an answer that no handler gave: by these statuses a
+// server refuses a request before it is handled.
+func untypedError(path string, peer netip.AddrPort, status int) error {
+	cause := errors.Errorf("status %d without a typed error", status)
+	switch status {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return state.NewStepError(path, peer, state.ConnectionLost, cause)
+	case fasthttp.StatusRequestEntityTooLarge:
+		return state.NewStepError(path, peer, state.BodyTooLarge, cause)
+	case fasthttp.StatusBadRequest, fasthttp.StatusNotFound, fasthttp.StatusRequestHeaderFieldsTooLarge:
+		return state.NewStepError(path, peer, state.BadRequest, cause)
+	default:
+		return state.AmbiguousStep(path, peer, state.ConnectionLost, cause)
+	}
+}
--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 type question struct {
@@ -33,9 +34,16 @@
 	return reply{Text: strings.ToUpper(q.Text)}, nil
 }
 
+func untyped(status int) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(status) }
+}
+
 func TestCall(t *testing.T) {
 	server, err := transport.Listen(loopback, Routes([]Route{
 		{"/ask", Handle(Limits{BodyBytes: 200}, decide)},
+		{"/busy", untyped(fasthttp.StatusServiceUnavailable)},
+		{"/large", untyped(fasthttp.StatusRequestEntityTooLarge)},
+		{"/broken", untyped(fasthttp.StatusInternalServerError)},
 	}), transport.Limits{})
 	if err != nil {
 		t.Fatal(err)
@@ -60,6 +68,9 @@
 		{"wrong type", server.Address(), "/ask", []int{1}, state.BadRequest, false},
 		{"body too large", server.Address(), "/ask", question{Text: strings.Repeat("a", 300)}, state.BodyTooLarge, false},
 		{"unknown path", server.Address(), "/other", question{}, state.BadRequest, false},
+		{"refused by the server", server.Address(), "/busy", question{}, state.ConnectionLost, false},
+		{"too large for the server", server.Address(), "/large", question{}, state.BodyTooLarge, false},
+		{"broken without a word", server.Address(), "/broken", question{}, state.ConnectionLost, true},
 		{"nobody listens", unused, "/ask", question{}, state.ConnectionLost, false},
 	}
 	for _, tt := range tests {
--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -5,13 +5,16 @@
 	"comfreystream/state"
 	"comfreystream/transport"
 	"context"
+	"io"
 	"net/netip"
 	"reflect"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -164,3 +167,44 @@
 		t.Errorf("lease %v, want %v", got, lease)
 	}
 }
+
+// TestLostCalls has the peer answer without a word of its service, or not at all.
+func TestLostCalls(t *testing.T) {
+	status := func(code int) fasthttp.RequestHandler {
+		return func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(code) }
+	}
+	tests := []struct {
+		name      string
+		handler   fasthttp.RequestHandler
+		reason    state.Reason
+		ambiguous bool
+	}{
+		{"refused by the transport", status(fasthttp.StatusServiceUnavailable), state.HomeUnreachable, false},
+		{"unknown call", status(fasthttp.StatusNotFound), state.BadRequest, false},
+		{"panic", func(*fasthttp.RequestCtx) { panic(t) }, state.ConnectionLost, true},
+		{"no CBOR", func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("application/cbor")
+			ctx.SetBodyString("hello")
+		}, state.ConnectionLost, true},
+		{"closed without an answer", func(ctx *fasthttp.RequestCtx) { ctx.Response.SetBodyStream(iotest.ErrReader(io.EOF), 10) }, state.ConnectionLost, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server, err := transport.Listen(loopback, tt.handler, transport.Limits{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
+			connections := transport.NewClient(transport.ClientLimits{})
+			err = NewClient(connections).Cancel(t.Context(), server.Address(), "a.1")
+			if reason := state.ReasonOf(err, ""); reason != tt.reason || state.IsAmbiguous(err) != tt.ambiguous {
+				t.Errorf("%v: ambiguous %v; want %s, %v", err, state.IsAmbiguous(err), tt.reason, tt.ambiguous)
+			}
+			_ = connections.Close()
+			err = NewClient(connections).Cancel(t.Context(), server.Address(), "a.1")
+			if reason := state.ReasonOf(err, ""); reason != state.HomeUnreachable || state.IsAmbiguous(err) {
+				t.Errorf("after Close: %v", err)
+			}
+		})
+	}
+}
--- a/protocol/peer/procedure.go
+++ b/protocol/peer/procedure.go
@@ -116,7 +116,18 @@
 	switch {
 	case errors.As(err, &call) && !call.Sent:
 		return state.NewStepError(step, peer, state.HomeUnreachable, err)
-	case connect.CodeOf(err) == connect.CodeInvalidArgument:
+	case call != nil:
+		return state.AmbiguousStep(step, peer, state.ConnectionLost, err)
+	}
+	switch code := connect.CodeOf(err); {
+	case code == connect.CodeUnavailable:
+		// The peer's transport refused the request before it was handled.
+		return state.NewStepError(step, peer, state.HomeUnreachable, err)
+	case code == connect.CodeUnimplemented:
+		return state.NewStepError(step, peer, state.BadRequest, err)
+	case connect.IsWireError(err) && (code == connect.CodeInvalidArgument || code == connect.CodeResourceExhausted):
+		// The peer could not decode the request; without IsWireError it is the
+		// answer that could not be decoded here.
 		return state.NewStepError(step, peer, state.BadRequest, err)
 	}
 	return state.AmbiguousStep(step, peer, state.ConnectionLost, err)
--- a/transport/server.go
+++ b/transport/server.go
@@ -156,6 +156,7 @@
 func (s *Server) run(address netip.AddrPort) {
 	err := gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
+		gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithTCPKeepAlive(keepAliveIdle),
 		gnet.WithTCPKeepInterval(keepAliveInterval),
--- a/transport/server_fault_test.go
+++ b/transport/server_fault_test.go
@@ -197,3 +197,20 @@
 		})
 	}
 }
+
+func TestListenAgainOnTheSameAddress(t *testing.T) {
+	address := loopback
+	for range 3 {
+		s, err := Listen(address, echo, Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = s.Address()
+		if got := converse(t, address, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); got != "200 /a:" {
+			t.Errorf("answer %q", got)
+		}
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
