Pass an answer's body on without a copy

Change: the body handed to connect reads from fasthttp's answer, which is released when the body is closed; names of headers are not made anew.

--- a/transport/roundtrip.go
+++ b/transport/roundtrip.go
@@ -36,8 +36,8 @@
 		return nil, &CallError{Peer: peer, cause: err}
 	}
 	answer := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(answer)
 	if err := h.Client.Do(request.Context(), peer, call, answer); err != nil {
+		fasthttp.ReleaseResponse(answer)
 		return nil, err
 	}
 	return httpResponse(request, answer), nil
@@ -60,22 +60,42 @@
 	return errors.Wrap(err, "read the request's body")
 }
 
+// httpResponse passes the answer to net/http; closing the body releases it.
 func httpResponse(request *http.Request, answer *fasthttp.Response) *http.Response {
 	header := make(http.Header, answer.Header.Len())
 	for name, value := range answer.Header.All() {
-		header.Add(string(name), string(value))
+		key := string(name) // fasthttp keeps names in canonical form
+		if key != fasthttp.HeaderDate {
+			header[key] = append(header[key], string(value))
+		}
 	}
-	body := bytes.Clone(answer.Body())
-	status := answer.StatusCode()
+	body := &answerBody{answer: answer}
+	body.Reset(answer.Body())
 	return &http.Response{
-		Status:        http.StatusText(status),
-		StatusCode:    status,
+		Status:        http.StatusText(answer.StatusCode()),
+		StatusCode:    answer.StatusCode(),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        header,
-		Body:          io.NopCloser(bytes.NewReader(body)),
-		ContentLength: int64(len(body)),
+		Body:          body,
+		ContentLength: body.Size(),
 		Request:       request,
 	}
 }
+
+// answerBody reads the body of an answer until it is closed.
+type answerBody struct {
+	bytes.Reader
+	answer *fasthttp.Response
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	if b.answer != nil {
+		b.Reset(nil)
+		fasthttp.ReleaseResponse(b.answer)
+		b.answer = nil
+	}
+	return nil
+}
