Wire entries, and run the whole path over real ports

One process starts entries of several zones with stand-ins of the store, the instance list and the workers.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -121,8 +121,8 @@
 	d.tasks.Go(task)
 }
 
-// signal asks for a planning round; many calls lead to one.
-func (d *Dispatcher) signal() {
+// Signal asks for a planning round; many calls lead to one.
+func (d *Dispatcher) Signal() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -45,7 +45,7 @@
 	}
 	d.Estimates.Observe(r.job.Organisation, r.job.Kind, r.job.DeclaredRunTime, runTime)
 	d.Planner.Ended(r.job.ID, attempt)
-	d.signal()
+	d.Signal()
 	d.finish(r, outcome)
 }
 
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -56,7 +56,7 @@
 	if d.Planner.Cancel(r.job.ID) != planning.CancelQueued {
 		return
 	}
-	d.signal()
+	d.Signal()
 	d.finish(r, state.Refusal(r.job.ID, state.Cancelled))
 }
 
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -36,7 +36,7 @@
 	}
 	d.Planner.PutWorker(w.Worker)
 	if w.Listed != wasListed || w.Worker.Leaving {
-		d.signal()
+		d.Signal()
 	}
 }
 
@@ -53,7 +53,7 @@
 		attempt := r.currentAttempt()
 		d.spawn(func() { d.stopAttempt(r, attempt, state.WorkerLost, []netip.AddrPort{address}) })
 	}
-	d.signal()
+	d.Signal()
 }
 
 // Usable reports whether the worker answers its rack's home and is not quarantined.
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -75,7 +75,7 @@
 	if again {
 		d.Event("jobRequeued", job.ID, reason)
 		d.Planner.Requeue(job.ID, attempt, notBefore, blamed)
-		d.signal()
+		d.Signal()
 		return
 	}
 	d.Planner.Ended(job.ID, attempt)
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -77,7 +77,7 @@
 	if r.isCancelled() {
 		d.cancelQueued(r)
 	}
-	d.signal()
+	d.Signal()
 }
 
 // awaitRecovery waits until the racks of the zone have been reported, or the window ends.
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -27,6 +27,11 @@
 	PartsLeft Event = "partsLeft"
 )
 
+// Events lists all events.
+var Events = []Event{
+	MovedUp, OlderIgnored, GapSeen, DigestMismatch, PushFailed, PullFailed, LoadFailed, PartsLeft,
+}
+
 // Rollout holds the manifest in force on one entry; it is safe for several
 // goroutines once Run is called. The fields are set before.
 type Rollout struct {
--- a/coordination/storage/purpose.go
+++ b/coordination/storage/purpose.go
@@ -32,3 +32,6 @@
 	Stopped   Result = "stoppedByBreaker"
 	Throttled Result = "throttled"
 )
+
+// Results lists all results.
+var Results = []Result{Answered, Conflict, Failed, Stopped, Throttled}
--- /dev/null
+++ b/instance/fronting.go
@@ -0,0 +1,120 @@
+package instance
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"comfreystream/coordination/front"
+	"comfreystream/state"
+)
+
+// newFront makes the part that callers reach.
+func (i *Instance) newFront() *front.Front {
+	return &front.Front{
+		Now:     time.Now,
+		Planner: i.plannerOf,
+		Zones:   i.zonesFor,
+		Submit:  i.submitTo,
+		Accept:  i.acceptAt,
+		Await:   i.awaitAt,
+		Cancel:  i.cancelAt,
+		Count:   i.metrics.CountRetry,
+	}
+}
+
+// zonesFor lists the zones for a job: first those where its organisation holds
+// a guarantee that the job fits, then the entry's own, then the others.
+func (i *Instance) zonesFor(job *state.Job) []string {
+	zones := append([]string{i.settings.AvailabilityZone}, i.list.zones()...)
+	manifest := i.rollout.Current()
+	if manifest != nil {
+		zones = append(guaranteedZones(manifest, job, i.settings.AvailabilityZone), zones...)
+	}
+	var unique []string
+	for _, zone := range zones {
+		if !slices.Contains(unique, zone) {
+			unique = append(unique, zone)
+		}
+	}
+	return unique
+}
+
+func guaranteedZones(manifest *state.Manifest, job *state.Job, own string) (zones []string) {
+	for _, organisation := range manifest.Organisations {
+		if organisation.Name != job.Organisation {
+			continue
+		}
+		for _, g := range organisation.Guarantees {
+			if !job.Total().FitsIn(g.Total()) {
+				continue
+			}
+			if g.AvailabilityZone == own {
+				return []string{own}
+			}
+			zones = append(zones, g.AvailabilityZone)
+		}
+	}
+	return zones
+}
+
+func (i *Instance) submitTo(ctx context.Context, planner netip.AddrPort, job state.Job, again bool) error {
+	if planner == i.Address() {
+		return i.submitHere(ctx, job, again)
+	}
+	return i.peers.Submit(ctx, planner, job, again)
+}
+
+func (i *Instance) acceptAt(ctx context.Context, planner netip.AddrPort, job state.Job) error {
+	if planner == i.Address() {
+		return i.acceptHere(ctx, job)
+	}
+	return i.peers.Accept(ctx, planner, job)
+}
+
+func (i *Instance) awaitAt(ctx context.Context, planner netip.AddrPort, job state.JobID, wait time.Duration) (state.Progress, error) {
+	if planner == i.Address() {
+		return i.awaitHere(ctx, job, wait)
+	}
+	return i.peers.Await(ctx, planner, job, wait)
+}
+
+func (i *Instance) cancelAt(ctx context.Context, planner netip.AddrPort, job state.JobID) error {
+	if planner == i.Address() {
+		return i.cancelHere(ctx, job)
+	}
+	return i.peers.Cancel(ctx, planner, job)
+}
+
+func (i *Instance) submitHere(ctx context.Context, job state.Job, again bool) error {
+	d, err := i.seat.Current()
+	if err != nil {
+		return err
+	}
+	return d.Submit(ctx, job, again)
+}
+
+func (i *Instance) acceptHere(ctx context.Context, job state.Job) error {
+	d, err := i.seat.Current()
+	if err != nil {
+		return err
+	}
+	return d.Accept(ctx, job)
+}
+
+func (i *Instance) awaitHere(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
+	d, err := i.seat.Current()
+	if err != nil {
+		return state.Progress{}, err
+	}
+	return d.Await(ctx, job, wait)
+}
+
+func (i *Instance) cancelHere(ctx context.Context, job state.JobID) error {
+	d, err := i.seat.Current()
+	if err != nil {
+		return err
+	}
+	return d.Cancel(ctx, job)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,165 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreystream/coordination/dispatch"
+	"comfreystream/coordination/front"
+	"comfreystream/coordination/lease"
+	"comfreystream/coordination/membership"
+	"comfreystream/coordination/rollout"
+	"comfreystream/coordination/storage"
+	"comfreystream/metrics"
+	"comfreystream/protocol/caller"
+	"comfreystream/protocol/gossip"
+	"comfreystream/protocol/instancelist"
+	"comfreystream/protocol/peer"
+	"comfreystream/settings"
+	"comfreystream/state"
+	"comfreystream/transport"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+)
+
+// Instance is one running entry.
+type Instance struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	metrics  *metrics.Metrics
+	started  time.Time
+
+	server      *transport.Server
+	endpoint    *gossip.Endpoint
+	connections *transport.Client
+	peers       *peer.Client
+
+	members *membership.Members
+	storage *storage.Storage
+	rollout *rollout.Rollout
+	keeper  *lease.Keeper
+	seat    *dispatch.Seat
+	front   *front.Front
+	list    *listing
+
+	handler  atomic.Pointer[fasthttp.RequestHandler]
+	rolesDue chan struct{}
+	// draining ends the waits of callers; drained is closed once the drain is over.
+	draining     context.Context
+	beginDrain   context.CancelFunc
+	leaving      atomic.Bool
+	drainOnce    sync.Once
+	drained      chan struct{}
+	ctx          context.Context
+	cancel       context.CancelFunc
+	loops        sync.WaitGroup
+	requestCount atomic.Int64
+}
+
+// Start runs an entry with checked settings. Its error names the address that
+// could not be opened; nothing goes on after an error.
+func Start(s *settings.Settings, log zerolog.Logger) (*Instance, error) {
+	i := &Instance{
+		settings: s, log: log, metrics: metrics.New(), started: time.Now(),
+		rolesDue: make(chan struct{}, 1), drained: make(chan struct{}),
+	}
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	i.draining, i.beginDrain = context.WithCancel(context.Background())
+	if err := i.listen(); err != nil {
+		_ = i.metrics.Close()
+		return nil, err
+	}
+	i.connect()
+	i.wire()
+	i.run()
+	i.log.Info().Str("event", "entryStarted").Stringer("address", i.Address()).
+		Str("availabilityZone", s.AvailabilityZone).Send()
+	return i, nil
+}
+
+// Address returns the address on which the entry listens over TCP and UDP.
+func (i *Instance) Address() netip.AddrPort { return i.server.Address() }
+
+// listen opens the entry's TCP port and the UDP port of the same number.
+func (i *Instance) listen() (err error) {
+	i.server, err = transport.Listen(i.settings.Address, i.handle, transport.Limits{
+		BodyBytes: i.settings.BodyBytes, Connections: i.settings.Connections,
+		Count: i.metrics.CountConnection, Refuse: caller.Refuse,
+	})
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s: change \"address\" in the settings or free the port", i.settings.Address)
+	}
+	i.endpoint, err = gossip.Listen(i.server.Address(), i.metrics.CountConnection)
+	if err != nil {
+		_ = i.server.Close()
+		return errors.Wrapf(err, "listen for membership on %s over UDP: change \"address\" in the settings or free the port", i.server.Address())
+	}
+	return nil
+}
+
+// connect makes the clients of the other sides.
+func (i *Instance) connect() {
+	i.connections = transport.NewClient(transport.ClientLimits{})
+	i.peers = peer.NewClient(i.connections)
+	i.list = newListing(&instancelist.Client{Connections: i.connections, Peer: i.settings.InstanceList})
+}
+
+// wire joins decisions and protocols.
+func (i *Instance) wire() {
+	i.members = membership.New(state.Member{
+		Address: i.Address(), Gossip: i.Address(), AvailabilityZone: i.settings.AvailabilityZone,
+		Incarnation: state.IncarnationAt(i.started),
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	i.members.OnChange = i.rolesChanged
+	i.members.Seed(i.settings.Seeds)
+	i.endpoint.Serve(i.members)
+	i.storage = i.newStorage()
+	i.rollout = i.newRollout()
+	i.members.OnAdvert = func(m state.Member) { i.rollout.Heard(m.Address, m.Advert.Generation, m.Advert.Digest) }
+	i.keeper = i.newKeeper()
+	i.seat = &dispatch.Seat{New: i.newDispatcher}
+	i.front = i.newFront()
+	handler := i.routes()
+	i.handler.Store(&handler)
+}
+
+// run starts the loops.
+func (i *Instance) run() {
+	i.loops.Go(func() { i.members.Run(i.ctx) })
+	i.loops.Go(func() { i.rollout.Run(i.ctx, i.isRelay) })
+	i.loops.Go(func() { i.list.run(i.ctx, i.listChanged) })
+	i.loops.Go(i.assignRoles)
+}
+
+// handle passes requests on once the entry is wired.
+func (i *Instance) handle(ctx *fasthttp.RequestCtx) {
+	handler := i.handler.Load()
+	if handler == nil {
+		caller.Refuse(&ctx.Response, string(state.Draining))
+		return
+	}
+	(*handler)(ctx)
+}
+
+// routes tells the calls of other entries from those of callers and operators.
+func (i *Instance) routes() fasthttp.RequestHandler {
+	forPeers := i.peerService().Handler()
+	forCallers := i.callerService().Handler()
+	return func(ctx *fasthttp.RequestCtx) {
+		if hasPeerPrefix(ctx.Path()) {
+			forPeers(ctx)
+			return
+		}
+		forCallers(ctx)
+	}
+}
+
+func hasPeerPrefix(path []byte) bool {
+	return len(path) >= len(peer.PathPrefix) && string(path[:len(peer.PathPrefix)]) == peer.PathPrefix
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,11 +25,10 @@
 // Settings are what one entry instance is told at its start.
 type Settings struct {
 	AvailabilityZone string
-	// Address is where callers, operators and other entries reach the instance over TCP.
+	// Address is where callers, operators and other entries reach the instance
+	// over TCP, and where membership datagrams reach it over UDP.
 	Address netip.AddrPort
-	// Gossip is where membership datagrams reach it over UDP.
-	Gossip netip.AddrPort
-	// Seeds are membership addresses of other entries, tried besides the instance list.
+	// Seeds are addresses of other entries, tried besides those of the instance list.
 	Seeds []netip.AddrPort
 	// Store and InstanceList are the platform's services.
 	Store        netip.AddrPort
@@ -60,12 +59,11 @@
 }
 
 func decode(root document.Node) *Settings {
-	o := root.Object("availabilityZone", "address", "gossip", "seeds", "store", "instanceList",
+	o := root.Object("availabilityZone", "address", "seeds", "store", "instanceList",
 		"storeCallsPerSecond", "connections", "bodyBytes", "drainLimit", "logLevel")
 	s := &Settings{
 		AvailabilityZone:    o.Require("availabilityZone").Name(),
 		Address:             addressOf(o.Require("address")),
-		Gossip:              addressOf(o.Require("gossip")),
 		Store:               addressOf(o.Require("store")),
 		InstanceList:        addressOf(o.Require("instanceList")),
 		StoreCallsPerSecond: defaultStoreCalls,
--- /dev/null
+++ b/standin/fleet/fleet_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"os"
+	"testing"
+	"time"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
+	"comfreystream/transport"
+
+	"github.com/rs/zerolog"
+)
+
+const manifestFile = `{
+  "format": 1,
+  "weights": {"completionTime": 0.5, "fragmentation": 0.5},
+  "organisations": [
+    {"name": "north", "share": 1, "guarantees": [
+      {"availabilityZone": "za", "members": 2, "shape": {"slots": 1, "accelerators": 4}}
+    ]},
+    {"name": "south", "share": 1},
+  ],
+}`
+
+func startFleet(t *testing.T, plan Plan) (*Fleet, *caller.Client) {
+	t.Helper()
+	plan.Capacity = state.Resources{Slots: 8, Accelerators: 8, Cores: 32, MemoryBytes: 128 << 30}
+	plan.WorkersPerRack = 2
+	plan.Log = io.Discard
+	plan.LogLevel = zerolog.InfoLevel
+	if os.Getenv("FLEET_LOG") != "" {
+		plan.Log = os.Stderr
+	}
+	f, err := Start(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	connections := transport.NewClient(transport.ClientLimits{})
+	t.Cleanup(func() {
+		_ = connections.Close()
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	client := &caller.Client{Connections: connections}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := f.Ready(ctx, client, []byte(manifestFile)); err != nil {
+		t.Fatal(err)
+	}
+	return f, client
+}
+
+func smallJob() *state.Job {
+	return &state.Job{
+		Organisation: "north", Kind: "small", Members: 1, Shape: state.Resources{Slots: 1, Accelerators: 1},
+		Urgency: state.Normal, Idempotent: true, DeclaredRunTime: time.Second,
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	f, client := startFleet(t, Plan{AvailabilityZones: []string{"za", "zb"}, EntriesPerZone: 2, WorkersPerZone: 4})
+	gang := smallJob()
+	gang.Members, gang.Shape.Accelerators, gang.Adjacency = 5, 4, state.AdjacentRacks
+	never := smallJob()
+	never.Members = 100
+	never.Adjacency = state.SameRack
+	once := smallJob()
+	once.Idempotent, once.Key = false, "order-1"
+	other := smallJob()
+	other.Organisation = "east"
+	tests := []struct {
+		name   string
+		job    *state.Job
+		ran    state.Ran
+		reason state.Reason
+	}{
+		{"small job", smallJob(), state.RanWhole, ""},
+		{"gang over adjacent racks", gang, state.RanWhole, ""},
+		{"job that can never run", never, state.NotRun, state.NeverFits},
+		{"non-idempotent job", once, state.RanWhole, ""},
+		{"the same key again", once, state.NotRun, state.DuplicateKey},
+		{"unknown organisation", other, state.NotRun, state.UnknownOrganisation},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, e := range f.Entries()[:1] {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				progress, err := client.Submit(ctx, e.Address(), tt.job)
+				cancel()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if o := progress.Outcome; !progress.Done || o.Ran != tt.ran || o.Reason != tt.reason {
+					t.Errorf("outcome %+v", progress)
+				}
+			}
+		})
+	}
+}
