--- /dev/null
+++ b/cmd_check.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"comfreystream/protocol/manifest"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+var checkCommand = command{
+	name:    "check",
+	help:    "Check a settings file or a manifest, and name the place and remedy of each problem.",
+	grammar: func(out output) any { return &checkArguments{out: out} },
+}
+
+type checkArguments struct {
+	out  output
+	Kind string `help:"What the file is: settings or manifest." enum:"settings,manifest" default:"manifest"`
+	File string `arg:"" help:"File to check." type:"path"`
+}
+
+// Run prints one line if the file is fine; it exits with 2 otherwise.
+func (a *checkArguments) Run() error {
+	if a.Kind == "settings" {
+		if _, err := readSettings(a.File); err != nil {
+			return err
+		}
+		return a.fine("settings")
+	}
+	data, err := os.ReadFile(a.File)
+	if err != nil {
+		return &usageError{errors.Wrap(err, "read manifest: name a file that can be read")}
+	}
+	if _, err := manifest.Decode(a.File, data); err != nil {
+		return &usageError{err}
+	}
+	return a.fine("manifest")
+}
+
+func (a *checkArguments) fine(kind string) error {
+	_, err := fmt.Fprintf(a.out.results, "%s: this is a well-formed %s file\n", a.File, kind)
+	return err
+}
--- /dev/null
+++ b/cmd_serve.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"comfreystream/instance"
+	"comfreystream/logs"
+	"comfreystream/settings"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+var serveCommand = command{
+	name:    "serve",
+	help:    "Run one entry instance until it is told to stop.",
+	grammar: func(out output) any { return &serveArguments{out: out} },
+}
+
+type serveArguments struct {
+	out      output
+	Settings string `help:"Settings file, JSON with comments." placeholder:"FILE" required:"" type:"path"`
+}
+
+// Run checks the settings, starts the entry, and drains it on a signal or on
+// an operator's request.
+func (a *serveArguments) Run() error {
+	s, err := readSettings(a.Settings)
+	if err != nil {
+		return err
+	}
+	level, err := logs.ParseLevel(s.LogLevel)
+	if err != nil {
+		return &usageError{err}
+	}
+	i, err := instance.Start(s, logs.New(a.out.complaints, level))
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(stop)
+	select {
+	case <-stop:
+	case <-i.Drained():
+	}
+	return i.Close()
+}
+
+func readSettings(file string) (*settings.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &usageError{errors.Wrap(err, "read settings: name a file that can be read with --settings")}
+	}
+	s, err := settings.Decode(file, data)
+	if err != nil {
+		return nil, &usageError{err}
+	}
+	return s, nil
+}
--- a/commands.go
+++ b/commands.go
@@ -22,6 +22,14 @@
 
 // commands lists the verbs in the order of --help.
 var commands = []command{
+	serveCommand,
+	tryCommand,
+	checkCommand,
+	applyCommand,
+	submitCommand,
+	statusCommand,
+	cancelCommand,
+	drainCommand,
 	versionCommand,
 }
 
--- /dev/null
+++ b/entry.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"comfreystream/protocol/caller"
+	"comfreystream/transport"
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// entryFlags name the entry that a verb talks to; every entry serves alike.
+type entryFlags struct {
+	Entry   string        `help:"Address of any entry: IP number and port." default:"127.0.0.1:7070" placeholder:"ADDRESS" env:"COMFREYSTREAM_ENTRY"`
+	Timeout time.Duration `help:"How long to wait for the answer." default:"1m"`
+}
+
+// call connects to the entry, calls ask and closes the connection.
+func (f *entryFlags) call(ask func(ctx context.Context, client *caller.Client, entry netip.AddrPort) error) error {
+	entry, err := netip.ParseAddrPort(f.Entry)
+	if err != nil {
+		return &usageError{errors.Errorf("--entry: %q is not an address; write an IP number and a port, as in 127.0.0.1:7070", f.Entry)}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	defer cancel()
+	connections := transport.NewClient(transport.ClientLimits{})
+	defer func() { _ = connections.Close() }()
+	return ask(ctx, &caller.Client{Connections: connections}, entry)
+}
--- a/instance/fronting.go
+++ b/instance/fronting.go
@@ -1,13 +1,12 @@
 package instance
 
 import (
+	"comfreystream/coordination/front"
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
 	"time"
-
-	"comfreystream/coordination/front"
-	"comfreystream/state"
 )
 
 // newFront makes the part that callers reach.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -1,13 +1,6 @@
 package instance
 
 import (
-	"context"
-	"math/rand/v2"
-	"net/netip"
-	"sync"
-	"sync/atomic"
-	"time"
-
 	"comfreystream/coordination/dispatch"
 	"comfreystream/coordination/front"
 	"comfreystream/coordination/lease"
@@ -22,6 +15,12 @@
 	"comfreystream/settings"
 	"comfreystream/state"
 	"comfreystream/transport"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
--- a/instance/listing.go
+++ b/instance/listing.go
@@ -1,14 +1,13 @@
 package instance
 
 import (
+	"comfreystream/coordination/pause"
+	"comfreystream/protocol/instancelist"
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync/atomic"
 	"time"
-
-	"comfreystream/coordination/pause"
-	"comfreystream/protocol/instancelist"
-	"comfreystream/state"
 )
 
 const (
--- a/instance/manifest.go
+++ b/instance/manifest.go
@@ -1,10 +1,6 @@
 package instance
 
 import (
-	"context"
-	"net/netip"
-	"time"
-
 	"comfreystream/coordination/planning"
 	"comfreystream/coordination/rollout"
 	"comfreystream/coordination/storage"
@@ -12,6 +8,9 @@
 	"comfreystream/protocol/manifest"
 	"comfreystream/protocol/store"
 	"comfreystream/state"
+	"context"
+	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 )
--- a/instance/overview.go
+++ b/instance/overview.go
@@ -1,38 +1,39 @@
 package instance
 
 import (
-	"context"
-	"encoding/json"
-	"net/netip"
-	"time"
-
 	"comfreystream/coordination/membership"
 	"comfreystream/coordination/planning"
 	"comfreystream/coordination/storage"
 	"comfreystream/state"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
-// overviewBody is what an operator on call asks first, as JSON.
-type overviewBody struct {
-	Entry            netip.AddrPort   `json:"entry"`
-	AvailabilityZone string           `json:"availabilityZone"`
-	Generation       state.Generation `json:"generation"`
-	StoreReachable   bool             `json:"storeReachable"`
-	Draining         bool             `json:"draining"`
-	StoreCalls       []storeCallsBody `json:"storeCalls"`
-	Entries          []entryBody      `json:"entries"`
-	Racks            []string         `json:"racks"`
-	Planner          *plannerBody     `json:"planner,omitempty"`
+// Overview is what an operator on call asks first, as JSON.
+type Overview struct {
+	Entry            netip.AddrPort       `json:"entry"`
+	AvailabilityZone string               `json:"availabilityZone"`
+	Generation       state.Generation     `json:"generation"`
+	StoreReachable   bool                 `json:"storeReachable"`
+	Draining         bool                 `json:"draining"`
+	StoreCalls       []StoreCallsOverview `json:"storeCalls"`
+	Entries          []EntryOverview      `json:"entries"`
+	Racks            []string             `json:"racks"`
+	Planner          *PlannerOverview     `json:"planner,omitempty"`
 }
 
-type storeCallsBody struct {
+// StoreCallsOverview counts the calls to the store for one purpose.
+type StoreCallsOverview struct {
 	Purpose string `json:"purpose"`
 	Calls   uint64 `json:"calls"`
 }
 
-type entryBody struct {
+// EntryOverview is one entry as this one knows it.
+type EntryOverview struct {
 	Address          netip.AddrPort   `json:"address"`
 	AvailabilityZone string           `json:"availabilityZone"`
 	Status           string           `json:"status"`
@@ -40,33 +41,37 @@
 	Generation       state.Generation `json:"generation"`
 }
 
-type plannerBody struct {
+// PlannerOverview is what the zone's planner knows; only the planner has it.
+type PlannerOverview struct {
 	Workers       planning.WorkerCounts `json:"workers"`
-	Total         resourcesBody         `json:"total"`
-	Free          resourcesBody         `json:"free"`
-	Lent          resourcesBody         `json:"lent"`
+	Total         ResourcesOverview     `json:"total"`
+	Free          ResourcesOverview     `json:"free"`
+	Lent          ResourcesOverview     `json:"lent"`
 	Fragmentation float64               `json:"fragmentation"`
 	ReservedFor   state.JobID           `json:"reservedFor,omitempty"`
-	Jobs          []phaseBody           `json:"jobs"`
-	Guarantees    []guaranteeBody       `json:"guarantees"`
-	Queues        []queueBody           `json:"queues"`
+	Jobs          []PhaseOverview       `json:"jobs"`
+	Guarantees    []GuaranteeOverview   `json:"guarantees"`
+	Queues        []QueueOverview       `json:"queues"`
 	Quarantined   []netip.AddrPort      `json:"quarantined"`
 	Leaving       []netip.AddrPort      `json:"leaving"`
 }
 
-type resourcesBody struct {
+// ResourcesOverview is an amount of each resource, memory in bytes.
+type ResourcesOverview struct {
 	Slots        int   `json:"slots"`
 	Accelerators int   `json:"accelerators"`
 	Cores        int   `json:"cores"`
 	MemoryBytes  int64 `json:"memoryBytes"`
 }
 
-type phaseBody struct {
+// PhaseOverview counts the jobs in one phase.
+type PhaseOverview struct {
 	Phase string `json:"phase"`
 	Count int    `json:"count"`
 }
 
-type guaranteeBody struct {
+// GuaranteeOverview shows how the members of one guarantee are used.
+type GuaranteeOverview struct {
 	Organisation string `json:"organisation"`
 	Members      int    `json:"members"`
 	Held         int    `json:"held"`
@@ -76,7 +81,8 @@
 	Broken       string `json:"broken,omitempty"`
 }
 
-type queueBody struct {
+// QueueOverview shows one organisation's queue and why its oldest job waits.
+type QueueOverview struct {
 	Organisation string      `json:"organisation"`
 	Queued       int         `json:"queued"`
 	Oldest       state.JobID `json:"oldest,omitempty"`
@@ -84,16 +90,23 @@
 	Waiting      string      `json:"waiting,omitempty"`
 }
 
+// DecodeOverview reads what an entry answered as its overview.
+func DecodeOverview(data []byte) (*Overview, error) {
+	var o Overview
+	err := json.Unmarshal(data, &o)
+	return &o, errors.Wrap(err, "decode overview")
+}
+
 // overview returns this entry's view; the planner's part is its own only while
 // it is the zone's planner.
 func (i *Instance) overview(context.Context) ([]byte, error) {
 	generation, _ := i.rollout.Advert()
-	body := overviewBody{
+	body := Overview{
 		Entry: i.Address(), AvailabilityZone: i.settings.AvailabilityZone, Generation: generation,
 		StoreReachable: i.storage.Available(), Draining: i.leaving.Load(), Racks: i.keeper.Racks(),
 	}
 	for _, purpose := range storage.Purposes {
-		body.StoreCalls = append(body.StoreCalls, storeCallsBody{purpose.String(), i.storage.Sent(purpose)})
+		body.StoreCalls = append(body.StoreCalls, StoreCallsOverview{purpose.String(), i.storage.Sent(purpose)})
 	}
 	for _, e := range i.members.View() {
 		body.Entries = append(body.Entries, entryOf(e))
@@ -103,35 +116,35 @@
 	return data, errors.Wrap(err, "encode overview")
 }
 
-func entryOf(e membership.Entry) entryBody {
-	return entryBody{
+func entryOf(e membership.Entry) EntryOverview {
+	return EntryOverview{
 		Address: e.Member.Address, AvailabilityZone: e.Member.AvailabilityZone, Status: e.Status.String(),
 		Age:        time.Since(e.Member.Incarnation.Started()).Round(time.Second).String(),
 		Generation: e.Member.Advert.Generation,
 	}
 }
 
-func (i *Instance) plannerOverview() *plannerBody {
+func (i *Instance) plannerOverview() *PlannerOverview {
 	d, err := i.seat.Current()
 	if err != nil {
 		return nil
 	}
 	view := d.Planner.View()
-	body := &plannerBody{
-		Workers: view.Workers, Total: resourcesBody(view.Total), Free: resourcesBody(view.Free),
-		Lent: resourcesBody(view.Lent), Fragmentation: view.Fragmentation, ReservedFor: view.ReservedFor,
+	body := &PlannerOverview{
+		Workers: view.Workers, Total: ResourcesOverview(view.Total), Free: ResourcesOverview(view.Free),
+		Lent: ResourcesOverview(view.Lent), Fragmentation: view.Fragmentation, ReservedFor: view.ReservedFor,
 		Leaving: i.leavingWorkers(),
 	}
 	for phase, count := range d.Jobs() {
-		body.Jobs = append(body.Jobs, phaseBody{phase.String(), count})
+		body.Jobs = append(body.Jobs, PhaseOverview{phase.String(), count})
 	}
 	for _, g := range view.Guarantees {
-		body.Guarantees = append(body.Guarantees, guaranteeBody{
+		body.Guarantees = append(body.Guarantees, GuaranteeOverview{
 			g.Organisation, g.Guarantee.Members, g.Held, g.Lent, g.Idle, g.Missing, string(g.Broken),
 		})
 	}
 	for _, q := range view.Queues {
-		body.Queues = append(body.Queues, queueBody{
+		body.Queues = append(body.Queues, QueueOverview{
 			q.Organisation, q.Queued, q.Oldest, q.OldestWait.Round(time.Millisecond).String(), string(q.Waiting),
 		})
 	}
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -1,11 +1,6 @@
 package instance
 
 import (
-	"context"
-	"math/rand/v2"
-	"net/netip"
-	"time"
-
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/dispatch"
@@ -18,6 +13,10 @@
 	"comfreystream/protocol/peer"
 	"comfreystream/protocol/record"
 	"comfreystream/state"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
 )
 
 // newDispatcher makes the planner's seat of this entry's zone.
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -1,12 +1,11 @@
 package instance
 
 import (
+	"comfreystream/coordination/ownership"
+	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
-
-	"comfreystream/coordination/ownership"
-	"comfreystream/state"
 )
 
 // rolesInterval is the longest time between two looks at which roles are this entry's.
--- a/instance/services.go
+++ b/instance/services.go
@@ -1,13 +1,12 @@
 package instance
 
 import (
-	"context"
-	"time"
-
 	"comfreystream/coordination/rollout"
 	"comfreystream/protocol/caller"
 	"comfreystream/protocol/peer"
 	"comfreystream/state"
+	"context"
+	"time"
 )
 
 // peerService is what this entry does for others.
--- a/protocol/caller/client.go
+++ b/protocol/caller/client.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"comfreystream/state"
+	"comfreystream/transport"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -8,9 +10,6 @@
 	"strconv"
 	"time"
 
-	"comfreystream/state"
-	"comfreystream/transport"
-
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -1,12 +1,6 @@
 package fleet
 
 import (
-	"fmt"
-	"io"
-	"net/netip"
-	"sync"
-	"time"
-
 	"comfreystream/instance"
 	"comfreystream/logs"
 	"comfreystream/settings"
@@ -14,6 +8,11 @@
 	"comfreystream/standin/store"
 	"comfreystream/standin/worker"
 	"comfreystream/state"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -1,16 +1,15 @@
 package fleet
 
 import (
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
+	"comfreystream/transport"
 	"context"
 	"io"
 	"os"
 	"testing"
 	"time"
 
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
-	"comfreystream/transport"
-
 	"github.com/rs/zerolog"
 )
 
--- a/standin/fleet/ready.go
+++ b/standin/fleet/ready.go
@@ -1,11 +1,10 @@
 package fleet
 
 import (
-	"context"
-	"time"
-
 	"comfreystream/coordination/pause"
 	"comfreystream/protocol/caller"
+	"context"
+	"time"
 )
 
 const readyPause = 50 * time.Millisecond
--- /dev/null
+++ b/trial.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"bytes"
+	"comfreystream/protocol/caller"
+	"comfreystream/standin/fleet"
+	"comfreystream/state"
+	"comfreystream/transport"
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const trialManifest = `{
+  "format": 1,
+  "weights": {"completionTime": 0.5, "fragmentation": 0.5},
+  "organisations": [
+    {
+      "name": "harbour", "share": 1,
+      "guarantees": [
+        // four members of four accelerators each, on demand, in adjacent racks
+        {"availabilityZone": "zone-a", "members": 4, "shape": {"slots": 1, "accelerators": 4}, "adjacency": "adjacentRacks"}
+      ]
+    },
+    {"name": "mill", "share": 1},
+  ],
+}`
+
+// trial runs the steps of the try verb against a fleet and tells of each.
+type trial struct {
+	out         io.Writer
+	fleet       *fleet.Fleet
+	connections *transport.Client
+	client      *caller.Client
+	began       time.Time
+	steps       int
+	wrong       int
+}
+
+func newTrial(out io.Writer, f *fleet.Fleet) *trial {
+	connections := transport.NewClient(transport.ClientLimits{})
+	return &trial{
+		out: out, fleet: f, connections: connections,
+		client: &caller.Client{Connections: connections}, began: time.Now(),
+	}
+}
+
+func (t *trial) close() { _ = t.connections.Close() }
+
+// run takes the steps in order; an error means that a step could not be taken.
+func (t *trial) run(ctx context.Context) error {
+	t.say("4 entries and 8 workers of 8 accelerators have started in 2 availability zones")
+	if err := t.fleet.Ready(ctx, t.client, []byte(trialManifest)); err != nil {
+		return errors.Wrap(err, "apply the manifest")
+	}
+	t.say("the manifest is in force on every entry: harbour holds a guarantee of 4 members of 4 accelerators")
+	for _, step := range []func(ctx context.Context) error{
+		t.smallJobs, t.gang, t.impossible, t.sameKeyTwice, t.cancelled, t.reclaim,
+	} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	t.say("%d of %d steps went as they should", t.steps-t.wrong, t.steps)
+	return nil
+}
+
+// entry returns one of the entries; a caller may use any.
+func (t *trial) entry(n int) netip.AddrPort {
+	entries := t.fleet.Entries()
+	return entries[n%len(entries)].Address()
+}
+
+func (t *trial) smallJobs(ctx context.Context) error {
+	for n := range 4 {
+		job := trialJob("mill", 1, 1)
+		job.Payload = fmt.Appendf(nil, `{"run":"50ms","answer":"answer %d"}`, n)
+		progress, err := t.client.Submit(ctx, t.entry(n), job)
+		if err != nil {
+			return err
+		}
+		whole := bytes.Equal(progress.Outcome.Answer, fmt.Appendf(nil, "answer %d", n))
+		t.check(whole, "small job %d, sent to entry %s, %s and brought back %q", n+1, t.entry(n), progress.Outcome.Ran, progress.Outcome.Answer)
+	}
+	return nil
+}
+
+func (t *trial) gang(ctx context.Context) error {
+	job := trialJob("harbour", 4, 4)
+	job.Adjacency = state.AdjacentRacks
+	progress, err := t.client.Submit(ctx, t.entry(2), job)
+	if err != nil {
+		return err
+	}
+	t.check(progress.Outcome.Ran == state.RanWhole, "a gang of 4 members with 4 accelerators each on adjacent racks %s whole", progress.Outcome.Ran)
+	return nil
+}
+
+func (t *trial) impossible(ctx context.Context) error {
+	job := trialJob("mill", 1, 64)
+	progress, err := t.client.Submit(ctx, t.entry(1), job)
+	if err != nil {
+		return err
+	}
+	o := progress.Outcome
+	t.check(o.Ran == state.NotRun && o.Reason == state.NeverFits, "a job of 64 accelerators on one worker was refused at once: %s, %s", o.Ran, o.Reason)
+	return nil
+}
+
+func (t *trial) sameKeyTwice(ctx context.Context) error {
+	job := trialJob("mill", 1, 1)
+	job.Idempotent, job.Key = false, "order-17"
+	first, err := t.client.Submit(ctx, t.entry(0), job)
+	if err != nil {
+		return err
+	}
+	second, err := t.client.Submit(ctx, t.entry(1), job)
+	if err != nil {
+		return err
+	}
+	once := first.Outcome.Ran == state.RanWhole && second.Outcome.Reason == state.DuplicateKey
+	t.check(once, "order-17 %s; the same order at another entry was refused: %s, %s", first.Outcome.Ran, second.Outcome.Ran, second.Outcome.Reason)
+	return nil
+}
+
+func (t *trial) cancelled(ctx context.Context) error {
+	job := trialJob("mill", 1, 1)
+	job.Payload = []byte(`{"run":"1h"}`)
+	id, err := t.client.Accept(ctx, t.entry(0), job)
+	if err != nil {
+		return err
+	}
+	if err := t.client.Cancel(ctx, t.entry(3), id); err != nil {
+		return err
+	}
+	o, err := t.outcome(ctx, id)
+	t.check(o.Reason == state.Cancelled, "job %s of one hour was cancelled through another entry: %s", id, o.Ran)
+	return err
+}
+
+// reclaim fills zone-a with work that can be saved, and then asks for the guarantee.
+func (t *trial) reclaim(ctx context.Context) error {
+	filler := trialJob("mill", 16, 2)
+	filler.ID = state.NewJobID("zone-a", "")
+	filler.Checkpointable = true
+	filler.Payload = []byte(`{"run":"2s"}`)
+	id, err := t.client.Accept(ctx, t.entry(0), filler)
+	if err != nil {
+		return err
+	}
+	if err := t.untilRunning(ctx, 4); err != nil {
+		return err
+	}
+	t.say("mill's job %s borrows the whole of zone-a", id)
+	urgent := trialJob("harbour", 4, 4)
+	urgent.ID, urgent.Urgency, urgent.Adjacency = state.NewJobID("zone-a", ""), state.Urgent, state.AdjacentRacks
+	asked := time.Now()
+	progress, err := t.client.Submit(ctx, t.entry(1), urgent)
+	if err != nil {
+		return err
+	}
+	t.check(progress.Outcome.Ran == state.RanWhole, "harbour's urgent gang took its guarantee back and %s %v after it was asked for", progress.Outcome.Ran, time.Since(asked).Round(time.Millisecond))
+	o, err := t.outcome(ctx, id)
+	t.check(o.Ran == state.RanWhole && o.Attempt > 1, "mill's job was saved, stopped and resumed: %s in attempt %d", o.Ran, o.Attempt)
+	return err
+}
+
+// untilRunning waits until that many workers of zone-a run something.
+func (t *trial) untilRunning(ctx context.Context, wanted int) error {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		busy := 0
+		for _, w := range t.fleet.Workers()[:4] {
+			busy += min(len(w.Running()), 1)
+		}
+		if busy >= wanted {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for the borrowed capacity to be in use")
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *trial) outcome(ctx context.Context, id state.JobID) (state.Outcome, error) {
+	for {
+		progress, err := t.client.Await(ctx, t.entry(0), id, time.Second)
+		if err != nil || progress.Done {
+			return progress.Outcome, err
+		}
+	}
+}
+
+func (t *trial) check(right bool, format string, arguments ...any) {
+	t.steps++
+	if right {
+		t.say("ok: "+format, arguments...)
+		return
+	}
+	t.wrong++
+	t.say("WRONG: "+format, arguments...)
+}
+
+func (t *trial) say(format string, arguments ...any) {
+	elapsed := time.Since(t.began).Round(time.Millisecond)
+	fmt.Fprintf(t.out, "%6s  %s\n", elapsed, fmt.Sprintf(format, arguments...))
+}
+
+// trialJob returns an idempotent job whose members use that many accelerators each.
+func trialJob(organisation string, members, accelerators int) *state.Job {
+	return &state.Job{
+		Organisation: organisation, Kind: "trial", Members: members,
+		Shape:   state.Resources{Slots: 1, Accelerators: accelerators},
+		Urgency: state.Normal, Idempotent: true, DeclaredRunTime: time.Second,
+		Payload: []byte(`{"run":"50ms"}`),
+	}
+}
