End a drain under steady arrivals, and keep net.Addr out of our code

Cause: a drain waited for the moment without any request, which steady arrivals put off; a request counted at that moment could be cut off. A refusal before the entry is wired left with status 200. Change: requests that come in a drain are counted apart, and each is counted before it looks whether the server is drained. Refuse sets a status if none is set.

--- a/protocol/caller/refuse.go
+++ b/protocol/caller/refuse.go
@@ -8,8 +8,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Refuse fills the answer to a request that the transport refused; it fits
-// transport.Limits.Refuse.
+// Refuse fills the answer to a request that reached no handler; it fits
+// transport.Limits.Refuse, and keeps the status that the transport set.
 func Refuse(response *fasthttp.Response, reason string) {
 	f := failure{reason: state.Reason(reason)}
 	if reason == transport.HandlerPanicked {
@@ -19,6 +19,9 @@
 	if reason == transport.HeaderTooLarge {
 		body.Retry, body.RetryAfter = false, 0
 	}
+	if response.StatusCode() == fasthttp.StatusOK {
+		response.SetStatusCode(statusOf(f))
+	}
 	text, err := json.Marshal(body)
 	if err != nil {
 		return
--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -180,6 +180,11 @@
 		ambiguous bool
 	}{
 		{"refused by the transport", status(fasthttp.StatusServiceUnavailable), state.HomeUnreachable, false},
+		{"refused by the transport in JSON", func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetContentType("application/json")
+			ctx.SetBodyString(`{"reason":"tooManyRequests","ran":"not run","retry":true}`)
+		}, state.HomeUnreachable, false},
 		{"unknown call", status(fasthttp.StatusNotFound), state.BadRequest, false},
 		{"panic", func(*fasthttp.RequestCtx) { panic(t) }, state.ConnectionLost, true},
 		{"no CBOR", func(ctx *fasthttp.RequestCtx) {
--- a/transport/connection.go
+++ b/transport/connection.go
@@ -37,7 +37,7 @@
 func newConnection(s *Server, conn gnet.Conn) *connection {
 	c := &connection{server: s, conn: conn}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.remote = remoteEnd{local: conn.LocalAddr(), remote: conn.RemoteAddr(), ctx: c.ctx}
+	c.remote = remoteEnd{Conn: conn, ctx: c.ctx}
 	c.reader = reader{limits: &s.limits, parsers: &s.parsers}
 	return c
 }
@@ -74,9 +74,17 @@
 	c.enqueue(x)
 }
 
+// enqueue counts the request before it looks whether the server is drained,
+// and Drain looks the other way round, so that none passes between them.
 func (c *connection) enqueue(x *exchange) {
 	x.connection = c
-	c.server.inFlight.Add(1)
+	x.late = c.server.draining.Load()
+	c.server.begin(x.late)
+	if c.server.drained.Load() {
+		c.server.settle(x.late)
+		x.release()
+		return
+	}
 	c.waiting = append(c.waiting, x)
 	c.queued.Add(1)
 	if !c.running {
@@ -99,6 +107,8 @@
 	if x.wantsHeartbeat() {
 		c.beat.start(c)
 	}
+	x.ctx.Init2(&c.remote, silentLogger{}, true)
+	x.ctx.SetRemoteAddr(c.conn.RemoteAddr())
 	c.server.handlers.Add(1)
 	if err := c.server.pool.Invoke(x); err != nil {
 		c.server.handlers.Done()
@@ -109,12 +119,14 @@
 }
 
 // finish takes the answered request off the queue and starts the next.
-func (c *connection) finish(last bool) {
+func (c *connection) finish(x *exchange) {
 	c.waiting[0] = nil
 	c.waiting = c.waiting[1:]
 	c.queued.Add(-1)
 	c.running = false
-	c.server.settle()
+	c.server.settle(x.late)
+	last := x.last
+	x.release()
 	switch {
 	case last:
 		c.dropWaiting()
@@ -140,8 +152,8 @@
 }
 
 func (c *connection) dropWaiting() {
-	for range c.waiting {
-		c.server.settle()
+	for _, x := range c.waiting {
+		c.server.settle(x.late)
 	}
 	c.waiting = nil
 }
--- a/transport/context.go
+++ b/transport/context.go
@@ -7,19 +7,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// remoteEnd gives handlers the addresses of a connection and its context.
+// remoteEnd lets a handler find the context of its connection.
 type remoteEnd struct {
 	net.Conn
-	local, remote net.Addr
-	ctx           context.Context
+	ctx context.Context
 }
 
-// LocalAddr implements net.Conn.
-func (e *remoteEnd) LocalAddr() net.Addr { return e.local }
-
-// RemoteAddr implements net.Conn.
-func (e *remoteEnd) RemoteAddr() net.Addr { return e.remote }
-
 // Context returns a context that ends when the connection of the request is
 // closed; for a request from elsewhere it never ends.
 func Context(ctx *fasthttp.RequestCtx) context.Context {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -26,7 +26,9 @@
 	connection *connection
 	refused    bool
 	// last is set if the connection closes after the answer.
-	last   bool
+	last bool
+	// late is set if the request came in a drain.
+	late   bool
 	output []byte
 }
 
@@ -39,7 +41,7 @@
 	x.ctx.Response.Reset()
 	x.ctx.ResetUserValues()
 	x.connection = nil
-	x.refused, x.last = false, false
+	x.refused, x.last, x.late = false, false, false
 	x.output = x.output[:0]
 	if cap(x.output) > keptOutputBytes {
 		x.output = nil
@@ -51,7 +53,6 @@
 func (x *exchange) handle() {
 	c := x.connection
 	defer c.server.handlers.Done()
-	x.ctx.Init2(&c.remote, silentLogger{}, true)
 	if err := x.runHandler(); err != nil {
 		x.refuse(&c.server.limits, HandlerPanicked)
 	}
@@ -110,22 +111,22 @@
 // sent runs on the event loop once the answer has been passed to the kernel
 // or to the connection's own buffer.
 func (x *exchange) sent(gnet.Conn, error) error {
-	c, last := x.connection, x.last
-	x.release()
+	c := x.connection
 	c.beat.wanted = nil
 	switch {
 	case c.closed:
+		x.release()
 	case c.conn.OutboundBuffered() > 0:
-		c.awaitFlush(last, c.conn.OutboundBuffered(), time.Now())
+		c.awaitFlush(x, c.conn.OutboundBuffered(), time.Now())
 	default:
-		c.finish(last)
+		c.finish(x)
 	}
 	return nil
 }
 
 // awaitFlush finishes the exchange once the other side has taken the answer,
 // and gives up if it has taken nothing since for the write timeout.
-func (c *connection) awaitFlush(last bool, left int, since time.Time) {
+func (c *connection) awaitFlush(x *exchange, left int, since time.Time) {
 	c.afterOnLoop(flushCheckInterval, func() {
 		if c.closed {
 			return
@@ -133,14 +134,14 @@
 		now := c.conn.OutboundBuffered()
 		switch {
 		case now == 0:
-			c.finish(last)
+			c.finish(x)
 		case now < left:
-			c.awaitFlush(last, now, time.Now())
+			c.awaitFlush(x, now, time.Now())
 		case time.Since(since) > c.server.limits.WriteTimeout:
 			c.server.limits.Count(AnswerNotTaken)
 			c.shut()
 		default:
-			c.awaitFlush(last, left, since)
+			c.awaitFlush(x, left, since)
 		}
 	})
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -38,9 +38,12 @@
 	parsers sync.Pool
 
 	connections atomic.Int64
-	inFlight    atomic.Int64
-	draining    atomic.Bool
-	drained     atomic.Bool
+	// inFlight counts the requests without a whole answer; late those of them
+	// that came in a drain.
+	inFlight atomic.Int64
+	late     atomic.Int64
+	draining atomic.Bool
+	drained  atomic.Bool
 	// settled hears that a request was answered while the server drains.
 	settled chan struct{}
 
@@ -80,16 +83,20 @@
 // Address returns the address that the server is bound to.
 func (s *Server) Address() netip.AddrPort { return s.address }
 
-// Drain answers every request in flight, and those that still arrive, with
-// "Connection: close", and returns once none is left; after that the server
-// reads no further request. It returns early with the context's error.
+// Drain answers the requests in flight, and those that still arrive, with
+// "Connection: close". Once the former are answered the server reads no
+// further request, and Drain returns when none is left. It returns early with
+// the context's error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	if err := s.waitSettled(ctx); err != nil {
+	if err := s.waitSettled(ctx, &s.inFlight); err != nil {
 		return err
 	}
 	s.drained.Store(true)
-	return s.waitSettled(ctx)
+	if err := s.waitSettled(ctx, &s.inFlight); err != nil {
+		return err
+	}
+	return s.waitSettled(ctx, &s.late)
 }
 
 // Close closes every connection and waits until all handlers have returned;
@@ -169,19 +176,21 @@
 	s.stopped <- err
 }
 
-func (s *Server) waitSettled(ctx context.Context) error {
-	for s.inFlight.Load() > 0 {
+func (s *Server) waitSettled(ctx context.Context, requests *atomic.Int64) error {
+	for requests.Load() > 0 {
 		select {
 		case <-s.settled:
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "drain: %s: %d requests in flight", s.address, s.inFlight.Load())
+			return errors.Wrapf(ctx.Err(), "drain: %s: %d requests in flight", s.address, requests.Load())
 		}
 	}
 	return nil
 }
 
-func (s *Server) settle() {
-	if s.inFlight.Add(-1) > 0 || !s.draining.Load() {
+func (s *Server) begin(late bool) { s.counter(late).Add(1) }
+
+func (s *Server) settle(late bool) {
+	if s.counter(late).Add(-1) > 0 || !s.draining.Load() {
 		return
 	}
 	select {
@@ -190,6 +199,13 @@
 	}
 }
 
+func (s *Server) counter(late bool) *atomic.Int64 {
+	if late {
+		return &s.late
+	}
+	return &s.inFlight
+}
+
 func boundAddress(engine gnet.Engine) (netip.AddrPort, error) {
 	descriptor, err := engine.Dup()
 	if err != nil {
