Let the last entry of a zone finish before it gives up its roles

Cause: a drained entry left the members and gave up the planner's role first, also when its zone had no other entry; a caller in flight then heard 'outcome unknown' after 10 s although its job ran. Found with two processes in two zones. Adverts now name the generation in force; they were sent before it was.

--- a/instance/drain.go
+++ b/instance/drain.go
@@ -19,12 +19,24 @@
 // Drained is closed once nothing is in flight any more.
 func (i *Instance) Drained() <-chan struct{} { return i.drained }
 
-// drain leaves the members first, so that the next homes take over while this
-// entry still answers; callers that wait longer than the limit are told where to ask.
+// drain hands the roles over first, so that the next homes take over while
+// this entry still answers. The last entry of a zone has nobody to hand them
+// to: it keeps them until what is in flight has ended.
 func (i *Instance) drain() {
 	defer close(i.drained)
 	i.log.Info().Str("event", "drainBegun").Send()
 	i.leaving.Store(true)
+	if len(i.zonePeers()) > 0 {
+		i.leaveRoles()
+		i.finishRequests()
+	} else {
+		i.finishRequests()
+		i.leaveRoles()
+	}
+	i.log.Info().Str("event", "drainEnded").Send()
+}
+
+func (i *Instance) leaveRoles() {
 	ctx, cancel := context.WithTimeout(i.ctx, leaveTimeout)
 	defer cancel()
 	if err := i.members.Leave(ctx); err != nil {
@@ -32,13 +44,17 @@
 	}
 	i.seat.SetActive(false)
 	_ = i.keeper.Close()
+}
+
+// finishRequests waits for the requests in flight; callers that wait longer
+// than the limit are told where to ask.
+func (i *Instance) finishRequests() {
 	limit, stop := context.WithTimeout(i.ctx, i.settings.DrainLimit)
 	defer stop()
 	context.AfterFunc(limit, i.beginDrain)
 	if err := i.server.Drain(i.ctx); err != nil {
 		i.log.Warn().Str("event", "drainIncomplete").Err(err).Send()
 	}
-	i.log.Info().Str("event", "drainEnded").Send()
 }
 
 // Close drains the entry, then ends every loop and waits for it.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,15 +50,14 @@
 	handler  atomic.Pointer[fasthttp.RequestHandler]
 	rolesDue chan struct{}
 	// draining ends the waits of callers; drained is closed once the drain is over.
-	draining     context.Context
-	beginDrain   context.CancelFunc
-	leaving      atomic.Bool
-	drainOnce    sync.Once
-	drained      chan struct{}
-	ctx          context.Context
-	cancel       context.CancelFunc
-	loops        sync.WaitGroup
-	requestCount atomic.Int64
+	draining   context.Context
+	beginDrain context.CancelFunc
+	leaving    atomic.Bool
+	drainOnce  sync.Once
+	drained    chan struct{}
+	ctx        context.Context
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
 }
 
 // Start runs an entry with checked settings. Its error names the address that
--- a/instance/manifest.go
+++ b/instance/manifest.go
@@ -10,6 +10,7 @@
 	"comfreystream/state"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,13 +51,13 @@
 	return peers
 }
 
-// manifestInForce puts a higher generation in force here and tells the others of it.
+// manifestInForce puts a higher generation in force here; the adverts that
+// tell the others follow with the next look at the roles.
 func (i *Instance) manifestInForce(m *state.Manifest) {
 	if d, err := i.seat.Current(); err == nil {
 		d.ApplyManifest(m)
 	}
-	generation, digest := i.rollout.Advert()
-	i.members.SetAdvert(state.Advert{Generation: generation, Digest: digest})
+	i.rolesChanged()
 	i.log.Info().Str("event", "manifestInForce").Uint64("generation", uint64(m.Generation)).Send()
 }
 
@@ -96,7 +97,7 @@
 	defer cancel()
 	progress := rollout.Await(ctx, applied.Generation, i.entriesToReach(), i.inForceAt)
 	applied.InForce = progress.Reached
-	applied.Unreachable = append(progress.Unreachable, progress.Behind...)
+	applied.Unreachable = slices.Concat(progress.Unreachable, progress.Behind)
 }
 
 // entriesToReach returns the live entries and those that the instance list names.
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -40,6 +40,7 @@
 		case <-i.rolesDue:
 		case <-ticker.C:
 		}
+		i.advertise()
 		if i.leaving.Load() {
 			continue
 		}
@@ -47,6 +48,12 @@
 	}
 }
 
+// advertise tells the other entries which manifest is in force here.
+func (i *Instance) advertise() {
+	generation, digest := i.rollout.Advert()
+	i.members.SetAdvert(state.Advert{Generation: generation, Digest: digest})
+}
+
 // assignOnce takes up no role on a view that is out of date: an entry that was
 // paused first hears what has happened since.
 func (i *Instance) assignOnce() {
