--- a/protocol/caller/errors.go
+++ b/protocol/caller/errors.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -49,17 +48,11 @@
 
 // failureOf describes err; only an error with a step can say "not run".
 func failureOf(err error) failure {
-	var step *state.StepError
-	if !errors.As(err, &step) {
-		return failure{reason: state.TaskFailed, ran: state.Unknown, detail: err.Error()}
-	}
-	f := failure{reason: step.Reason, step: step.Step, peer: step.Peer}
-	if step.Ambiguous {
+	parts := state.PartsOf(err, "")
+	f := failure{reason: parts.Reason, step: parts.Step, peer: parts.Peer, detail: parts.Detail}
+	if parts.Ambiguous {
 		f.ran = state.Unknown
 	}
-	if cause := step.Unwrap(); cause != nil {
-		f.detail = cause.Error()
-	}
 	return f
 }
 
--- a/protocol/caller/fuzz_test.go
+++ b/protocol/caller/fuzz_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"comfreystream/protocol/body"
 	"encoding/json"
 	"slices"
 	"testing"
@@ -28,14 +29,14 @@
 	for _, seed := range seeds {
 		f.Add(seed.method, seed.path, seed.body)
 	}
-	f.Fuzz(func(t *testing.T, method, path, body string) {
+	f.Fuzz(func(t *testing.T, method, path, sent string) {
 		service := newFakeService()
-		status, text := ask(service, method, path, "", body)
+		status, text := ask(service, method, path, "", sent)
 		if status < fasthttp.StatusBadRequest {
 			return
 		}
 		var failed errorBody
-		if err := decode([]byte(text), &failed); err != nil {
+		if err := body.Decode([]byte(text), &failed); err != nil {
 			t.Fatalf("status %d: %s: %v", status, text, err)
 		}
 		words := []string{"not run", "ran", "outcome unknown"}
@@ -54,11 +55,11 @@
 	f.Add([]byte(`{"organisation":"a","members":4096,"shape":{"slots":1048576},"key":"k","availabilityZone":"a"}`))
 	f.Add([]byte(`{"organisation":"a","members":4097,"shape":{"slots":1},"key":"k"}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		var body submissionBody
-		if decode(text, &body) != nil {
+		var submission submissionBody
+		if body.Decode(text, &submission) != nil {
 			return
 		}
-		job, err := body.job(start)
+		job, err := submission.job(start)
 		if err != nil {
 			return
 		}
--- a/protocol/caller/jobs.go
+++ b/protocol/caller/jobs.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"comfreystream/protocol/body"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"time"
@@ -39,17 +40,17 @@
 }
 
 func submit(s *Service, ctx *fasthttp.RequestCtx) {
-	var body submissionBody
-	if err := decode(ctx.PostBody(), &body); err != nil {
+	var submission submissionBody
+	if err := body.Decode(ctx.PostBody(), &submission); err != nil {
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	job, err := body.job(s.Now())
+	job, err := submission.job(s.Now())
 	if err != nil {
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	if !body.waits() {
+	if !submission.waits() {
 		s.accept(ctx, job)
 		return
 	}
--- a/protocol/caller/json.go
+++ b/protocol/caller/json.go
@@ -1,9 +1,7 @@
 package caller
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,19 +28,6 @@
 	return nil
 }
 
-// decode refuses unknown fields, and anything after the one JSON value.
-func decode(text []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return errors.Wrap(err, "body")
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("body: more than one JSON value")
-	}
-	return nil
-}
-
 func answer(ctx *fasthttp.RequestCtx, status int, body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/protocol/message/call.go
+++ b/protocol/message/call.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"comfreystream/protocol/body"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"context"
@@ -19,7 +20,7 @@
 func Call[Request, Response any](ctx context.Context, client *transport.Client,
 	peer netip.AddrPort, path string, request Request,
 ) (response Response, err error) {
-	body, err := json.Marshal(request)
+	text, err := json.Marshal(request)
 	if err != nil {
 		return response, state.NewStepError(path, peer, state.BadRequest, err)
 	}
@@ -31,14 +32,14 @@
 	call.Header.SetContentType(contentType)
 	call.Header.SetHost(peer.String())
 	call.SetRequestURI(path)
-	call.SetBodyRaw(body)
+	call.SetBodyRaw(text)
 	if err := client.Do(ctx, peer, call, answer); err != nil {
 		return response, lost(path, peer, err)
 	}
 	if answer.StatusCode() != fasthttp.StatusOK {
 		return response, decodeError(path, peer, answer)
 	}
-	if err := decode(answer.Body(), &response); err != nil {
+	if err := body.Decode(answer.Body(), &response); err != nil {
 		return response, state.AmbiguousStep(path, peer, state.ConnectionLost, err)
 	}
 	return response, nil
@@ -52,11 +53,11 @@
 }
 
 func decodeError(path string, peer netip.AddrPort, answer *fasthttp.Response) error {
-	var body errorBody
-	if err := decode(answer.Body(), &body); err != nil || body.Reason == "" {
+	var failed errorBody
+	if err := body.Decode(answer.Body(), &failed); err != nil || failed.Reason == "" {
 		return untypedError(path, peer, answer.StatusCode())
 	}
-	return body.stepError(path, peer)
+	return state.StepParts(failed).StepError(path, peer)
 }
 
 // untypedError types an answer that no handler gave: by these statuses a
--- a/protocol/message/errors.go
+++ b/protocol/message/errors.go
@@ -4,7 +4,6 @@
 	"comfreystream/state"
 	"net/netip"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -17,33 +16,8 @@
 	Detail    string         `json:"detail,omitempty"`
 }
 
-func (b errorBody) stepError(path string, peer netip.AddrPort) error {
-	step := b.Step
-	if step == "" {
-		step = path
-	}
-	if b.Peer.IsValid() {
-		peer = b.Peer
-	}
-	var cause error
-	if b.Detail != "" {
-		cause = errors.New(b.Detail)
-	}
-	if b.Ambiguous {
-		return state.AmbiguousStep(step, peer, b.Reason, cause)
-	}
-	return state.NewStepError(step, peer, b.Reason, cause)
-}
-
 func fail(ctx *fasthttp.RequestCtx, err error) {
-	body := errorBody{Step: string(ctx.Path()), Reason: state.TaskFailed, Ambiguous: true, Detail: err.Error()}
-	var step *state.StepError
-	if errors.As(err, &step) {
-		body = errorBody{Step: step.Step, Peer: step.Peer, Reason: step.Reason, Ambiguous: step.Ambiguous}
-		if cause := step.Unwrap(); cause != nil {
-			body.Detail = cause.Error()
-		}
-	}
+	body := errorBody(state.PartsOf(err, string(ctx.Path())))
 	answer(ctx, statusOf(body), body)
 }
 
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"comfreystream/protocol/body"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -14,21 +15,21 @@
 		f.Add(seed)
 	}
 	handle := Handle(Limits{BodyBytes: 200}, decide)
-	f.Fuzz(func(t *testing.T, body string) {
+	f.Fuzz(func(t *testing.T, sent string) {
 		var ctx fasthttp.RequestCtx
 		ctx.Request.SetRequestURI("/ask")
-		ctx.Request.SetBodyString(body)
+		ctx.Request.SetBodyString(sent)
 		handle(&ctx)
 		text := ctx.Response.Body()
 		if ctx.Response.StatusCode() == fasthttp.StatusOK {
 			var value reply
-			if err := decode(text, &value); err != nil {
+			if err := body.Decode(text, &value); err != nil {
 				t.Errorf("%s: %v", text, err)
 			}
 			return
 		}
 		var failed errorBody
-		if err := decode(text, &failed); err != nil || failed.Reason == "" || failed.Step == "" {
+		if err := body.Decode(text, &failed); err != nil || failed.Reason == "" || failed.Step == "" {
 			t.Errorf("%s: %v", text, err)
 		}
 	})
--- a/protocol/message/handle.go
+++ b/protocol/message/handle.go
@@ -1,15 +1,13 @@
 package message
 
 import (
-	"bytes"
+	"comfreystream/protocol/body"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"context"
 	"encoding/json"
-	"io"
 	"net/netip"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -26,13 +24,13 @@
 ) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		step := string(ctx.Path())
-		body := ctx.PostBody()
-		if limits.BodyBytes > 0 && len(body) > limits.BodyBytes {
+		text := ctx.PostBody()
+		if limits.BodyBytes > 0 && len(text) > limits.BodyBytes {
 			fail(ctx, state.NewStepError(step, netip.AddrPort{}, state.BodyTooLarge, nil))
 			return
 		}
 		var request Request
-		if err := decode(body, &request); err != nil {
+		if err := body.Decode(text, &request); err != nil {
 			fail(ctx, state.NewStepError(step, netip.AddrPort{}, state.BadRequest, err))
 			return
 		}
@@ -45,8 +43,8 @@
 	}
 }
 
-func answer(ctx *fasthttp.RequestCtx, status int, body any) {
-	text, err := json.Marshal(body)
+func answer(ctx *fasthttp.RequestCtx, status int, value any) {
+	text, err := json.Marshal(value)
 	if err != nil {
 		fail(ctx, state.AmbiguousStep(string(ctx.Path()), netip.AddrPort{}, state.TaskFailed, err))
 		return
@@ -55,16 +53,3 @@
 	ctx.SetContentType(contentType)
 	ctx.SetBody(text)
 }
-
-// decode refuses unknown fields and anything after the one JSON value.
-func decode(text []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return errors.Wrap(err, "decode JSON")
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("decode JSON: more than one value")
-	}
-	return nil
-}
--- a/protocol/peer/fuzz_test.go
+++ b/protocol/peer/fuzz_test.go
@@ -65,7 +65,7 @@
 		roundTrip(t, text, func(m result[wireProgress]) { _ = m.Value.progress().Phase.String() })
 		roundTrip(t, text, func(m result[none]) {
 			if m.Error != nil {
-				_ = m.Error.stepError("x", worker).Error()
+				_ = state.StepParts(*m.Error).StepError("x", worker).Error()
 			}
 		})
 		roundTrip(t, text, func(m holdRequest) { _ = m.Job.job() })
--- a/protocol/peer/procedure.go
+++ b/protocol/peer/procedure.go
@@ -62,7 +62,7 @@
 		return response, lost(p.step, peer, err)
 	}
 	if failure := answer.Msg.Error; failure != nil {
-		return response, failure.stepError(p.step, peer)
+		return response, state.StepParts(*failure).StepError(p.step, peer)
 	}
 	return answer.Msg.Value, nil
 }
@@ -74,42 +74,14 @@
 	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[result[Response]], error) {
 		value, err := serve(ctx, *request.Msg)
 		if err != nil {
-			return connect.NewResponse(&result[Response]{Error: toWireError(step, err)}), nil
+			failure := wireError(state.PartsOf(err, step))
+			return connect.NewResponse(&result[Response]{Error: &failure}), nil
 		}
 		return connect.NewResponse(&result[Response]{Value: value}), nil
 	}
 	mux.Handle(path(step), connect.NewUnaryHandler(path(step), unary, wireOptions))
 }
 
-func toWireError(step string, err error) *wireError {
-	var known *state.StepError
-	if !errors.As(err, &known) {
-		return &wireError{Step: step, Reason: state.TaskFailed, Ambiguous: true, Detail: err.Error()}
-	}
-	w := &wireError{Step: known.Step, Peer: known.Peer, Reason: known.Reason, Ambiguous: known.Ambiguous}
-	if cause := known.Unwrap(); cause != nil {
-		w.Detail = cause.Error()
-	}
-	return w
-}
-
-func (w *wireError) stepError(step string, peer netip.AddrPort) error {
-	if w.Step != "" {
-		step = w.Step
-	}
-	if w.Peer.IsValid() {
-		peer = w.Peer
-	}
-	var cause error
-	if w.Detail != "" {
-		cause = errors.New(w.Detail)
-	}
-	if w.Ambiguous {
-		return state.AmbiguousStep(step, peer, w.Reason, cause)
-	}
-	return state.NewStepError(step, peer, w.Reason, cause)
-}
-
 // lost types a call without a whole answer.
 func lost(step string, peer netip.AddrPort, err error) error {
 	var call *transport.CallError
--- a/state/errors.go
+++ b/state/errors.go
@@ -61,3 +61,42 @@
 	}
 	return err != nil
 }
+
+// StepParts is a StepError in plain values, as messages carry it.
+type StepParts struct {
+	Step      string
+	Peer      netip.AddrPort
+	Reason    Reason
+	Ambiguous bool
+	// Detail is the text of the cause.
+	Detail string
+}
+
+// PartsOf returns the parts of the StepError in err; any other error counts
+// as an ambiguous taskFailed at the step.
+func PartsOf(err error, step string) StepParts {
+	var known *StepError
+	if !errors.As(err, &known) {
+		return StepParts{Step: step, Reason: TaskFailed, Ambiguous: true, Detail: err.Error()}
+	}
+	parts := StepParts{Step: known.Step, Peer: known.Peer, Reason: known.Reason, Ambiguous: known.Ambiguous}
+	if known.cause != nil {
+		parts.Detail = known.cause.Error()
+	}
+	return parts
+}
+
+// StepError returns the error again; step and peer stand in where the parts name none.
+func (p StepParts) StepError(step string, peer netip.AddrPort) *StepError {
+	e := &StepError{Step: p.Step, Peer: p.Peer, Reason: p.Reason, Ambiguous: p.Ambiguous}
+	if e.Step == "" {
+		e.Step = step
+	}
+	if !e.Peer.IsValid() {
+		e.Peer = peer
+	}
+	if p.Detail != "" {
+		e.cause = errors.New(p.Detail)
+	}
+	return e
+}
