Let 2048 calls wait at one peer, with less memory each

Cause: each waiting front holds a connection to the planner for up to four seconds; with 256 of them, a burst of callers at one front waited for a connection until their calls timed out. Change: the bound is 2048, and a call's write buffer is lent for the write.

--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"net"
 	"net/netip"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -99,3 +101,31 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkWaitingCalls measures the memory that a call holds, on both sides
+// together, while it waits for its answer.
+func BenchmarkWaitingCalls(b *testing.B) {
+	const calls = 1000
+	for b.Loop() {
+		g := &gate{entered: make(chan struct{}, calls), open: make(chan struct{}), left: make(chan struct{}, calls)}
+		s := listen(b, g.handle)
+		client := NewClient(ClientLimits{ConnectionsPerPeer: calls})
+		before := memoryInUse()
+		var all sync.WaitGroup
+		for range calls {
+			all.Go(func() { _ = get(b, client, s.Address()) })
+			<-g.entered
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/calls, "B/call")
+		close(g.open)
+		all.Wait()
+		_ = client.Close()
+	}
+}
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
--- a/transport/clientlimits.go
+++ b/transport/clientlimits.go
@@ -24,7 +24,7 @@
 // DefaultClientLimits returns limits that suit calls between instances.
 func DefaultClientLimits() ClientLimits {
 	return ClientLimits{
-		ConnectionsPerPeer: 256,
+		ConnectionsPerPeer: 2048,
 		AnswerBytes:        16 << 20,
 		DialTimeout:        time.Second,
 		IdleTimeout:        4 * time.Second,
--- a/transport/link.go
+++ b/transport/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 type link struct {
 	conn    net.Conn
 	reader  *bufio.Reader
-	writer  *bufio.Writer
 	silence time.Duration
 	// written counts the bytes of the present request that have left.
 	written int
@@ -32,7 +32,6 @@
 func newLink(conn net.Conn, silence time.Duration) *link {
 	l := &link{conn: conn, silence: silence}
 	l.reader = bufio.NewReader((*linkReader)(l))
-	l.writer = bufio.NewWriter((*linkWriter)(l))
 	return l
 }
 
@@ -65,10 +64,7 @@
 
 func (l *link) exchange(request *fasthttp.Request, response *fasthttp.Response, limit int) error {
 	askForHeartbeat(request)
-	if err := request.Write(l.writer); err != nil {
-		return errors.Wrap(err, "write the request")
-	}
-	if err := l.writer.Flush(); err != nil {
+	if err := l.send(request); err != nil {
 		return errors.Wrap(err, "write the request")
 	}
 	if err := l.skipHeartbeats(); err != nil {
@@ -79,6 +75,22 @@
 	return errors.Wrap(response.ReadLimitBody(l.reader, limit), "read the answer")
 }
 
+// writers lends buffers to requests, so that no call holds one while it waits.
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+func (l *link) send(request *fasthttp.Request) error {
+	writer := writers.Get().(*bufio.Writer)
+	defer func() {
+		writer.Reset(nil)
+		writers.Put(writer)
+	}()
+	writer.Reset((*linkWriter)(l))
+	if err := request.Write(writer); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
 // skipHeartbeats waits for the answer's first bytes.
 func (l *link) skipHeartbeats() error {
 	for needed := 1; ; needed++ {
