Let a restarted entry open its port again, and name why it cannot

Cause: gnet leaves SO_REUSEADDR off, so that a port on which the server closed connections is refused for a minute; and with its keep-alive option it reports the failed bind as 'setsockopt: bad file descriptor'. Ruled out: a process left behind, since only sockets in TIME_WAIT were there. Found by restarting an entry as a process. Before: every restart within a minute failed. After: it starts at once, and a port in use is named.

--- a/transport/server.go
+++ b/transport/server.go
@@ -131,6 +131,11 @@
 		s.limits.Count(TooManyConnections)
 		return nil, gnet.Close
 	}
+	// Set here and not for the listener: there gnet would report a failed bind
+	// as a failure to set this option.
+	if err := conn.SetKeepAlive(true, keepAliveIdle, keepAliveInterval, keepAliveProbes); err != nil {
+		return nil, gnet.Close
+	}
 	c.expireIn(s.limits.IdleTimeout, ConnectionIdle)
 	return nil, gnet.None
 }
@@ -156,10 +161,8 @@
 func (s *Server) run(address netip.AddrPort) {
 	err := gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
+		gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithTCPKeepAlive(keepAliveIdle),
-		gnet.WithTCPKeepInterval(keepAliveInterval),
-		gnet.WithTCPKeepCount(keepAliveProbes),
 		gnet.WithLogger(zap.NewNop().Sugar()))
 	select {
 	case s.booted <- err:
