Let a job be moved up to 20 times

Cause: a job that had been moved four times became immovable and then stood in the way of gangs, though a move costs only seconds.

--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -23,7 +23,7 @@
 	// shiftInterval is how long after one try to move guarantees the next may come.
 	shiftInterval = 30 * time.Second
 	// maxMoves is how often one job may be moved for larger gangs.
-	maxMoves = 4
+	maxMoves = 20
 	// moveRatio is how many times larger a gang must be than what it has moved.
 	moveRatio = 2
 )
