Start the rollout benchmark once the first manifest is out

Cause: the first manifest's 250 parts take most of the two seconds that the benchmark waited, so that some runs counted its push with the changes. Change: wait two intervals.

--- a/coordination/rollout/bench_test.go
+++ b/coordination/rollout/bench_test.go
@@ -18,8 +18,10 @@
 			f := newFleet(b, 1, entries)
 			ticks := time.NewTicker(interval)
 			defer ticks.Stop()
+			// The first manifest writes 250 parts, which takes most of an interval.
 			f.apply(0, sample(250, 0), 0)
 			<-ticks.C
+			<-ticks.C
 			sent := f.sent()
 			f.mu.Lock()
 			f.pushes, f.bytes = 0, 0
