--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -24,7 +24,7 @@
   ],
 }`
 
-func startFleet(t *testing.T, plan Plan) (*Fleet, *caller.Client) {
+func startFleet(t testing.TB, plan Plan) (*Fleet, *caller.Client) {
 	t.Helper()
 	plan.Capacity = state.Resources{Slots: 8, Accelerators: 8, Cores: 32, MemoryBytes: 128 << 30}
 	plan.WorkersPerRack = 2
