--- a/state/reason.go
+++ b/state/reason.go
@@ -50,7 +50,7 @@
 // Reasons lists every reason, so that each has its counter from the start.
 var Reasons = []Reason{
 	BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone, NeverFits,
-	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare,
+	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
 	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent,
 	AmbiguousStart, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
