Scan the fields of a body without memory of its own

Cause: the scan allocated a list for each object. Change: the names of all open objects share one list, which is reused; names with escapes or beyond ASCII are refused, so that each has one form.

--- a/protocol/body/decode.go
+++ b/protocol/body/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -33,30 +34,38 @@
 type scan struct {
 	text []byte
 	open []object
+	// names holds the fields of the open objects so far, as written, those of
+	// the innermost last.
+	names [][]byte
 	// atName is set if the next string is a field's name.
 	atName bool
 }
 
-// object is an object or an array that the scan is in; its fields are the
-// names so far, as written, and nil for an array.
+// object is an object or an array that the scan is in; its fields begin at
+// first among the names.
 type object struct {
 	isArray bool
-	fields  [][]byte
+	first   int
 }
 
+var scans = sync.Pool{New: func() any { return new(scan) }}
+
 // checkFields looks for fields that stand twice in an object.
 func checkFields(text []byte) error {
-	s := scan{text: text}
+	s := scans.Get().(*scan)
+	defer s.release()
+	s.text = text
 	for at := 0; at < len(text); at++ {
 		switch text[at] {
 		case '{', '[':
 			s.atName = text[at] == '{'
-			s.open = append(s.open, object{isArray: !s.atName})
+			s.open = append(s.open, object{isArray: !s.atName, first: len(s.names)})
 			if len(s.open) > maxDepth {
 				return errors.Errorf("is nested deeper than %d", maxDepth)
 			}
 		case '}', ']':
 			s.atName = false
+			s.names = s.names[:s.open[len(s.open)-1].first]
 			s.open = s.open[:len(s.open)-1]
 		case ',':
 			s.atName = !s.open[len(s.open)-1].isArray
@@ -71,6 +80,12 @@
 	return nil
 }
 
+func (s *scan) release() {
+	clear(s.names[:cap(s.names)])
+	*s = scan{open: s.open[:0], names: s.names[:0]}
+	scans.Put(s)
+}
+
 // endOfString returns where the string's closing quote is.
 func (s *scan) endOfString(at int) int {
 	for at++; s.text[at] != '"'; at++ {
@@ -88,18 +103,28 @@
 		return nil
 	}
 	s.atName = false
-	o := &s.open[len(s.open)-1]
-	for _, field := range o.fields {
-		if bytes.EqualFold(field, name) {
+	if !isPlainName(name) {
+		return errors.Errorf("field %q is written with escapes or beyond ASCII", name)
+	}
+	fields := s.names[s.open[len(s.open)-1].first:]
+	for _, field := range fields {
+		if len(field) == len(name) && bytes.EqualFold(field, name) {
 			return errors.Errorf("field %q stands twice", name)
 		}
 	}
-	if bytes.IndexByte(name, '\\') >= 0 {
-		return errors.Errorf("field %q is written with escapes", name)
-	}
-	if len(o.fields) >= maxFields {
+	if len(fields) >= maxFields {
 		return errors.Errorf("an object has more than %d fields", maxFields)
 	}
-	o.fields = append(o.fields, name)
+	s.names = append(s.names, name)
 	return nil
 }
+
+// isPlainName reports whether the name has one form only, case aside.
+func isPlainName(name []byte) bool {
+	for _, c := range name {
+		if c == '\\' || c >= 0x80 {
+			return false
+		}
+	}
+	return true
+}
