Keep the names out of the keys in the manifest's head

Cause: each zone's relay reads the head at every change, and the head named each part's whole key, which repeats the organisation's name. Change: a reference carries the id of the write; the key follows from it.

--- a/coordination/rollout/apply.go
+++ b/coordination/rollout/apply.go
@@ -118,21 +118,19 @@
 func (d *difference) add(p Part, old Ref, newID func() state.WriteID) {
 	hash := p.hash()
 	d.head.Digest += hash
-	if old.Key != "" && old.Hash == hash {
+	if old.ID != "" && old.Hash == hash {
 		d.list(Part{Name: p.Name, Changed: old.Changed, Body: p.Body}, old)
 		return
 	}
-	// Each write has a key of its own, so that the loser of a race cannot
-	// overwrite or drop what the winner's head names.
-	key := partPrefix + p.Name + "/" + string(newID())
-	d.list(p, Ref{Name: p.Name, Changed: p.Changed, Key: key, Hash: hash})
-	d.written = append(d.written, state.Entry{Key: key, Value: p.Body})
+	ref := Ref{Name: p.Name, Changed: p.Changed, ID: newID(), Hash: hash}
+	d.list(p, ref)
+	d.written = append(d.written, state.Entry{Key: ref.key(), Value: p.Body})
 	d.replace(old)
 }
 
 func (d *difference) remove(old Ref) {
 	switch {
-	case old.Key != "":
+	case old.ID != "":
 		p := Part{Name: old.Name, Changed: d.head.Generation}
 		d.list(p, Ref{Name: p.Name, Changed: p.Changed})
 		d.replace(old)
@@ -147,8 +145,8 @@
 }
 
 func (d *difference) replace(old Ref) {
-	if old.Key != "" {
-		d.replaced = append(d.replaced, state.Entry{Key: old.Key, Version: old.Version})
+	if old.ID != "" {
+		d.replaced = append(d.replaced, state.Entry{Key: old.key(), Version: old.Version})
 	}
 }
 
@@ -160,7 +158,7 @@
 	}
 	for i := range d.head.Parts {
 		ref := &d.head.Parts[i]
-		if version, written := versions[ref.Key]; written {
+		if version, written := versions[ref.key()]; written {
 			ref.Version = version
 		}
 	}
--- a/coordination/rollout/load.go
+++ b/coordination/rollout/load.go
@@ -53,7 +53,7 @@
 	var missing []int
 	for i, ref := range head.Parts {
 		parts[i] = Part{Name: ref.Name, Changed: ref.Changed}
-		if ref.Key == "" {
+		if ref.ID == "" {
 			continue
 		}
 		if p, found := held.find(ref.Name); found && p.hash == ref.Hash {
@@ -71,7 +71,7 @@
 		read = func(_ context.Context, key string) ([]byte, error) { return bodies[key], nil }
 	}
 	for _, i := range missing {
-		body, err := read(ctx, head.Parts[i].Key)
+		body, err := read(ctx, head.Parts[i].key())
 		if err != nil {
 			return nil, err
 		}
--- a/coordination/rollout/part.go
+++ b/coordination/rollout/part.go
@@ -43,11 +43,12 @@
 	Parts      []Ref
 }
 
-// Ref says where the store keeps a part; Key is empty for a removed organisation.
+// Ref says where the store keeps a part; ID is empty for a removed organisation.
 type Ref struct {
 	Name    string
 	Changed state.Generation
-	Key     string
+	// ID tells one write of the part from another.
+	ID state.WriteID
 	// Version is what the store gave the part when it was written.
 	Version state.Version
 	Hash    uint64
@@ -62,6 +63,10 @@
 	DecodeHead func(value []byte) (Head, error)
 }
 
+// key returns the part's key in the store. Each write has one of its own, so
+// that the loser of a race cannot overwrite or drop what the winner's head names.
+func (r Ref) key() string { return partPrefix + r.Name + "/" + string(r.ID) }
+
 // hash returns the part's share of the digest, which is the sum over all parts.
 func (p Part) hash() uint64 {
 	if len(p.Body) == 0 {
--- a/protocol/manifest/codec.go
+++ b/protocol/manifest/codec.go
@@ -21,7 +21,7 @@
 	_       struct{} `cbor:",toarray"`
 	Name    string
 	Changed state.Generation
-	Key     string
+	ID      state.WriteID
 	Version state.Version
 	Hash    uint64
 }
@@ -107,7 +107,7 @@
 		Parts:          make([]refRecord, len(head.Parts)),
 	}
 	for i, ref := range head.Parts {
-		record.Parts[i] = refRecord{Name: ref.Name, Changed: ref.Changed, Key: ref.Key, Version: ref.Version, Hash: ref.Hash}
+		record.Parts[i] = refRecord{Name: ref.Name, Changed: ref.Changed, ID: ref.ID, Version: ref.Version, Hash: ref.Hash}
 	}
 	return cbor.Marshal(record)
 }
@@ -124,7 +124,7 @@
 		Parts:      make([]rollout.Ref, len(record.Parts)),
 	}
 	for i, ref := range record.Parts {
-		head.Parts[i] = rollout.Ref{Name: ref.Name, Changed: ref.Changed, Key: ref.Key, Version: ref.Version, Hash: ref.Hash}
+		head.Parts[i] = rollout.Ref{Name: ref.Name, Changed: ref.Changed, ID: ref.ID, Version: ref.Version, Hash: ref.Hash}
 	}
 	return head, nil
 }
