Count dropped datagrams by their own reasons

Cause: the membership endpoint counted its drops as refusals of the TCP transport, in whose list its reasons don't stand, so they were "unlisted". Change: datagram_refusals_total has each of them from the start. Checked: go test -race ./metrics passes.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s: change \"address\" in the settings or free the port", i.settings.Address)
 	}
-	i.endpoint, err = gossip.Listen(i.server.Address(), i.metrics.CountConnection)
+	i.endpoint, err = gossip.Listen(i.server.Address(), i.metrics.CountDatagram)
 	if err != nil {
 		_ = i.server.Close()
 		return errors.Wrapf(err, "listen for membership on %s over UDP: change \"address\" in the settings or free the port", i.server.Address())
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"comfreystream/coordination/rollout"
 	"comfreystream/coordination/storage"
+	"comfreystream/protocol/gossip"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"io"
@@ -30,6 +31,7 @@
 	retries     map[state.Reason]tally.Counter
 	answers     map[state.Reason]tally.Counter
 	connections map[string]tally.Counter
+	datagrams   map[string]tally.Counter
 	storeCalls  map[storeCall]tally.Counter
 	rollouts    map[rollout.Event]tally.Counter
 	page        fasthttp.RequestHandler
@@ -52,6 +54,7 @@
 		retries:     counters(root, "retries_total", state.Reasons),
 		answers:     counters(root, "failed_answers_total", state.Reasons),
 		connections: counters(root, "transport_refusals_total", transport.Reasons),
+		datagrams:   counters(root, "datagram_refusals_total", gossip.Reasons),
 		storeCalls:  storeCounters(root),
 		rollouts:    counters(root, "rollout_events_total", rollout.Events),
 		page:        transport.Adapt(reporter.HTTPHandler()),
@@ -71,6 +74,9 @@
 // CountConnection counts a request or a connection that the transport refused.
 func (m *Metrics) CountConnection(reason string) { count(m.connections, reason) }
 
+// CountDatagram counts a datagram that was dropped.
+func (m *Metrics) CountDatagram(reason string) { count(m.datagrams, reason) }
+
 // CountStoreCall counts a call to the store by its purpose and how it ended.
 func (m *Metrics) CountStoreCall(purpose storage.Purpose, result storage.Result) {
 	count(m.storeCalls, storeCall{purpose, result})
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"comfreystream/protocol/gossip"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"strings"
@@ -18,6 +19,7 @@
 	m.CountRefusal("a peer's word")
 	m.CountRetry(state.WorkerLost)
 	m.CountConnection(transport.BodyTooLarge)
+	m.CountDatagram(gossip.BadAddress)
 	m.Root.Gauge("queue_length").Update(3)
 	if err := m.Close(); err != nil {
 		t.Fatal(err)
@@ -31,6 +33,7 @@
 		{"in no list", `comfreystream_refusals_total{reason="unlisted"} 1`},
 		{"retry", `comfreystream_retries_total{reason="workerLost"} 1`},
 		{"transport", `comfreystream_transport_refusals_total{reason="bodyTooLarge"} 1`},
+		{"datagram", `comfreystream_datagram_refusals_total{reason="badAddress"} 1`},
 		{"gauge", `comfreystream_queue_length 3`},
 	}
 	for _, tt := range tests {
