Replace a TCP engine that gave up

Cause: gnet ends an engine once it fails to accept a connection, as without file descriptors; the entry would have gone on without its port. Change: the server counts engineFailed and listens again on its address after 100 ms, until it is closed. Checked: go test -race -count 3 ./transport; TestEngineIsReplaced stops the engine from behind.

--- a/transport/limits.go
+++ b/transport/limits.go
@@ -42,12 +42,13 @@
 	ConnectionIdle     = "connectionIdle"
 	AnswerNotTaken     = "answerNotTaken"
 	HandlerPanicked    = "handlerPanicked"
+	EngineFailed       = "engineFailed"
 )
 
 // Reasons lists every reason that a server can count.
 var Reasons = []string{
 	BadRequest, HeaderTooLarge, BodyTooLarge, TooManyConnections, TooManyPipelined,
-	TooManyRequests, RequestIncomplete, ConnectionIdle, AnswerNotTaken, HandlerPanicked,
+	TooManyRequests, RequestIncomplete, ConnectionIdle, AnswerNotTaken, HandlerPanicked, EngineFailed,
 }
 
 // DefaultLimits returns limits that suit a small entry instance.
--- a/transport/server.go
+++ b/transport/server.go
@@ -24,6 +24,9 @@
 	keepAliveProbes   = 3
 )
 
+// restartPause is the time before an engine that failed is replaced.
+const restartPause = 100 * time.Millisecond
+
 // Server answers HTTP/1.1 requests on one TCP address; handlers run on a
 // bounded pool of goroutines, never on an event loop.
 type Server struct {
@@ -32,7 +35,6 @@
 	handler fasthttp.RequestHandler
 	limits  Limits
 	address netip.AddrPort
-	engine  gnet.Engine
 	pool    *ants.PoolWithFuncGeneric[*exchange]
 
 	parsers sync.Pool
@@ -48,10 +50,13 @@
 	settled chan struct{}
 
 	booted   chan error
-	stopped  chan error
+	stopped  chan struct{}
 	handlers sync.WaitGroup
+	closing  chan struct{}
 	close    sync.Once
-	closeErr error
+
+	mu     sync.Mutex
+	engine gnet.Engine
 }
 
 // Listen starts a server on the address; port 0 takes a free port. Limits
@@ -62,7 +67,8 @@
 		limits:  limits.orDefaults(),
 		settled: make(chan struct{}, 1),
 		booted:  make(chan error, 1),
-		stopped: make(chan error, 1),
+		stopped: make(chan struct{}),
+		closing: make(chan struct{}),
 	}
 	pool, err := ants.NewPoolWithFuncGeneric(s.limits.Handlers, (*exchange).handle, ants.WithNonblocking(true))
 	if err != nil {
@@ -74,6 +80,7 @@
 	}
 	go s.run(address)
 	if err := <-s.booted; err != nil {
+		<-s.stopped
 		pool.Release()
 		return nil, errors.Wrapf(err, "listen: %s", address)
 	}
@@ -104,25 +111,33 @@
 func (s *Server) Close() error {
 	s.close.Do(func() {
 		s.drained.Store(true)
-		stopNow, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = s.engine.Stop(stopNow)
-		s.closeErr = <-s.stopped
+		close(s.closing)
+		s.stopEngine()
+		<-s.stopped
 		s.handlers.Wait()
 		s.pool.Release()
 	})
-	return s.closeErr
+	return nil
 }
 
 // OnBoot implements gnet.EventHandler.
 func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.mu.Lock()
 	s.engine = engine
+	s.mu.Unlock()
+	if s.isClosing() {
+		return gnet.Shutdown
+	}
+	if s.address.IsValid() {
+		return gnet.None
+	}
 	address, err := boundAddress(engine)
-	s.address = address
-	s.booted <- err
 	if err != nil {
+		s.booted <- err
 		return gnet.Shutdown
 	}
+	s.address = address
+	s.booted <- nil
 	return gnet.None
 }
 
@@ -165,17 +180,53 @@
 	return gnet.None
 }
 
+// run keeps an engine on the address until the server is closed; gnet gives
+// an engine up when it can accept no connection, as without file descriptors.
 func (s *Server) run(address netip.AddrPort) {
-	err := gnet.Run(s, "tcp://"+address.String(),
+	defer close(s.stopped)
+	for {
+		err := s.runEngine(address)
+		if !s.address.IsValid() {
+			s.booted <- err
+			return
+		}
+		if s.isClosing() {
+			return
+		}
+		s.limits.Count(EngineFailed)
+		address = s.address
+		select {
+		case <-s.closing:
+			return
+		case <-time.After(restartPause):
+		}
+	}
+}
+
+func (s *Server) runEngine(address netip.AddrPort) error {
+	return gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
 		gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(zap.NewNop().Sugar()))
+}
+
+func (s *Server) stopEngine() {
+	s.mu.Lock()
+	engine := s.engine
+	s.mu.Unlock()
+	stopNow, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = engine.Stop(stopNow)
+}
+
+func (s *Server) isClosing() bool {
 	select {
-	case s.booted <- err:
+	case <-s.closing:
+		return true
 	default:
+		return false
 	}
-	s.stopped <- err
 }
 
 func (s *Server) waitSettled(ctx context.Context, requests *atomic.Int64) error {
--- a/transport/server_fault_test.go
+++ b/transport/server_fault_test.go
@@ -214,3 +214,23 @@
 		}
 	}
 }
+
+func TestEngineIsReplaced(t *testing.T) {
+	failed := make(chan string, 1)
+	s, err := Listen(loopback, echo, Limits{Count: func(reason string) { failed <- reason }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.stopEngine()
+	if reason := <-failed; reason != EngineFailed {
+		t.Errorf("counted %q", reason)
+	}
+	client := NewClient(ClientLimits{})
+	for get(t, client, s.Address()) != nil { // refused until the new engine listens
+		<-time.After(restartPause / 10)
+	}
+	_ = client.Close()
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
