Keep a client's peers in shards

Cause: one lock stood before the pools of all peers, against the shape. Checked: go test -race -run Client -count 5 ./transport.

--- a/transport/client.go
+++ b/transport/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/netip"
 	"os"
@@ -22,15 +23,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	calls  sync.WaitGroup
-
-	mu     sync.Mutex
-	closed bool
-	peers  map[netip.AddrPort]*peerPool
+	seed   maphash.Seed
+	shards [clientShards]clientShard
 }
 
 // NewClient returns a client; limits that are not set take their defaults.
 func NewClient(limits ClientLimits) *Client {
-	c := &Client{limits: limits.orDefaults(), peers: make(map[netip.AddrPort]*peerPool)}
+	c := &Client{limits: limits.orDefaults(), seed: maphash.MakeSeed()}
+	for i := range c.shards {
+		c.shards[i].peers = make(map[netip.AddrPort]*peerPool)
+	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -66,42 +68,17 @@
 
 // Close ends the calls under way, closes every connection and waits.
 func (c *Client) Close() error {
-	c.mu.Lock()
-	c.closed = true
 	c.cancel()
-	for _, pool := range c.peers {
-		pool.close()
+	for i := range c.shards {
+		c.shards[i].close()
 	}
-	c.mu.Unlock()
 	c.calls.Wait()
 	return nil
 }
 
+// pool returns the peer's pool, counted as in use.
 func (c *Client) pool(peer netip.AddrPort) (*peerPool, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return nil, errors.New("the client is closed")
-	}
-	pool, found := c.peers[peer]
-	if !found {
-		c.forgetUnused()
-		pool = newPeerPool(c, peer)
-		c.peers[peer] = pool
-	}
-	c.calls.Add(1)
-	pool.users.Add(1)
-	return pool, nil
-}
-
-// forgetUnused drops the peers without a call or a connection, so that
-// replaced instances leave nothing behind; it runs under the lock.
-func (c *Client) forgetUnused() {
-	for peer, pool := range c.peers {
-		if pool.users.Load() == 0 && pool.empty() {
-			delete(c.peers, peer)
-		}
-	}
+	return c.shards[maphash.Comparable(c.seed, peer)%clientShards].pool(c, peer)
 }
 
 // dial opens a connection; it ends early with the client or at the deadline.
--- a/transport/client_test.go
+++ b/transport/client_test.go
@@ -202,3 +202,37 @@
 		})
 	}
 }
+
+// TestClientForgetsPeers replaces every instance; what is kept must follow.
+func TestClientForgetsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClient(ClientLimits{})
+		client.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				for readRequest(far) {
+					say(far, wholeAnswer)
+				}
+			}()
+			return near, nil
+		}
+		const instances = 200
+		for round := range 5 {
+			for i := range instances {
+				peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(round), byte(i)}), 1)
+				if err := get(t, client, peer); err != nil {
+					t.Fatal(err)
+				}
+			}
+			wait(2 * DefaultClientLimits().IdleTimeout)
+		}
+		kept := 0
+		for i := range client.shards {
+			kept += len(client.shards[i].peers)
+		}
+		if kept > 2*instances {
+			t.Errorf("%d peers are kept of %d instances", kept, instances)
+		}
+		_ = client.Close()
+	})
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -16,7 +16,7 @@
 	peer   netip.AddrPort
 	// permits holds a value for each connection that a call uses or opens.
 	permits chan struct{}
-	// users counts the calls; it grows only under the client's lock.
+	// users counts the calls; it grows only under the shard's lock.
 	users atomic.Int64
 
 	mu     sync.Mutex
