Tell a refused duplicate which job holds its key

A caller whose key was taken heard duplicateKey without the job that holds it, and could not fetch that job's answer. The outcome now names the holder, and the HTTP answer the path to ask; the whole-path test checks it.

--- a/cmd_submit.go
+++ b/cmd_submit.go
@@ -94,8 +94,10 @@
 	switch {
 	case !progress.Done:
 		return errors.Errorf("job %s goes on; ask with: comfreystream status --job %s", outcome.Job, outcome.Job)
+	case outcome.Holder != "":
+		return errors.Errorf("job %s: %s: %s; job %s holds the key", outcome.Job, outcome.Ran, outcome.Reason, outcome.Holder)
 	case outcome.Ran != state.RanWhole:
-		return errors.Errorf("job %s: %s: %s %s", outcome.Job, outcome.Ran, outcome.Reason, outcome.Answer)
+		return errors.Errorf("job %s: %s: %s", outcome.Job, outcome.Ran, outcome.Reason)
 	}
 	_, err := fmt.Fprintf(out.results, "%s\n", outcome.Answer)
 	return err
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -33,7 +33,7 @@
 	case claim.Ended:
 		return r.forbid(result.Outcome)
 	default:
-		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.NotRun, Reason: state.DuplicateKey, Answer: []byte(result.Holder)})
+		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.NotRun, Reason: state.DuplicateKey, Holder: result.Holder})
 	}
 }
 
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,2 @@
+// Command comfreystream schedules multi-accelerator jobs under organisation guarantees.
+package main
--- a/main.go
+++ b/main.go
@@ -1,4 +1,3 @@
-// Command comfreystream schedules multi-accelerator jobs under organisation guarantees.
 package main
 
 import "os"
--- a/protocol/caller/client.go
+++ b/protocol/caller/client.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -171,7 +172,10 @@
 	if err := json.Unmarshal(r.body, &body); err != nil || body.Reason == "" {
 		return state.Progress{}, r.failure(step, entry)
 	}
-	outcome := state.Outcome{Job: body.Job, Ran: ranOf(body.Ran), Reason: body.Reason, Retry: body.Retry, Answer: []byte(body.Detail)}
+	outcome := state.Outcome{Job: body.Job, Ran: ranOf(body.Ran), Reason: body.Reason, Retry: body.Retry}
+	if body.Reason == state.DuplicateKey {
+		outcome.Holder = state.JobID(strings.TrimPrefix(body.Ask, jobsPath+"/"))
+	}
 	return state.Progress{Done: true, Phase: state.JobDone, Outcome: outcome}, nil
 }
 
--- a/protocol/caller/errors.go
+++ b/protocol/caller/errors.go
@@ -15,6 +15,8 @@
 	reason     state.Reason
 	ran        state.Ran
 	job        state.JobID
+	// holder is the job that holds the key of a refused duplicate.
+	holder     state.JobID
 	step       string
 	peer       netip.AddrPort
 	detail     string
@@ -30,7 +32,8 @@
 	// RetryAfter is set if Retry is.
 	RetryAfter duration    `json:"retryAfter,omitzero"`
 	Job        state.JobID `json:"job,omitempty"`
-	// Ask is the path that tells more, if the outcome is unknown.
+	// Ask is the path that tells more: about the job, if its outcome is unknown,
+	// or about the one that holds the key of a duplicate.
 	Ask  string         `json:"ask,omitempty"`
 	Step string         `json:"step,omitempty"`
 	Peer netip.AddrPort `json:"peer,omitzero"`
@@ -86,6 +89,9 @@
 	if f.ran == state.Unknown && f.job != "" {
 		body.Ask = jobsPath + "/" + string(f.job)
 	}
+	if f.holder != "" {
+		body.Ask = jobsPath + "/" + string(f.holder)
+	}
 	return body
 }
 
--- a/protocol/caller/jobs.go
+++ b/protocol/caller/jobs.go
@@ -81,7 +81,7 @@
 
 func (s *Service) answerOutcome(ctx *fasthttp.RequestCtx, o state.Outcome) {
 	if o.Ran != state.RanWhole || o.Reason != "" {
-		s.fail(ctx, byReason, failure{reason: o.Reason, ran: o.Ran, job: o.Job})
+		s.fail(ctx, byReason, failure{reason: o.Reason, ran: o.Ran, job: o.Job, holder: o.Holder})
 		return
 	}
 	answer(ctx, fasthttp.StatusOK, outcomeBody{Job: o.Job, Attempt: o.Attempt, Ran: o.Ran.String(), Answer: o.Answer})
--- a/protocol/peer/wire_job.go
+++ b/protocol/peer/wire_job.go
@@ -43,6 +43,7 @@
 	Reason  state.Reason  `cbor:"4,keyasint,omitempty"`
 	Retry   bool          `cbor:"5,keyasint,omitempty"`
 	Answer  []byte        `cbor:"6,keyasint,omitempty"`
+	Holder  state.JobID   `cbor:"7,keyasint,omitempty"`
 }
 
 type wireProgress struct {
@@ -104,12 +105,14 @@
 func toWireOutcome(o state.Outcome) wireOutcome {
 	return wireOutcome{
 		Job: o.Job, Attempt: o.Attempt, Ran: wireRan(o.Ran), Reason: o.Reason, Retry: o.Retry, Answer: o.Answer,
+		Holder: o.Holder,
 	}
 }
 
 func (w wireOutcome) outcome() state.Outcome {
 	return state.Outcome{
 		Job: w.Job, Attempt: w.Attempt, Ran: state.Ran(w.Ran), Reason: w.Reason, Retry: w.Retry, Answer: w.Answer,
+		Holder: w.Holder,
 	}
 }
 
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -93,6 +93,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				if known := tt.reason == state.DuplicateKey; (progress.Outcome.Holder != "") != known {
+					t.Errorf("the key's holder is %q", progress.Outcome.Holder)
+				}
 				if o := progress.Outcome; !progress.Done || o.Ran != tt.ran || o.Reason != tt.reason {
 					t.Errorf("outcome %+v", progress)
 				}
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -36,6 +36,8 @@
 	// Retry says whether the caller may send the same request again.
 	Retry  bool
 	Answer []byte
+	// Holder is the job that holds the key of a refused duplicate.
+	Holder JobID
 }
 
 // Refusal returns the outcome "not run" for a job, with the reason.
