--- a/protocol/caller/errors.go
+++ b/protocol/caller/errors.go
@@ -12,9 +12,9 @@
 
 // failure is what went wrong, before it is put into a body.
 type failure struct {
-	reason     state.Reason
-	ran        state.Ran
-	job        state.JobID
+	reason state.Reason
+	ran    state.Ran
+	job    state.JobID
 	// holder is the job that holds the key of a refused duplicate.
 	holder     state.JobID
 	step       string
--- a/standin/fleet/bench_test.go
+++ b/standin/fleet/bench_test.go
@@ -1,14 +1,13 @@
 package fleet
 
 import (
+	"comfreystream/state"
+	"comfreystream/transport"
 	"context"
 	"syscall"
 	"testing"
 	"time"
 
-	"comfreystream/state"
-	"comfreystream/transport"
-
 	"github.com/valyala/fasthttp"
 )
 
--- a/standin/platform/main.go
+++ b/standin/platform/main.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"comfreystream/standin/instancelist"
+	"comfreystream/standin/store"
+	"comfreystream/standin/worker"
+	"comfreystream/state"
 	"fmt"
 	"net/netip"
 	"os"
@@ -8,11 +12,6 @@
 	"strings"
 	"syscall"
 
-	"comfreystream/standin/instancelist"
-	"comfreystream/standin/store"
-	"comfreystream/standin/worker"
-	"comfreystream/state"
-
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 )
