Measure the time until a manifest is in force on eight entries

The first try failed because the fleet was used before its entries knew one another; Ready waits for that now.

--- a/standin/fleet/ready.go
+++ b/standin/fleet/ready.go
@@ -2,15 +2,20 @@
 
 import (
 	"comfreystream/coordination/pause"
+	"comfreystream/instance"
 	"comfreystream/protocol/caller"
 	"context"
+	"net/netip"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const readyPause = 50 * time.Millisecond
 
 // Ready applies the manifest through the first entry and waits until every
-// entry serves callers; it returns the last error once ctx ends.
+// entry serves callers and knows all the others; it returns the last error
+// once ctx ends.
 func (f *Fleet) Ready(ctx context.Context, client *caller.Client, manifest []byte) error {
 	entries := f.Entries()
 	err := f.until(ctx, func() error {
@@ -21,7 +26,12 @@
 		if err != nil {
 			return err
 		}
-		err = f.until(ctx, func() error { return client.Ready(ctx, e.Address()) })
+		err = f.until(ctx, func() error {
+			if err := client.Ready(ctx, e.Address()); err != nil {
+				return err
+			}
+			return knows(ctx, client, e.Address(), len(entries))
+		})
 	}
 	return err
 }
@@ -34,3 +44,16 @@
 		}
 	}
 }
+
+// knows returns an error while the entry knows of fewer entries than there are.
+func knows(ctx context.Context, client *caller.Client, entry netip.AddrPort, wanted int) error {
+	data, err := client.Overview(ctx, entry)
+	if err != nil {
+		return err
+	}
+	overview, err := instance.DecodeOverview(data)
+	if err == nil && len(overview.Entries) < wanted {
+		err = errors.Errorf("%s knows %d of %d entries", entry, len(overview.Entries), wanted)
+	}
+	return err
+}
--- /dev/null
+++ b/standin/fleet/rollout_bench_test.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// BenchmarkApply applies a changed manifest through changing entries, with
+// eight entries in four zones, and reports the time until every entry has it
+// in force: the median, and the 99th percentile of the run.
+func BenchmarkApply(b *testing.B) {
+	f, client := startFleet(b, Plan{AvailabilityZones: []string{"za", "zb", "zc", "zd"}, EntriesPerZone: 2, WorkersPerZone: 4})
+	entries := f.Entries()
+	times := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for n := range b.N {
+		file := strings.Replace(manifestFile, `"south", "share": 1`, fmt.Sprintf(`"south", "share": %d`, n+2), 1)
+		began := time.Now()
+		applied, err := client.Apply(b.Context(), entries[n%len(entries)].Address(), []byte(file), 0)
+		if err != nil || len(applied.InForce) != len(entries) {
+			b.Fatalf("%+v, %v", applied, err)
+		}
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(times[len(times)*99/100].Milliseconds()), "p99-ms")
+}
