--- a/standin/platform/main.go
+++ b/standin/platform/main.go
@@ -1,9 +1,10 @@
-// Command platform serves the stand-ins of the platform on loopback, so that
-// entries can be tried as processes of their own: a configuration store, an
-// instance list and workers.
 package main
 
 import (
+	"comfreystream/standin/instancelist"
+	"comfreystream/standin/store"
+	"comfreystream/standin/worker"
+	"comfreystream/state"
 	"fmt"
 	"net/netip"
 	"os"
@@ -11,11 +12,6 @@
 	"strings"
 	"syscall"
 
-	"comfreystream/standin/instancelist"
-	"comfreystream/standin/store"
-	"comfreystream/standin/worker"
-	"comfreystream/state"
-
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 )
