Prove the entries' calls by late answers and bad messages

Change: rows for an answer that comes too late, and for messages with another form, an enumeration beyond its last, a key twice, a list without a length, a tag and too many bytes: refused as badRequest, unhandled. Checked: go test -race ./protocol/peer passes.

--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -186,6 +187,7 @@
 			ctx.SetBodyString(`{"reason":"tooManyRequests","ran":"not run","retry":true}`)
 		}, state.HomeUnreachable, false},
 		{"unknown call", status(fasthttp.StatusNotFound), state.BadRequest, false},
+		{"late", func(ctx *fasthttp.RequestCtx) { <-transport.Context(ctx).Done() }, state.ConnectionLost, true},
 		{"panic", func(*fasthttp.RequestCtx) { panic(t) }, state.ConnectionLost, true},
 		{"no CBOR", func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("application/cbor")
@@ -201,7 +203,9 @@
 			}
 			defer func() { _ = server.Close() }()
 			connections := transport.NewClient(transport.ClientLimits{})
-			err = NewClient(connections).Cancel(t.Context(), server.Address(), "a.1")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			err = NewClient(connections).Cancel(ctx, server.Address(), "a.1")
 			if reason := state.ReasonOf(err, ""); reason != tt.reason || state.IsAmbiguous(err) != tt.ambiguous {
 				t.Errorf("%v: ambiguous %v; want %s, %v", err, state.IsAmbiguous(err), tt.reason, tt.ambiguous)
 			}
@@ -213,3 +217,34 @@
 		})
 	}
 }
+
+// TestBadMessages sends what no client of ours would.
+func TestBadMessages(t *testing.T) {
+	tests := []struct {
+		name    string
+		request any
+	}{
+		{"another form", []int{1}},
+		{"urgency beyond the last", map[int]any{1: map[int]any{7: 3}}},
+		{"a key twice", cbor.RawMessage{0xa2, 0x02, 0xf5, 0x02, 0xf5}},
+		{"list without a length", cbor.RawMessage{0xa1, 0x03, 0x9f, 0xff}},
+		{"tagged", cbor.RawMessage{0xa1, 0x02, 0xd8, 0x2a, 0xf5}},
+		{"too large", map[int]any{3: make([]byte, maxMessageBytes)}},
+	}
+	r := &recorder{}
+	_, address := start(t, r.service())
+	connections := transport.NewClient(transport.ClientLimits{})
+	defer func() { _ = connections.Close() }()
+	call := newProcedure[any, none](transport.HTTPClient{Client: connections}, stepSubmit)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := call.ask(t.Context(), address, tt.request)
+			if state.ReasonOf(err, "") != state.BadRequest || state.IsAmbiguous(err) {
+				t.Errorf("error %v", err)
+			}
+			if asked := r.failWith(nil); asked != nil {
+				t.Errorf("asked %v", asked)
+			}
+		})
+	}
+}
