--- a/instance/roles.go
+++ b/instance/roles.go
@@ -103,3 +103,6 @@
 	}
 	return home.Address, nil
 }
+
+// Plans reports whether this entry is its zone's planner.
+func (i *Instance) Plans() bool { return i.seat.Active() }
