Hand a manifest to a planner that starts while it comes

Cause: TestWholePath failed with noManifest in about 1 run of 20. A planner that was made before the manifest came, and seated after InForce had looked for a seat, never got it. Change: Rollout.Newest returns the manifest that InForce is called for; the instance applies it again once the planner has its seat. Applying is monotonic in planning and admission.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -81,6 +81,16 @@
 	return s.manifest
 }
 
+// Newest returns the manifest that this entry has moved to, for whoever joins
+// after InForce was called for it and before Current returns it; nil is none.
+func (r *Rollout) Newest() *state.Manifest {
+	s := r.newest()
+	if s == nil {
+		return nil
+	}
+	return s.manifest
+}
+
 // Advert returns what membership adverts say of this entry: the generation in
 // force, 0 for none, and its digest.
 func (r *Rollout) Advert() (state.Generation, uint64) {
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -313,6 +313,25 @@
 	}
 }
 
+func TestInForceComesBetweenNewestAndCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1)
+		e := f.get(0, 0)
+		e.InForce = func(m *state.Manifest) {
+			generation, _ := e.Advert()
+			if e.Newest() != m || e.Current() == m || generation >= m.Generation {
+				t.Errorf("generation %d: newest %v, advertised %d", m.Generation, e.Newest() == m, generation)
+			}
+		}
+		for burst := range 3 {
+			f.apply(0, sample(2, burst), 0)
+		}
+		if generation, _ := e.Advert(); generation != 3 || e.Current() != e.Newest() {
+			t.Errorf("advertised %d", generation)
+		}
+	})
+}
+
 func TestAwaitNamesTheUnreachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, 2)
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -40,7 +40,7 @@
 	d.Gang = &gang.Starter{Now: time.Now, Hold: i.holdRack, Commit: d.Commit, Start: i.startRack, Stop: i.stopRack}
 	planner.Estimate = d.Estimates.Estimate
 	planner.Usable = d.Usable
-	d.ApplyManifest(i.rollout.Current())
+	d.ApplyManifest(i.rollout.Newest())
 	return d
 }
 
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -80,6 +80,10 @@
 	}
 	i.log.Info().Str("event", "plannerRole").Bool("active", active).Send()
 	i.seat.SetActive(active)
+	// A manifest that came while the planner was made found no seat to apply it to.
+	if d, err := i.seat.Current(); err == nil {
+		d.ApplyManifest(i.rollout.Newest())
+	}
 }
 
 // isRelay reports whether this entry watches the store for its zone.
