Let only the planner that took a claim give its key free

Cause: with two planners of a zone for a while, one whose own claim failed settled its refusal and so freed the key that the other had taken for the same job and was running; a second request with the key could then run. Change: a refusal frees the key only if the record carries the id that was written here; an unknown outcome no longer replaces a recorded one. Conclusion: a claim found after its planner died stays until its outcome is known or it expires.

--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -50,20 +50,27 @@
 	Storage *storage.Storage
 	Codec   Codec
 
-	// held maps a job to its claim's entry; doubt marks those whose write is in doubt.
-	held  *state.Table[state.JobID, state.Entry]
-	doubt *state.Table[state.JobID, bool]
+	// taken holds the claims that were taken here and are not settled.
+	taken *state.Table[state.JobID, taken]
 	lease *storage.SharedLease
 }
 
+// taken is a claim that this process wrote.
+type taken struct {
+	id state.WriteID
+	// entry is the claim's entry, as far as it is known.
+	entry state.Entry
+	// inDoubt is set while the write may still arrive.
+	inDoubt bool
+}
+
 // New returns Claims over the store.
 func New(store *storage.Storage, codec Codec) *Claims {
 	return &Claims{
 		Now:     time.Now,
 		Storage: store,
 		Codec:   codec,
-		held:    state.NewTable[state.JobID, state.Entry](),
-		doubt:   state.NewTable[state.JobID, bool](),
+		taken:   state.NewTable[state.JobID, taken](),
 		lease:   storage.NewSharedLease(store, Retention, leaseInterval),
 	}
 }
@@ -73,23 +80,24 @@
 // claimUnavailable; the job has not run then, and if the error is ambiguous
 // Settle gives the key free.
 func (c *Claims) Take(ctx context.Context, job *state.Job) (Result, error) {
-	result, err := c.take(ctx, job)
+	id := c.Storage.NewWriteID()
+	result, err := c.take(ctx, job, id)
 	if err == nil {
 		return result, nil
 	}
 	if state.IsAmbiguous(err) {
-		c.doubt.Put(job.ID, true)
+		c.taken.Put(job.ID, taken{id: id, inDoubt: true})
 		return Result{}, state.AmbiguousStep("claim "+job.Key, c.Storage.Peer, state.ClaimUnavailable, err)
 	}
 	return Result{}, state.NewStepError("claim "+job.Key, c.Storage.Peer, state.ClaimUnavailable, err)
 }
 
-func (c *Claims) take(ctx context.Context, job *state.Job) (Result, error) {
+func (c *Claims) take(ctx context.Context, job *state.Job, id state.WriteID) (Result, error) {
 	lease, err := c.lease.Current(ctx, c.Now())
 	if err != nil {
 		return Result{}, notWritten(err)
 	}
-	value, err := c.Codec.Encode(Record{Organisation: job.Organisation, Key: job.Key, Holder: job.ID, Taken: c.Storage.NewWriteID()})
+	value, err := c.Codec.Encode(Record{Organisation: job.Organisation, Key: job.Key, Holder: job.ID, Taken: id})
 	if err != nil {
 		return Result{}, state.NewStepError("encode claim", netip.AddrPort{}, state.BadRequest, err)
 	}
@@ -106,7 +114,7 @@
 		case err != nil:
 			c.lease.Check(err, lease)
 		case bytes.Equal(current.Value, value):
-			c.held.Put(job.ID, current)
+			c.taken.Put(job.ID, taken{id: id, entry: current})
 			return Result{State: Fresh, Holder: job.ID}, nil
 		}
 		if err != nil {
@@ -114,14 +122,14 @@
 		}
 		record, err := c.decode(job, current)
 		if err != nil || record.Holder != "" {
-			return c.towards(job, current, record), err
+			return towards(job, record), err
 		}
 	}
 	return Result{}, state.NewStepError("claim "+job.Key, c.Storage.Peer, state.ClaimUnavailable, errors.New("too many entries race for the key"))
 }
 
 // towards says what a record that is there means for the job.
-func (c *Claims) towards(job *state.Job, current state.Entry, record Record) Result {
+func towards(job *state.Job, record Record) Result {
 	result := Result{Holder: record.Holder, Outcome: record.Outcome}
 	switch {
 	case record.Holder != job.ID:
@@ -130,7 +138,6 @@
 		result.State = Ended
 	default:
 		result.State = Own
-		c.held.Put(job.ID, current)
 	}
 	return result
 }
--- a/coordination/claim/settle.go
+++ b/coordination/claim/settle.go
@@ -11,45 +11,54 @@
 // 1 MiB with what surrounds it.
 const maxOutcomeBytes = 1<<20 - 8<<10
 
-// Settle records the outcome of a job that took its claim; an outcome that did
-// not run gives the key free. It may be called again after an error, and by
-// another planner than the one that took the claim. A key that another job
-// holds is left alone. An answer that is too large for the store is left out.
+// Settle records the outcome of a job that took its claim. An outcome that did
+// not run gives the key free, if the claim was taken through these Claims:
+// otherwise another planner may have started the job, and the record stays. It
+// may be called again after an error. A key that another job holds is left
+// alone, and so is the record of a job that ran when the outcome is not known.
+// An answer that is too large for the store is left out.
 func (c *Claims) Settle(ctx context.Context, job *state.Job, outcome state.Outcome) error {
-	known, _ := c.held.Get(job.ID)
-	known.Key = storeKey(job)
 	lease, err := c.lease.Current(ctx, c.Now())
 	if err != nil {
 		return err
 	}
+	mine, _ := c.taken.Get(job.ID)
+	known := mine.entry
+	known.Key = storeKey(job)
 	_, err = c.Storage.Update(ctx, storage.ForClaim, known, lease, func(current state.Entry) ([]byte, bool, error) {
-		return c.settled(job, outcome, current)
+		record, err := c.decode(job, current)
+		if err != nil {
+			return nil, false, err
+		}
+		next, write := settled(record, job, outcome, mine)
+		if !write {
+			return nil, false, nil
+		}
+		return c.encode(next)
 	})
 	if err != nil {
 		c.lease.Check(err, lease)
 		return err
 	}
-	c.held.Delete(job.ID)
-	c.doubt.Delete(job.ID)
+	c.taken.Delete(job.ID)
 	return nil
 }
 
-func (c *Claims) settled(job *state.Job, outcome state.Outcome, current state.Entry) ([]byte, bool, error) {
-	record, err := c.decode(job, current)
-	if err != nil {
-		return nil, false, err
-	}
-	// A claim whose write is in doubt may still arrive: writing the key makes it conflict.
-	_, inDoubt := c.doubt.Get(job.ID)
+// settled returns the record that follows an outcome, and whether it is to be written.
+func settled(record Record, job *state.Job, outcome state.Outcome, mine taken) (Record, bool) {
+	free := Record{Organisation: job.Organisation, Key: job.Key}
 	switch {
 	case record.Holder != "" && record.Holder != job.ID:
-		return nil, false, nil
-	case outcome.Ran != state.NotRun:
-		return c.encode(ended(job, outcome))
-	case record.Holder == job.ID || inDoubt:
-		return c.encode(Record{Organisation: job.Organisation, Key: job.Key})
+		return record, false
+	case outcome.Ran == state.NotRun && record.Holder == "":
+		// A claim that may still arrive conflicts once the key is written.
+		return free, mine.inDoubt
+	case outcome.Ran == state.NotRun:
+		return free, record.Taken == mine.id
+	case outcome.Ran == state.Unknown && record.Ended && record.Outcome.Ran == state.RanWhole:
+		return record, false
 	default:
-		return nil, false, nil
+		return ended(job, outcome, record.Taken), true
 	}
 }
 
@@ -61,9 +70,9 @@
 	return value, true, nil
 }
 
-func ended(job *state.Job, outcome state.Outcome) Record {
+func ended(job *state.Job, outcome state.Outcome, id state.WriteID) Record {
 	if len(outcome.Answer) > maxOutcomeBytes {
 		outcome.Answer = nil
 	}
-	return Record{Organisation: job.Organisation, Key: job.Key, Holder: job.ID, Ended: true, Outcome: outcome}
+	return Record{Organisation: job.Organisation, Key: job.Key, Holder: job.ID, Taken: id, Ended: true, Outcome: outcome}
 }
