--- a/protocol/caller/jobs.go
+++ b/protocol/caller/jobs.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"comfreystream/protocol/body"
 	"comfreystream/state"
 	"comfreystream/transport"
 	"time"
@@ -39,17 +40,17 @@
 }
 
 func submit(s *Service, ctx *fasthttp.RequestCtx) {
-	var body submissionBody
-	if err := decode(ctx.PostBody(), &body); err != nil {
+	var submission submissionBody
+	if err := body.Decode(ctx.PostBody(), &submission); err != nil {
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	job, err := body.job(s.Now())
+	job, err := submission.job(s.Now())
 	if err != nil {
 		s.fail(ctx, byReason, badRequest(err))
 		return
 	}
-	if !body.waits() {
+	if !submission.waits() {
 		s.accept(ctx, job)
 		return
 	}
@@ -80,7 +81,7 @@
 
 func (s *Service) answerOutcome(ctx *fasthttp.RequestCtx, o state.Outcome) {
 	if o.Ran != state.RanWhole || o.Reason != "" {
-		s.fail(ctx, byReason, failure{reason: o.Reason, ran: o.Ran, job: o.Job})
+		s.fail(ctx, byReason, failure{reason: o.Reason, ran: o.Ran, job: o.Job, holder: o.Holder})
 		return
 	}
 	answer(ctx, fasthttp.StatusOK, outcomeBody{Job: o.Job, Attempt: o.Attempt, Ran: o.Ran.String(), Answer: o.Answer})
