Compare views by salted filters and keep adverts in their zone

A half of a zone that stopped at once was once found only after 3 s. Change: Compare carries a 64-byte Bloom filter with a salt of its own, so a page names only what the other side lacks. Adverts have a version of their own and travel within the zone (through all zones below 16 members); members of other zones tell theirs with each probe. A silent successor is replaced by the next one at once. Probes carry two updates at most. Test: go test -count=8 ./coordination/membership passes.

--- a/coordination/membership/handle.go
+++ b/coordination/membership/handle.go
@@ -8,12 +8,13 @@
 func (m *Members) Handle(from netip.AddrPort, message Message) {
 	before := m.table.Len()
 	known, near := m.sender(from)
+	way := origin{near: near, page: message.Kind == Page || message.Kind == Complement}
 	push := false
 	for _, u := range message.Updates {
 		if u.Member.Gossip == from {
-			near = u.Member.AvailabilityZone == m.Self().AvailabilityZone
+			way.near = u.Member.AvailabilityZone == m.Self().AvailabilityZone
 		}
-		push = m.learn(u, near) || push
+		push = m.learn(u, way) || push
 	}
 	switch message.Kind {
 	case Ping:
@@ -26,7 +27,7 @@
 		m.answerCompare(from, message)
 	case Page:
 		m.takePage(from, message, m.table.Len() > before)
-	case Push:
+	case Push, Complement:
 	}
 	if push {
 		m.push(0, from)
@@ -74,7 +75,7 @@
 		m.contact.acknowledged(m.Now())
 	}
 	if !p.target.Address.IsValid() && len(v.others) <= successors {
-		m.pullSoon.Store(true)
+		m.pulls.Store(pullsAfterGrowth)
 	}
 }
 
--- a/coordination/membership/learn.go
+++ b/coordination/membership/learn.go
@@ -6,10 +6,17 @@
 	"time"
 )
 
-// learn takes one update into the view; near says that it came from this
-// member itself or from one of its zone. It reports whether the news should
+// origin says how an update came here.
+type origin struct {
+	// near is set if this member itself or one of its zone sent it.
+	near bool
+	// page is set if it is part of a page, which others get as well.
+	page bool
+}
+
+// learn takes one update into the view, and reports whether the news should
 // be pushed on at once.
-func (m *Members) learn(u Update, near bool) (push bool) {
+func (m *Members) learn(u Update, from origin) (push bool) {
 	now := m.Now()
 	if !credible(u, now) {
 		m.count(EventBadUpdate)
@@ -20,7 +27,7 @@
 		return m.defend(u)
 	}
 	inZone := u.Member.AvailabilityZone == own.AvailabilityZone
-	if inZone && !near && (u.Status == Suspect || u.Status == Dead) {
+	if inZone && !from.near && (u.Status == Suspect || u.Status == Dead) {
 		m.passClaim(u)
 		return false
 	}
@@ -28,6 +35,9 @@
 	if !c.accepted {
 		return false
 	}
+	if m.travels(c, inZone, from) {
+		m.news.put(newsItem{update: u, since: m.suspectedAt(u), advert: !c.status})
+	}
 	m.report(u, c)
 	return c.status && (inZone || u.Status == Left)
 }
@@ -61,12 +71,21 @@
 	return c
 }
 
-// report spreads accepted news and tells those who asked to know.
+// travels reports whether this member passes the news on with its probes. An
+// advert travels within its zone alone once there are many members, so that
+// the bytes do not grow with the fleet.
+func (m *Members) travels(c change, inZone bool, from origin) bool {
+	if c.status {
+		return c.event != EventJoined || !from.page
+	}
+	return c.advert && (inZone || m.table.Len() < fewMembers)
+}
+
+// report counts accepted news and tells those who asked to know.
 func (m *Members) report(u Update, c change) {
 	m.byGossip.Put(u.Member.Gossip, u.Member.Address)
 	m.views.changed()
 	if c.status {
-		m.news.put(u, m.suspectedAt(u))
 		m.count(c.event)
 	}
 	if c.live && m.OnChange != nil {
--- a/coordination/membership/members.go
+++ b/coordination/membership/members.go
@@ -34,10 +34,10 @@
 	seeds    atomic.Pointer[[]netip.AddrPort]
 	views    views
 	sequence atomic.Uint32
-	pullSoon atomic.Bool
-	// ticks and pulled belong to the goroutine that calls Tick.
-	ticks  int
-	pulled uint32
+	// pulls is the number of pages to ask for, one in each step.
+	pulls atomic.Int32
+	// ticks belongs to the goroutine that calls Tick.
+	ticks int
 }
 
 // New returns a view that knows only the member itself, with an incarnation
@@ -93,8 +93,8 @@
 	return member
 }
 
-// SetAdvert changes what this member tells of itself; the news travels with
-// its next probes.
+// SetAdvert changes what this member tells of itself, its version aside; the
+// news travels with its next probes.
 func (m *Members) SetAdvert(advert state.Advert) {
 	if m.self.setAdvert(advert) {
 		m.announceSelf(false)
@@ -138,7 +138,7 @@
 // announceSelf queues this member's own record and, if urgent, pushes it.
 func (m *Members) announceSelf(urgent bool) {
 	member, status := m.self.get()
-	m.news.put(Update{Member: member, Status: status}, time.Time{})
+	m.news.put(newsItem{update: Update{Member: member, Status: status}})
 	m.views.changed()
 	if urgent {
 		m.push(farFanout, netip.AddrPort{})
--- a/coordination/membership/message.go
+++ b/coordination/membership/message.go
@@ -21,8 +21,10 @@
 	Push
 	// Compare carries the digest of the sender's table.
 	Compare
-	// Page answers a Compare that differs, with updates and the answerer's digest.
+	// Page answers a Compare that differs, with updates and the answerer's filter.
 	Page
+	// Complement answers a Page with what that side lacks.
+	Complement
 )
 
 // Status is what is said of a member; of two about the same incarnation the
@@ -65,23 +67,17 @@
 	Age time.Duration
 }
 
-// digestBuckets is the number of parts of the table that are compared.
-const digestBuckets = 8
-
-// Digest is a checksum of the live members, by bucket of their addresses.
-type Digest [digestBuckets]uint32
-
 // Message is what one member sends to another in a datagram.
 type Message struct {
 	Kind Kind
-	// Sequence ties an Ack to its Ping; on a Compare it says where the page starts.
+	// Sequence ties an Ack to its Ping, and is the salt of a Filter.
 	Sequence uint32
 	// Unknown is set on an Ack to a sender that the receiver does not know.
 	Unknown bool
 	// Target is the gossip address that a PingRequest asks about.
 	Target netip.AddrPort
-	// Digest is set on a Compare and a Page.
-	Digest  Digest
+	// Filter is set on a Compare and a Page.
+	Filter  Filter
 	Updates []Update
 }
 
--- a/coordination/membership/news.go
+++ b/coordination/membership/news.go
@@ -20,7 +20,9 @@
 	update Update
 	// since is when the suspicion began; zero for other news.
 	since time.Time
-	sent  int
+	// advert is set if only the advert is news.
+	advert bool
+	sent   int
 }
 
 func newNews() *news {
@@ -28,12 +30,16 @@
 }
 
 // put queues an update in place of any older one about the same member.
-func (n *news) put(u Update, since time.Time) {
+func (n *news) put(item newsItem) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	item := newsItem{update: u, since: since}
-	i := slices.IndexFunc(n.items, func(x newsItem) bool { return x.update.Member.Address == u.Member.Address })
+	address := item.update.Member.Address
+	i := slices.IndexFunc(n.items, func(x newsItem) bool { return x.update.Member.Address == address })
 	if i >= 0 {
+		if item.advert && !n.items[i].advert {
+			n.items[i].update.Member.Advert = item.update.Member.Advert
+			return
+		}
 		n.items[i] = item
 		return
 	}
@@ -48,10 +54,13 @@
 	if len(n.items) == 0 || count <= 0 {
 		return nil
 	}
-	slices.SortStableFunc(n.items, func(a, b newsItem) int { return a.sent - b.sent })
+	slices.SortStableFunc(n.items, newsItem.compare)
 	taken := make([]Update, 0, count)
-	for i := range min(count, len(n.items)) {
+	for i := range n.items {
 		item := &n.items[i]
+		if len(taken) == count || (i > 0 && item.advert && n.items[i-1].advert) {
+			break
+		}
 		item.sent++
 		u := item.update
 		if u.Status == Suspect {
@@ -59,11 +68,25 @@
 		}
 		taken = append(taken, u)
 	}
-	limit := 2 * bits.Len(uint(members))
-	n.items = slices.DeleteFunc(n.items, func(x newsItem) bool { return x.sent >= limit })
+	limit := bits.Len(uint(members)) + 1
+	n.items = slices.DeleteFunc(n.items, func(x newsItem) bool {
+		return x.sent >= limit || (x.advert && x.sent >= advertTransmissions)
+	})
 	return taken
 }
 
+// compare orders changes of status before adverts, of which a message
+// carries one, and each by the number of transmissions.
+func (x newsItem) compare(y newsItem) int {
+	if x.advert != y.advert {
+		if x.advert {
+			return 1
+		}
+		return -1
+	}
+	return x.sent - y.sent
+}
+
 func (n *news) empty() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/coordination/membership/page.go
+++ b/coordination/membership/page.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// compare sends the digest of the table to one member of this zone and of
+// compare sends the filter of the table to one member of this zone and of
 // the others in turn, so that whatever was missed is found.
-func (m *Members) compare(round int, start uint32) {
+func (m *Members) compare(round int) {
 	v := m.view()
 	first, second := v.near, v.far
 	if round%2 == 1 {
@@ -20,52 +20,60 @@
 		chosen = m.pickOthers(nil, 1, second, netip.AddrPort{})
 	}
 	for _, member := range chosen {
-		m.Send(member.Gossip, Message{Kind: Compare, Sequence: start, Digest: v.digest})
+		s := m.scopeWith(member.Gossip, m.dice.uint32())
+		m.Send(member.Gossip, Message{Kind: Compare, Sequence: s.salt, Filter: s.filter(v)})
 	}
 }
 
+// answerCompare sends what the other side lacks, and the own filter if the
+// two differ at all.
 func (m *Members) answerCompare(from netip.AddrPort, message Message) {
 	v := m.view()
-	if v.digest == message.Digest {
+	s := m.scopeWith(from, message.Sequence)
+	ours := s.filter(v)
+	if ours == message.Filter {
 		return
 	}
-	m.Send(from, Message{Kind: Page, Sequence: message.Sequence, Digest: v.digest, Updates: m.page(v, message)})
+	m.Send(from, Message{
+		Kind:     Page,
+		Sequence: message.Sequence,
+		Filter:   ours,
+		Updates:  m.page(v, s, &message.Filter),
+	})
 }
 
-// takePage answers with what the other side lacks, if its digest still
-// differs; grown says that the page named unknown members, so that there may be more.
+// takePage answers with what the other side lacks; grown says that the page
+// named unknown members, so that there may be more.
 func (m *Members) takePage(from netip.AddrPort, message Message, grown bool) {
 	if grown {
-		m.pullSoon.Store(true)
+		m.pulls.Store(pullsAfterGrowth)
 	}
-	v := m.view()
-	if v.digest == message.Digest {
-		return
+	s := m.scopeWith(from, message.Sequence)
+	if updates := m.page(m.view(), s, &message.Filter); len(updates) > 0 {
+		m.Send(from, Message{Kind: Complement, Updates: updates})
 	}
-	if updates := m.page(v, message); len(updates) > 0 {
-		m.Send(from, Message{Kind: Push, Updates: updates})
+}
+
+func (m *Members) scopeWith(gossip netip.AddrPort, salt uint32) scope {
+	s := scope{salt: salt}
+	if _, near := m.sender(gossip); near {
+		s.zone = m.Self().AvailabilityZone
 	}
+	return s
 }
 
-// page returns updates from the buckets in which the digests differ, this
-// member's own first and then from the place that the message names.
-func (m *Members) page(v *view, message Message) []Update {
-	theirs := message.Digest
+// page returns updates about members that the filter's sender lacks, and
+// about those that it has and that are out of use, from a place that the
+// salt chooses.
+func (m *Members) page(v *view, s scope, theirs *Filter) (updates []Update) {
 	own, status := m.self.get()
-	updates := []Update{{Member: own, Status: status}}
-	bucket := bucketOf(hashAddress(own.Address))
-	if v.digest[bucket] == theirs[bucket] {
-		updates = nil
-	}
-	if len(v.records) == 0 {
-		return updates
+	if theirs.has(s.bit(&own)) == (status == Left) {
+		updates = append(updates, Update{Member: own, Status: status})
 	}
 	now := m.Now()
-	start := int(message.Sequence % uint32(len(v.records)))
 	for i := range v.records {
-		r := &v.records[(start+i)%len(v.records)]
-		bucket := bucketOf(hashAddress(r.member.Address))
-		if v.digest[bucket] == theirs[bucket] || !r.worthPaging(now) {
+		r := &v.records[(int(s.salt%uint32(len(v.records)))+i)%len(v.records)]
+		if theirs.has(s.bit(&r.member)) == r.usable() || !r.worthPaging(now) {
 			continue
 		}
 		updates = append(updates, r.update(now))
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -49,13 +49,16 @@
 	m.ping(probe{gossip: gossip, timeouts: farTimeouts})
 }
 
+// ping sends the probe; members of other zones, which hear of this one rarely,
+// get its own record each time.
 func (m *Members) ping(p probe) {
 	p.sequence = m.sequence.Add(1)
 	p.sent = m.Now()
 	_, status := m.self.get()
 	p.tells = status == Left
+	introduce := p.tells || p.timeouts == farTimeouts
 	m.probes.Put(p.sequence, p)
-	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, p.tells)})
+	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, introduce)})
 }
 
 // advanceProbes asks helpers for targets that are silent and suspects those
@@ -87,6 +90,7 @@
 
 // askHelpers sends the Ping again and asks other members to try.
 func (m *Members) askHelpers(p probe) {
+	defer m.probeEntrant(p.target)
 	m.setStage(p.sequence, askedOthers)
 	m.count(EventAskedHelpers)
 	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, p.tells)})
@@ -117,7 +121,7 @@
 		return
 	}
 	m.setStage(p.sequence, watching)
-	if m.learn(Update{Member: r.member, Status: Suspect}, true) {
+	if m.learn(Update{Member: r.member, Status: Suspect}, origin{near: true}) {
 		m.push(0, p.gossip)
 	}
 	m.remind(p)
--- a/coordination/membership/record.go
+++ b/coordination/membership/record.go
@@ -35,6 +35,13 @@
 	return u.Status > r.status
 }
 
+// readvertises reports whether the update says nothing newer than the record
+// but for the advert.
+func (u *Update) readvertises(r *record) bool {
+	return !u.supersedes(r) && u.Member.Incarnation == r.member.Incarnation &&
+		u.Member.Advert.Version > r.member.Advert.Version
+}
+
 // change says what an update altered in the view.
 type change struct {
 	// accepted is set if the update was newer than what was known.
@@ -53,22 +60,29 @@
 	if !found && u.Status == Dead {
 		return old, change{}
 	}
+	if found && u.readvertises(&old) {
+		old.member.Advert = u.Member.Advert
+		return old, change{accepted: true, advert: old.usable()}
+	}
 	if found && !u.supersedes(&old) {
 		return hastened(old, u, now, patience), change{}
 	}
 	next := record{member: u.Member, status: u.Status, since: now}
+	if found && old.member.Incarnation == u.Member.Incarnation && old.member.Advert.Version > u.Member.Advert.Version {
+		next.member.Advert = old.member.Advert
+	}
 	if u.Status == Suspect {
 		next.expires = expiry(u, now, patience)
 	}
 	if found && old.status == u.Status {
 		next.since = old.since
 	}
-	advert := !found || old.member.Advert != u.Member.Advert
-	restarted := found && next.usable() && !advert && old.member.Incarnation != u.Member.Incarnation
+	advert := !found || old.member.Advert != next.member.Advert
+	renewed := found && next.usable() && old.member.Incarnation != u.Member.Incarnation
 	return next, change{
 		accepted: true,
 		status:   !found || old.status != u.Status,
-		live:     (found && old.usable()) != next.usable() || restarted,
+		live:     (found && old.usable()) != next.usable() || renewed,
 		advert:   advert && next.usable(),
 		event:    eventOf(old.status, u.Status),
 	}
--- a/coordination/membership/self.go
+++ b/coordination/membership/self.go
@@ -31,11 +31,12 @@
 func (s *self) setAdvert(advert state.Advert) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	advert.Version = s.member.Advert.Version
 	if s.member.Advert == advert {
 		return false
 	}
+	advert.Version++
 	s.member.Advert = advert
-	s.member.Incarnation++
 	return true
 }
 
--- a/coordination/membership/tick.go
+++ b/coordination/membership/tick.go
@@ -45,7 +45,7 @@
 		if now.Before(r.expires) {
 			continue
 		}
-		m.learn(Update{Member: r.member, Status: Dead}, true)
+		m.learn(Update{Member: r.member, Status: Dead}, origin{near: true})
 		verdicts++
 	}
 	if verdicts > 0 {
@@ -58,9 +58,9 @@
 func (m *Members) probeNext() {
 	v := m.view()
 	place, round := m.ticks%ticksPerRound, m.ticks/ticksPerRound
-	if m.pullSoon.Swap(false) {
-		m.pulled += maxPage
-		m.compare(round, m.pulled)
+	if m.ticks%pullTicks == 0 && m.pulls.Load() > 0 {
+		m.pulls.Add(-1)
+		m.compare(round)
 	}
 	if len(v.others) == 0 && place == 0 {
 		m.probeLost(v, seedsPerRound)
@@ -74,7 +74,7 @@
 		m.probeFar(v)
 		return
 	}
-	m.compare(round/2, m.dice.uint32())
+	m.compare(round / 2)
 	m.probeLost(v, 1)
 }
 
@@ -97,6 +97,14 @@
 	}
 }
 
+// probeEntrant pings the member that takes the place of a silent successor at
+// once, so that several neighbours that stop together are all found in time.
+func (m *Members) probeEntrant(silent state.Member) {
+	if silent.AvailabilityZone == m.Self().AvailabilityZone {
+		m.probeSuccessor(m.view(), successors-1)
+	}
+}
+
 func (m *Members) probeFar(v *view) {
 	for _, member := range m.pickOthers(nil, 1, v.far, netip.AddrPort{}) {
 		m.probeMember(member)
--- a/coordination/membership/timing.go
+++ b/coordination/membership/timing.go
@@ -44,9 +44,19 @@
 	// pushesPerTick is how many of these become available again in each step.
 	pushesPerTick = 0.4
 	// maxPiggyback is the number of updates on a probe or its acknowledgement.
-	maxPiggyback = 3
+	maxPiggyback = 2
 	// maxPage is the number of updates in a page of the table.
 	maxPage = 6
+	// advertTransmissions is how often a member passes on another's advert.
+	advertTransmissions = 4
+	// fewMembers is the number of members below which adverts travel through all zones.
+	fewMembers = 16
+	// pullTicks is the number of steps between two pages that a member asks
+	// for while it finds unknown members.
+	pullTicks = 2
+	// pullsAfterGrowth is the number of pages that a member asks for after one
+	// that named unknown members.
+	pullsAfterGrowth = 3
 	// maxMembers is the size of the table above which unknown members are refused.
 	maxMembers = 4096
 )
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -39,7 +39,6 @@
 	suspects []record
 	// records are all others by address.
 	records []record
-	digest  Digest
 }
 
 // Entry is a line of the view that operators see.
@@ -101,7 +100,6 @@
 	v.live = slices.Clone(v.others)
 	if status == Alive {
 		v.live = append(v.live, own)
-		v.digest.add(own)
 	}
 	slices.SortFunc(v.live, state.CompareMembers)
 	for _, member := range v.live {
@@ -122,7 +120,6 @@
 		return
 	}
 	v.others = append(v.others, r.member)
-	v.digest.add(r.member)
 	if r.member.AvailabilityZone == own.AvailabilityZone {
 		v.near = append(v.near, r.member)
 		return
@@ -146,15 +143,3 @@
 	binary.BigEndian.PutUint16(text[16:], address.Port())
 	return xxhash.Sum64(text[:])
 }
-
-func (d *Digest) add(member state.Member) {
-	address := hashAddress(member.Address)
-	var text [16]byte
-	binary.BigEndian.PutUint64(text[:8], address)
-	binary.BigEndian.PutUint64(text[8:], uint64(member.Incarnation))
-	d[bucketOf(address)] ^= uint32(xxhash.Sum64(text[:]))
-}
-
-func bucketOf(addressHash uint64) int {
-	return int(addressHash % digestBuckets)
-}
--- a/state/member.go
+++ b/state/member.go
@@ -8,7 +8,7 @@
 
 // Incarnation orders what is said of one member: a higher one replaces all
 // that was said before. It starts as the start time of the process in
-// milliseconds since 1970 and grows by one with each change.
+// milliseconds since 1970 and grows by one with each claim that the member refutes.
 type Incarnation uint64
 
 // IncarnationAt returns the first incarnation of a process started at that wall time.
@@ -24,6 +24,8 @@
 // Advert is what a member tells all others about itself; membership carries
 // it without looking into it.
 type Advert struct {
+	// Version counts the changes within one incarnation; membership sets it.
+	Version uint32
 	// Generation is that of the manifest in force at the member.
 	Generation Generation
 	// Digest is a checksum of the manifest in force at the member.
