--- /dev/null
+++ b/protocol/gossip/fleet_test.go
@@ -0,0 +1,197 @@
+package gossip
+
+import (
+	"comfreystream/coordination/membership"
+	"comfreystream/state"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+const (
+	fleetTick = 200 * time.Millisecond
+	// linkLoss is the part of the messages between zones that is lost.
+	linkLoss = 0.01
+)
+
+// fleet is many members on one virtual clock; each message is encoded and
+// decoded on its way.
+type fleet struct {
+	now    time.Time
+	queue  eventQueue
+	order  uint64
+	random *rand.Rand
+	nodes  []*fleetNode
+	byAddr map[netip.AddrPort]*fleetNode
+	zones  int
+}
+
+type fleetNode struct {
+	*membership.Members
+	index    int
+	zone     string
+	gossip   netip.AddrPort
+	stopped  bool
+	messages int
+	bytes    int
+	onChange func(n *fleetNode)
+}
+
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	popped := (*q)[last]
+	*q = (*q)[:last]
+	return popped
+}
+
+// newFleet starts that many members over the zones, each with three seeds.
+func newFleet(count, zones int, seed uint64) *fleet {
+	f := &fleet{
+		now:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		byAddr: make(map[netip.AddrPort]*fleetNode),
+		zones:  zones,
+	}
+	for i := range count {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleet) start(index int) {
+	ip := netip.AddrFrom4([4]byte{10, byte(index % f.zones), byte(index >> 8), byte(index)})
+	n := &fleetNode{index: index, zone: fmt.Sprint("region-", index%f.zones), gossip: netip.AddrPortFrom(ip, 7071)}
+	n.Members = membership.New(state.Member{
+		Address:          netip.AddrPortFrom(ip, 7070),
+		Gossip:           n.gossip,
+		AvailabilityZone: n.zone,
+		Incarnation:      state.IncarnationAt(f.now),
+	}, rand.New(rand.NewPCG(f.random.Uint64(), 2)))
+	n.Now = func() time.Time { return f.now }
+	n.Send = func(to netip.AddrPort, message membership.Message) { f.carry(n, to, message) }
+	n.OnChange = func() {
+		if n.onChange != nil {
+			n.onChange(n)
+		}
+	}
+	var seeds []netip.AddrPort
+	for _, other := range f.nodes[:min(3, len(f.nodes))] {
+		seeds = append(seeds, other.gossip)
+	}
+	n.Seed(seeds)
+	f.nodes = append(f.nodes, n)
+	f.byAddr[n.gossip] = n
+	f.after(time.Duration(f.random.Int64N(int64(fleetTick))), func() { f.tick(n) })
+}
+
+func (f *fleet) tick(n *fleetNode) {
+	if n.stopped {
+		return
+	}
+	n.Tick()
+	f.after(fleetTick, func() { f.tick(n) })
+}
+
+func (f *fleet) carry(from *fleetNode, to netip.AddrPort, message membership.Message) {
+	payload, err := encode(message)
+	if err != nil {
+		panic(err)
+	}
+	from.messages++
+	from.bytes += len(payload) + headerBytes
+	target := f.byAddr[to]
+	if target == nil {
+		return
+	}
+	delay := 200*time.Microsecond + time.Duration(f.random.Int64N(int64(time.Millisecond)))
+	if from.zone != target.zone {
+		if f.random.Float64() < linkLoss {
+			return
+		}
+		delay = 4*time.Millisecond + time.Duration(f.random.Int64N(int64(4*time.Millisecond)))
+	}
+	f.after(delay, func() {
+		if target.stopped {
+			return
+		}
+		decoded, reason := decode(payload)
+		if reason != "" {
+			panic(reason)
+		}
+		target.Handle(from.gossip, decoded)
+	})
+}
+
+func (f *fleet) after(delay time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, event{at: f.now.Add(delay), order: f.order, run: run})
+}
+
+// run lets that much virtual time pass.
+func (f *fleet) run(span time.Duration) {
+	end := f.now.Add(span)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(event)
+		f.now = next.at
+		next.run()
+	}
+	f.now = end
+}
+
+// every calls act at each period of the span from now on.
+func (f *fleet) every(period, span time.Duration, act func(i int)) {
+	for i := range int(span / period) {
+		f.after(time.Duration(i)*period, func() { act(i) })
+	}
+}
+
+// restart ends a process and starts another at its address a second later.
+func (f *fleet) restart(n *fleetNode) {
+	n.stopped = true
+	f.after(time.Second, func() { f.start(n.index) })
+}
+
+// traffic returns the messages and bytes sent by all since the last call.
+func (f *fleet) traffic() (messages, bytes int) {
+	for _, n := range f.nodes {
+		messages += n.messages
+		bytes += n.bytes
+		n.messages, n.bytes = 0, 0
+	}
+	return messages, bytes
+}
+
+// strangers returns how many of the members are not live in the view of a running one.
+func (f *fleet) strangers() (missing int) {
+	running := 0
+	for _, n := range f.nodes {
+		if !n.stopped {
+			running++
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.stopped {
+			missing += max(running-len(n.Live()), 0)
+		}
+	}
+	return missing
+}
