--- a/protocol/peer/jobs.go
+++ b/protocol/peer/jobs.go
@@ -61,12 +61,6 @@
 	return err
 }
 
-// Await returns how far the job is; the peer waits up to the duration for its end.
-func (c *Client) Await(ctx context.Context, peer netip.AddrPort, job state.JobID, wait time.Duration) (state.Progress, error) {
-	progress, err := c.jobs.await.ask(ctx, peer, idRequest{Job: job, Wait: wait})
-	return progress.progress(), err
-}
-
 // Cancel has the peer stop the job.
 func (c *Client) Cancel(ctx context.Context, peer netip.AddrPort, job state.JobID) error {
 	_, err := c.jobs.cancel.ask(ctx, peer, idRequest{Job: job})
