Ask sooner when few calls are above the bound of waits

Change: the bound is 512, and the time until a call asks grows with the calls above it, so that a peer gets a thousand such questions a second.

--- a/protocol/peer/await.go
+++ b/protocol/peer/await.go
@@ -9,47 +9,64 @@
 
 const (
 	// maxHeldWaits bounds the calls to one peer that wait there for a job's
-	// end, since each holds a connection; with this bound, sixteen fronts stay
+	// end, since each holds a connection; with this bound, eight fronts stay
 	// within a planner's default of 4096 connections.
-	maxHeldWaits = 256
-	// askInterval is how often a call above the bound asks instead.
-	askInterval = 2 * time.Second
+	maxHeldWaits = 512
+	// askSpacing is the mean time between the questions that the calls above
+	// the bound put to one peer; each of them asks once an interval.
+	askSpacing     = time.Millisecond
+	minAskInterval = 50 * time.Millisecond
+	maxAskInterval = 2 * time.Second
 )
 
-// heldWaits counts, by peer, the calls that wait there.
-type heldWaits struct {
-	counts *state.Table[netip.AddrPort, int]
+// waits counts, by peer, the calls that wait there and those that ask.
+type waits struct {
+	counts *state.Table[netip.AddrPort, waitCount]
 }
 
-func newHeldWaits() heldWaits {
-	return heldWaits{counts: state.NewTable[netip.AddrPort, int]()}
+type waitCount struct{ held, asking int }
+
+func newWaits() waits {
+	return waits{counts: state.NewTable[netip.AddrPort, waitCount]()}
 }
 
-// take reports whether one more call may wait at the peer.
-func (h heldWaits) take(peer netip.AddrPort) (taken bool) {
-	h.counts.Update(peer, func(count int, _ bool) (int, bool) {
-		taken = count < maxHeldWaits
-		if taken {
-			count++
+// begin reports whether one more call may wait at the peer, or after how long
+// it may ask.
+func (w waits) begin(peer netip.AddrPort) (held bool, askAfter time.Duration) {
+	w.counts.Update(peer, func(count waitCount, _ bool) (waitCount, bool) {
+		held = count.held < maxHeldWaits
+		if held {
+			count.held++
+			return count, true
 		}
+		count.asking++
+		askAfter = min(max(time.Duration(count.asking)*askSpacing, minAskInterval), maxAskInterval)
 		return count, true
 	})
-	return taken
+	return held, askAfter
 }
 
-func (h heldWaits) release(peer netip.AddrPort) {
-	h.counts.Update(peer, func(count int, _ bool) (int, bool) { return count - 1, count > 1 })
+func (w waits) end(peer netip.AddrPort, held bool) {
+	w.counts.Update(peer, func(count waitCount, _ bool) (waitCount, bool) {
+		if held {
+			count.held--
+		} else {
+			count.asking--
+		}
+		return count, count != waitCount{}
+	})
 }
 
 // Await returns how far the job is; the peer waits up to the duration for its
 // end. With too many such calls at the peer, this one waits here and then asks
 // once, so that its answer may come that much later.
 func (c *Client) Await(ctx context.Context, peer netip.AddrPort, job state.JobID, wait time.Duration) (state.Progress, error) {
-	if c.waits.take(peer) {
-		defer c.waits.release(peer)
+	held, askAfter := c.waits.begin(peer)
+	defer c.waits.end(peer, held)
+	if held {
 		return c.askProgress(ctx, peer, job, wait)
 	}
-	timer := time.NewTimer(min(wait, askInterval))
+	timer := time.NewTimer(min(wait, askAfter))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/protocol/peer/client.go
+++ b/protocol/peer/client.go
@@ -8,7 +8,7 @@
 // *state.StepError: homeUnreachable if the call did not leave, otherwise
 // ambiguous or what the peer answered.
 type Client struct {
-	waits    heldWaits
+	waits    waits
 	jobs     jobCalls
 	racks    rackCalls
 	manifest manifestCalls
@@ -18,7 +18,7 @@
 func NewClient(client *transport.Client) *Client {
 	h := transport.HTTPClient{Client: client}
 	return &Client{
-		waits: newHeldWaits(),
+		waits: newWaits(),
 		jobs: jobCalls{
 			submit: newProcedure[jobRequest, none](h, stepSubmit),
 			accept: newProcedure[jobRequest, none](h, stepAccept),
