Show which counters moved, and who plans, in the overview

An operator on call asked the wrong entry for queues, and had to scrape the metrics page to see refusals. status now names the zone's planner and lists the reasons that were counted.

--- a/instance/overview.go
+++ b/instance/overview.go
@@ -21,9 +21,13 @@
 	StoreReachable   bool                 `json:"storeReachable"`
 	Draining         bool                 `json:"draining"`
 	StoreCalls       []StoreCallsOverview `json:"storeCalls"`
+	Refusals         []ReasonOverview     `json:"refusals"`
+	Retries          []ReasonOverview     `json:"retries"`
 	Entries          []EntryOverview      `json:"entries"`
 	Racks            []string             `json:"racks"`
-	Planner          *PlannerOverview     `json:"planner,omitempty"`
+	// PlannerEntry is the entry that plans for the zone, by this entry's view.
+	PlannerEntry netip.AddrPort   `json:"plannerEntry,omitzero"`
+	Planner      *PlannerOverview `json:"planner,omitempty"`
 }
 
 // StoreCallsOverview counts the calls to the store for one purpose.
@@ -32,6 +36,12 @@
 	Calls   uint64 `json:"calls"`
 }
 
+// ReasonOverview counts a reason that was met at least once since the entry's start.
+type ReasonOverview struct {
+	Reason state.Reason `json:"reason"`
+	Count  uint64       `json:"count"`
+}
+
 // EntryOverview is one entry as this one knows it.
 type EntryOverview struct {
 	Address          netip.AddrPort   `json:"address"`
@@ -111,6 +121,13 @@
 	for _, e := range i.members.View() {
 		body.Entries = append(body.Entries, entryOf(e))
 	}
+	for _, t := range i.metrics.Refusals() {
+		body.Refusals = append(body.Refusals, ReasonOverview(t))
+	}
+	for _, t := range i.metrics.Retries() {
+		body.Retries = append(body.Retries, ReasonOverview(t))
+	}
+	body.PlannerEntry, _ = i.plannerOf(i.settings.AvailabilityZone)
 	body.Planner = i.plannerOverview()
 	data, err := json.Marshal(body)
 	return data, errors.Wrap(err, "encode overview")
--- a/overview.go
+++ b/overview.go
@@ -19,8 +19,10 @@
 		fmt.Fprintln(w, "the entry drains")
 	}
 	printEntries(w, o)
+	printReasons(w, "REFUSED OR FAILED", o.Refusals)
+	printReasons(w, "REPEATED", o.Retries)
 	if o.Planner == nil {
-		fmt.Fprintln(w, "\nanother entry of the zone is its planner; ask it for queues and guarantees")
+		fmt.Fprintf(w, "\nqueues and guarantees: comfreystream status --entry %s, the zone's planner\n", o.PlannerEntry)
 		return w.Flush()
 	}
 	printPlanner(w, o.Planner)
@@ -45,6 +47,16 @@
 	}
 }
 
+func printReasons(w io.Writer, title string, reasons []instance.ReasonOverview) {
+	if len(reasons) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\n%s\tCOUNT\n", title)
+	for _, r := range reasons {
+		fmt.Fprintf(w, "%s\t%d\n", r.Reason, r.Count)
+	}
+}
+
 func printPlanner(w io.Writer, p *instance.PlannerOverview) {
 	fmt.Fprintf(w, "\nworkers: %d usable, %d leaving, %d quarantined; accelerators: %d of %d free, %d lent; fragmentation %.2f\n",
 		p.Workers.Usable, p.Workers.Leaving, p.Workers.Quarantined,
