Keep a connection's addresses for its handlers

Change: the addresses are kept beside the connection's context. The type net.Addr in two methods is asked for by net.Conn.

--- a/transport/connection.go
+++ b/transport/connection.go
@@ -37,7 +37,7 @@
 func newConnection(s *Server, conn gnet.Conn) *connection {
 	c := &connection{server: s, conn: conn}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.remote = remoteEnd{Conn: conn, ctx: c.ctx}
+	c.remote = remoteEnd{local: conn.LocalAddr(), remote: conn.RemoteAddr(), ctx: c.ctx}
 	c.reader = reader{limits: &s.limits, parsers: &s.parsers}
 	return c
 }
@@ -108,7 +108,6 @@
 		c.beat.start(c)
 	}
 	x.ctx.Init2(&c.remote, silentLogger{}, true)
-	x.ctx.SetRemoteAddr(c.conn.RemoteAddr())
 	c.server.handlers.Add(1)
 	if err := c.server.pool.Invoke(x); err != nil {
 		c.server.handlers.Done()
