Reserve for the gang that presses most, and drop places gone for good

Cause: the gang with a reservation was compared with others only within a round's order, and a reservation whose places guarantees had moved to could stay for ever. Blocked gangs are now ordered by the accelerator time they waited for; places that can no longer hold the gang are given up. The replay ends after 20 times the arrivals' time, so that a policy that stops deciding shows as unserved instead of running on.

The property test then found a fault of old: a guaranteed place whose work ended on a leaving worker counted as kept there. Places on workers that leave or are quarantined are now given up and made elsewhere.

--- a/coordination/planning/guarantee.go
+++ b/coordination/planning/guarantee.go
@@ -267,7 +267,7 @@
 func (p *Planner) layoutGuarantee(g *guarantee, room func(*worker) state.Resources) []share {
 	missing := g.Members - g.pinned
 	count := func(w *worker) int {
-		if w.Leaving || w.lost {
+		if !w.open() {
 			return 0
 		}
 		return min(g.Shape.CountIn(room(w)), missing)
@@ -445,11 +445,12 @@
 	return TooLarge
 }
 
-// unpinOverfull gives up idle places on a worker that shrank or leaves.
+// unpinOverfull gives up idle places on a worker that shrank, leaves or is
+// quarantined.
 func (p *Planner) unpinOverfull(w *worker) {
 	for _, g := range p.guarantees {
 		at, found := g.pins[w]
-		if found && (w.Leaving || !w.pinned.Plus(w.firm).FitsIn(w.Capacity)) {
+		if found && (!w.open() || !w.pinned.Plus(w.firm).FitsIn(w.Capacity)) {
 			g.setPin(w, pin{units: at.used, used: at.used})
 		}
 	}
--- a/coordination/planning/lifecycle.go
+++ b/coordination/planning/lifecycle.go
@@ -249,6 +249,9 @@
 			at := e.guarantee.pins[h.worker]
 			at.used += h.units * sign
 			at.units = max(at.units, at.used)
+			if !h.worker.open() {
+				at.units = at.used
+			}
 			e.guarantee.setPin(h.worker, at)
 		}
 	}
--- a/coordination/planning/planner.go
+++ b/coordination/planning/planner.go
@@ -3,6 +3,7 @@
 import (
 	"comfreystream/state"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,7 +30,7 @@
 	manifest   *state.Manifest
 	guarantees []*guarantee
 	pending    []*entry
-	reserved   *reservation
+	reserved   []*reservation
 	// unsettled is set when guarantees may have to be placed anew.
 	unsettled bool
 	// unchecked is set when queued jobs may have become impossible.
@@ -121,8 +122,6 @@
 	for _, g := range p.guarantees {
 		g.unpin(known)
 	}
-	if p.reserved != nil && p.reserved.includes(known) {
-		p.reserved = nil
-	}
+	p.reserved = slices.DeleteFunc(p.reserved, func(s *reservation) bool { return s.workers[known] })
 	return lost
 }
--- a/coordination/planning/reclaim.go
+++ b/coordination/planning/reclaim.go
@@ -34,9 +34,7 @@
 			e.claims = true
 		}
 	}
-	if p.holdsReservation(e) {
-		p.reserved = nil
-	}
+	p.reserved = slices.DeleteFunc(p.reserved, func(s *reservation) bool { return s.entry == e })
 	if !e.claims {
 		return p.start(r, e)
 	}
--- a/coordination/planning/replay_test.go
+++ b/coordination/planning/replay_test.go
@@ -16,6 +16,10 @@
 	urgentLimit = 1500 * time.Millisecond
 )
 
+// longestReplay is how many times as long as the arrivals a replay may last;
+// what has not run by then counts as unserved.
+const longestReplay = 20
+
 // policy is what a replay drives, the planner or the baseline.
 type policy struct {
 	books   *Planner
@@ -103,7 +107,8 @@
 			r.at(a.cancelAt, func() { r.cancel(a.job.ID) })
 		}
 	}
-	for len(r.events) > 0 {
+	limit := from.Add(longestReplay * span)
+	for len(r.events) > 0 && r.events[0].at.Before(limit) {
 		now := r.events[0].at
 		r.sample(now)
 		r.now = now
--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -1,7 +1,9 @@
 package planning
 
 import (
+	"cmp"
 	"comfreystream/state"
+	"slices"
 	"time"
 )
 
@@ -15,8 +17,6 @@
 	checked time.Time
 }
 
-func (s *reservation) includes(w *worker) bool { return s.workers[w] }
-
 const (
 	// reservationCheck is how soon a reservation that is due is looked at again.
 	reservationCheck = 2 * time.Second
@@ -24,6 +24,8 @@
 	shiftInterval = 30 * time.Second
 	// maxMoves is how often one job may be moved for larger gangs.
 	maxMoves = 20
+	// maxReservations bounds the gangs for which places are kept at once.
+	maxReservations = 1
 	// moveRatio is how many times larger a gang must be than what it has moved.
 	moveRatio = 2
 )
@@ -35,46 +37,55 @@
 }
 
 func (p *Planner) holdsReservation(e *entry) bool {
-	return p.reserved != nil && p.reserved.entry == e
+	return slices.ContainsFunc(p.reserved, func(s *reservation) bool { return s.entry == e })
 }
 
-// mayUse reports whether the job may run on a worker that is kept for another.
+// mayUse reports whether the job may run on a worker that may be kept for another.
 func (p *Planner) mayUse(e *entry, w *worker) bool {
-	if p.reserved == nil || p.reserved.entry == e || !p.reserved.includes(w) || e.job.Urgency == state.Urgent {
+	if e.job.Urgency == state.Urgent {
 		return true
 	}
-	return e.movableFor(p.reserved.entry)
+	for _, s := range p.reserved {
+		if s.workers[w] && s.entry != e && !e.movableFor(s.entry) {
+			return false
+		}
+	}
+	return true
 }
 
-// checkReservation gives up a reservation whose gang has left the queue.
-func (p *Planner) checkReservation() {
-	if p.reserved == nil {
-		return
-	}
-	e := p.reserved.entry
-	if e.claims || e.queue.phaseOf(e) != queued {
-		p.reserved = nil
-	}
+// checkReservations gives up reservations whose gangs have left the queue.
+func (p *Planner) checkReservations() {
+	p.reserved = slices.DeleteFunc(p.reserved, func(s *reservation) bool {
+		return s.entry.claims || s.entry.queue.phaseOf(s.entry) != queued
+	})
 }
 
-// reserve makes or renews the reservation for the blocked gang, and clears its
-// places of work that can be stopped when that pays.
+// reserve renews the reservations, makes new ones for the gangs that press
+// most, and clears their places of work that can be moved when that pays.
 func (p *Planner) reserve(r *round) {
-	if p.reserved == nil && r.blocked != nil {
-		p.reserved = &reservation{entry: r.blocked}
-	}
-	if p.reserved == nil {
-		return
+	slices.SortStableFunc(r.blocked, func(a, b *entry) int {
+		return cmp.Compare(b.pressure(r.now), a.pressure(r.now))
+	})
+	for _, e := range r.blocked {
+		if len(p.reserved) >= maxReservations {
+			break
+		}
+		if !p.holdsReservation(e) {
+			p.reserved = append(p.reserved, &reservation{entry: e})
+		}
 	}
-	if p.reserved.workers == nil || !r.now.Before(p.reserved.checked.Add(reservationCheck)) {
-		p.chooseWorkers(r, p.reserved)
+	for _, s := range slices.Clone(p.reserved) {
+		if s.workers == nil || !r.now.Before(s.checked.Add(reservationCheck)) {
+			p.chooseWorkers(r, s)
+		}
+		if s.workers != nil {
+			p.clear(r, s)
+		}
 	}
-	if p.reserved.workers == nil {
-		p.reserved = nil
-		return
+	p.reserved = slices.DeleteFunc(p.reserved, func(s *reservation) bool { return s.workers == nil })
+	if len(p.reserved) > 0 {
+		r.Next = earlier(r.Next, r.now.Add(reservationCheck))
 	}
-	r.Next = earlier(r.Next, r.now.Add(reservationCheck))
-	p.clear(r, p.reserved.entry)
 }
 
 // chooseWorkers finds the places that are clear the soonest, moving idle
@@ -98,13 +109,16 @@
 func (p *Planner) chooseClearest(r *round, reserved *reservation) {
 	reserved.checked = r.now
 	e := reserved.entry
+	if !p.canStillHold(r, reserved) {
+		reserved.workers = nil
+	}
 	for _, horizon := range horizons {
 		by := r.now.Add(horizon)
 		if reserved.workers != nil && !by.Before(reserved.ready) {
 			return
 		}
 		shares := findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
-			if !w.open() || e.avoids(w) {
+			if !w.open() || e.avoids(w) || p.keptForOther(reserved, w) {
 				return 0
 			}
 			return e.job.Shape.CountIn(w.roomBy(r.now, by, e))
@@ -121,6 +135,23 @@
 	}
 }
 
+// canStillHold reports whether the gang will fit into its places once all that
+// runs there has ended; guarantees may have been moved there since.
+func (p *Planner) canStillHold(r *round, reserved *reservation) bool {
+	e := reserved.entry
+	last := r.now.Add(horizons[len(horizons)-1])
+	return findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
+		if !reserved.workers[w] || !w.open() || e.avoids(w) {
+			return 0
+		}
+		return e.job.Shape.CountIn(w.roomBy(r.now, last, e))
+	}) != nil
+}
+
+func (p *Planner) keptForOther(reserved *reservation, w *worker) bool {
+	return slices.ContainsFunc(p.reserved, func(s *reservation) bool { return s != reserved && s.workers[w] })
+}
+
 // roomBy returns what the gang could have at a time if all that it may move is moved.
 func (w *worker) roomBy(now, by time.Time, e *entry) state.Resources {
 	free := w.free()
@@ -143,7 +174,8 @@
 
 // clear moves stoppable work off the reserved places if the accelerator time
 // that it loses is less than what the gang has waited for.
-func (p *Planner) clear(r *round, e *entry) {
+func (p *Planner) clear(r *round, reserved *reservation) {
+	e := reserved.entry
 	if e.overQuota() {
 		return
 	}
@@ -151,7 +183,7 @@
 		return
 	}
 	shares := findLayout(p.zone.racks, p.gangOf(e), func(w *worker) int {
-		if !p.reserved.includes(w) {
+		if !reserved.workers[w] {
 			return 0
 		}
 		return e.job.Shape.CountIn(p.room(e, w, w.roomBy(r.now, r.now, e)))
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -64,8 +64,8 @@
 	// failed holds, for each kind of request that found no room, the fewest
 	// members; room only shrinks within a round.
 	failed map[requestKey]int
-	// blocked is the most pressing gang that found no room.
-	blocked *entry
+	// blocked are the gangs that found no room.
+	blocked []*entry
 	// firmAllowed is unset while work that must not be stopped would keep a
 	// guarantee from being restored.
 	firmAllowed bool
@@ -75,8 +75,8 @@
 	shape     state.Resources
 	adjacency state.Adjacency
 	tenure    tenure
-	// movable is set if the request may use reserved places.
-	movable bool
+	// movable counts the reservations whose places the request may use.
+	movable int
 }
 
 // Plan runs one planning round.
@@ -96,15 +96,22 @@
 	}
 	p.refuseImpossible(r)
 	p.startPending(r)
-	p.checkReservation()
+	p.checkReservations()
 	p.placeAll(r, p.gather(r))
 	p.reserve(r)
+	p.settle()
 	return r.Round
 }
 
 func (p *Planner) refreshUsable() {
 	for _, w := range p.zone.workers {
-		w.unusable = !p.Usable(w.Address)
+		unusable := !p.Usable(w.Address)
+		if unusable == w.unusable {
+			continue
+		}
+		w.unusable = unusable
+		p.unpinOverfull(w)
+		p.unsettled = true
 	}
 }
 
@@ -270,8 +277,8 @@
 		return true
 	}
 	e.queue.wait(e, WaitingForRoom)
-	if e.job.Members > 1 && (r.blocked == nil || e.pressure(r.now) > r.blocked.pressure(r.now)) {
-		r.blocked = e
+	if e.job.Members > 1 {
+		r.blocked = append(r.blocked, e)
 	}
 	return false
 }
@@ -358,8 +365,10 @@
 		return false
 	}
 	key := requestKey{shape: e.job.Shape, adjacency: e.job.Adjacency, tenure: right}
-	if p.reserved != nil {
-		key.movable = e.movableFor(p.reserved.entry)
+	for _, s := range p.reserved {
+		if e.movableFor(s.entry) {
+			key.movable++
+		}
 	}
 	known := len(e.avoid) == 0 && !p.holdsReservation(e)
 	if fewest, found := r.failed[key]; found && known && e.job.Members >= fewest {
--- a/coordination/planning/view.go
+++ b/coordination/planning/view.go
@@ -20,8 +20,8 @@
 	Fragmentation float64
 	Guarantees    []GuaranteeView
 	Queues        []QueueView
-	// ReservedFor is the gang for which places are kept, if any.
-	ReservedFor state.JobID
+	// ReservedFor lists the gangs for which places are kept.
+	ReservedFor []state.JobID
 }
 
 // WorkerCounts counts the zone's workers by state.
@@ -76,8 +76,8 @@
 	if p.manifest != nil {
 		view.Generation = p.manifest.Generation
 	}
-	if p.reserved != nil {
-		view.ReservedFor = p.reserved.entry.job.ID
+	for _, s := range p.reserved {
+		view.ReservedFor = append(view.ReservedFor, s.entry.job.ID)
 	}
 	for _, g := range p.guarantees {
 		lent := g.lent()
