Close the ledger with the planner that uses it

Cause: the goroutines that write and undo batches outlived the planner's Close. Change: Dispatcher.Close closes its ledger, which waits for them.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -108,7 +108,7 @@
 	d.closing.Unlock()
 	d.cancel()
 	d.tasks.Wait()
-	return nil
+	return d.Ledger.Close()
 }
 
 // spawn runs task in a goroutine that Close waits for, unless it has begun to close.
