Prove what goes on while the store is away, and repeat lost reads

Cause: a fleet whose store lost every second answer refused claims and applies although the store had carried them out, and with a silent store an apply said connectionLost instead of storeUnavailable. Change: reads, lists and leases are sent up to 3 times when the answer is lost; a failed call is storeUnavailable unless the reason lies in the call.

--- a/coordination/storage/call.go
+++ b/coordination/storage/call.go
@@ -9,6 +9,17 @@
 	"github.com/sony/gobreaker/v2"
 )
 
+// repeat sends a call that may be sent twice without harm, and again after a
+// failure in which the store may have heard it, up to readAttempts times.
+func (s *Storage) repeat(ctx context.Context, step string, purpose Purpose, send func(context.Context) error) error {
+	for attempt := 1; ; attempt++ {
+		err := s.call(ctx, s.breaker, step, purpose, callTimeout, send)
+		if err == nil || !state.IsAmbiguous(err) || attempt == readAttempts || !s.Pause(ctx, 0) {
+			return err
+		}
+	}
+}
+
 // call sends one call within the budget, through the breaker. Its error is a
 // *state.StepError or a *state.WriteConflict.
 func (s *Storage) call(ctx context.Context, breaker *gobreaker.CircuitBreaker[struct{}], step string, purpose Purpose, timeout time.Duration, send func(context.Context) error) error {
@@ -34,9 +45,20 @@
 	case errors.As(err, &conflict):
 		return conflict
 	case notSent(err) || !state.IsAmbiguous(err):
-		return state.NewStepError(step, s.Peer, state.ReasonOf(err, state.StoreUnavailable), err)
+		return state.NewStepError(step, s.Peer, reasonOf(err), err)
+	default:
+		return state.AmbiguousStep(step, s.Peer, reasonOf(err), err)
+	}
+}
+
+// reasonOf keeps the reasons that lie in the call itself; all others mean that
+// the store cannot be used.
+func reasonOf(err error) state.Reason {
+	switch reason := state.ReasonOf(err, state.StoreUnavailable); reason {
+	case state.BodyTooLarge, state.LeaseLapsed, state.BadRequest:
+		return reason
 	default:
-		return state.AmbiguousStep(step, s.Peer, state.ReasonOf(err, state.StoreUnavailable), err)
+		return state.StoreUnavailable
 	}
 }
 
--- a/coordination/storage/storage.go
+++ b/coordination/storage/storage.go
@@ -18,6 +18,7 @@
 	breakerOpen       = time.Second
 	breakerFailures   = 5
 	defaultCallBudget = 100
+	readAttempts      = 3
 	writeIDLength     = 12
 )
 
@@ -81,7 +82,7 @@
 
 // Get reads a key; a key without a value has version 0.
 func (s *Storage) Get(ctx context.Context, purpose Purpose, key string) (entry state.Entry, err error) {
-	err = s.call(ctx, s.breaker, "read "+key, purpose, callTimeout, func(ctx context.Context) (err error) {
+	err = s.repeat(ctx, "read "+key, purpose, func(ctx context.Context) (err error) {
 		entry, err = s.calls.Get(ctx, key)
 		return err
 	})
@@ -90,7 +91,7 @@
 
 // List reads all keys under prefix, and the version up to which it looked.
 func (s *Storage) List(ctx context.Context, purpose Purpose, prefix string) (entries []state.Entry, latest state.Version, err error) {
-	err = s.call(ctx, s.breaker, "list "+prefix, purpose, callTimeout, func(ctx context.Context) (err error) {
+	err = s.repeat(ctx, "list "+prefix, purpose, func(ctx context.Context) (err error) {
 		entries, latest, err = s.calls.Watch(ctx, prefix, 0, 0)
 		return err
 	})
@@ -108,7 +109,7 @@
 
 // Grant takes a lease; values written under it go ttl after the last KeepAlive.
 func (s *Storage) Grant(ctx context.Context, ttl time.Duration) (lease state.StoreLease, err error) {
-	err = s.call(ctx, s.breaker, "grant lease", ForLease, callTimeout, func(ctx context.Context) (err error) {
+	err = s.repeat(ctx, "grant lease", ForLease, func(ctx context.Context) (err error) {
 		lease, err = s.calls.Grant(ctx, ttl)
 		return err
 	})
@@ -117,7 +118,7 @@
 
 // KeepAlive extends a lease by its ttl.
 func (s *Storage) KeepAlive(ctx context.Context, lease state.StoreLease) error {
-	return s.call(ctx, s.breaker, "keep lease alive", ForLease, callTimeout, func(ctx context.Context) error {
+	return s.repeat(ctx, "keep lease alive", ForLease, func(ctx context.Context) error {
 		return s.calls.KeepAlive(ctx, lease)
 	})
 }
--- a/coordination/storage/storage_test.go
+++ b/coordination/storage/storage_test.go
@@ -5,6 +5,7 @@
 	"comfreystream/protocol/store"
 	"comfreystream/state"
 	"context"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -122,6 +123,38 @@
 	}
 }
 
+func TestReads(t *testing.T) {
+	tests := []struct {
+		name      string
+		errs      []error
+		reason    state.Reason
+		ambiguous bool
+		calls     int
+	}{
+		{"answered", []error{nil}, "", false, 1},
+		{"two answers lost", []error{errors.New("lost"), errors.New("lost"), nil}, "", false, 3},
+		{"every answer lost", []error{errors.New("lost"), errors.New("lost"), errors.New("lost"), nil}, state.StoreUnavailable, true, 3},
+		{"refused", []error{state.NewStepError("get", netip.AddrPort{}, state.QueueFull, nil)}, state.StoreUnavailable, false, 1},
+		{"connection refused", []error{state.NewStepError("get", netip.AddrPort{}, state.ConnectionLost, nil)}, state.StoreUnavailable, false, 1},
+		{"bad key", []error{state.NewStepError("get", netip.AddrPort{}, state.BadRequest, nil)}, state.BadRequest, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				s := storage.New(storage.Calls{Get: func(context.Context, string) (state.Entry, error) {
+					calls++
+					return state.Entry{}, tt.errs[calls-1]
+				}}, 0)
+				_, err := s.Get(context.Background(), storage.ForClaim, key)
+				if state.ReasonOf(err, "") != tt.reason || state.IsAmbiguous(err) != tt.ambiguous || calls != tt.calls {
+					t.Errorf("%v after %d calls", err, calls)
+				}
+			})
+		})
+	}
+}
+
 func TestBreakerAndBudget(t *testing.T) {
 	tests := []struct {
 		name   string
