--- a/protocol/gossip/wire.go
+++ b/protocol/gossip/wire.go
@@ -4,12 +4,10 @@
 	"comfreystream/coordination/membership"
 	"comfreystream/state"
 	"comfreystream/transport"
-	"encoding/binary"
 	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -18,7 +16,6 @@
 	maxAge       = time.Minute
 	maxNesting   = 4
 	maxMapPairs  = 32
-	digestBytes  = len(membership.Digest{}) * 4
 )
 
 // wireMessage is a membership.Message as it travels.
@@ -27,7 +24,7 @@
 	Sequence uint32          `cbor:"2,keyasint,omitempty"`
 	Unknown  bool            `cbor:"3,keyasint,omitempty"`
 	Target   netip.AddrPort  `cbor:"4,keyasint,omitzero"`
-	Digest   []byte          `cbor:"5,keyasint,omitempty"`
+	Filter   []byte          `cbor:"5,keyasint,omitempty"`
 	Updates  []wireUpdate    `cbor:"6,keyasint,omitempty"`
 }
 
@@ -41,6 +38,7 @@
 	Generation  state.Generation  `cbor:"6,keyasint,omitempty"`
 	Digest      uint64            `cbor:"7,keyasint,omitempty"`
 	Age         uint64            `cbor:"8,keyasint,omitempty"`
+	Version     uint32            `cbor:"9,keyasint,omitempty"`
 }
 
 // The reasons for which a received datagram is dropped.
@@ -77,7 +75,7 @@
 		Target:   message.Target,
 	}
 	if message.Kind == membership.Compare || message.Kind == membership.Page {
-		w.Digest = encodeDigest(message.Digest)
+		w.Filter = message.Filter[:]
 	}
 	for _, u := range message.Updates {
 		w.Updates = append(w.Updates, encodeUpdate(u))
@@ -92,20 +90,13 @@
 		Zone:        u.Member.AvailabilityZone,
 		Incarnation: u.Member.Incarnation,
 		Status:      u.Status,
+		Version:     u.Member.Advert.Version,
 		Generation:  u.Member.Advert.Generation,
 		Digest:      u.Member.Advert.Digest,
 		Age:         uint64(max(u.Age, 0) / time.Millisecond),
 	}
 }
 
-func encodeDigest(digest membership.Digest) []byte {
-	encoded := make([]byte, 0, digestBytes)
-	for _, bucket := range digest {
-		encoded = binary.BigEndian.AppendUint32(encoded, bucket)
-	}
-	return encoded
-}
-
 // decode returns the message, or the reason for which it is dropped.
 func decode(payload []byte) (message membership.Message, reason string) {
 	var w wireMessage
@@ -113,16 +104,16 @@
 		return message, Malformed
 	}
 	message = membership.Message{Kind: w.Kind, Sequence: w.Sequence, Unknown: w.Unknown, Target: w.Target}
-	if w.Kind < membership.Ping || w.Kind > membership.Page {
+	if w.Kind < membership.Ping || w.Kind > membership.Complement {
 		return message, UnknownKind
 	}
 	if w.Kind == membership.PingRequest && !reachable(w.Target) {
 		return message, BadAddress
 	}
-	var err error
-	if message.Digest, err = decodeDigest(w.Digest); err != nil {
+	if len(w.Filter) != 0 && len(w.Filter) != len(message.Filter) {
 		return message, Malformed
 	}
+	copy(message.Filter[:], w.Filter)
 	for i := range w.Updates {
 		u, reason := decodeUpdate(&w.Updates[i])
 		if reason != "" {
@@ -149,26 +140,13 @@
 			Gossip:           w.Gossip,
 			AvailabilityZone: w.Zone,
 			Incarnation:      w.Incarnation,
-			Advert:           state.Advert{Generation: w.Generation, Digest: w.Digest},
+			Advert:           state.Advert{Version: w.Version, Generation: w.Generation, Digest: w.Digest},
 		},
 		Status: w.Status,
 		Age:    time.Duration(w.Age) * time.Millisecond,
 	}, ""
 }
 
-func decodeDigest(encoded []byte) (digest membership.Digest, err error) {
-	if len(encoded) == 0 {
-		return digest, nil
-	}
-	if len(encoded) != digestBytes {
-		return digest, errors.Errorf("a digest has %d bytes, not %d", len(encoded), digestBytes)
-	}
-	for i := range digest {
-		digest[i] = binary.BigEndian.Uint32(encoded[4*i:])
-	}
-	return digest, nil
-}
-
 // reachable refuses addresses that no datagram can go to, and those with a
 // name in them.
 func reachable(address netip.AddrPort) bool {
