Test a gang under faults, and mend what they showed

Cause and change: - A resubmitted job began again at attempt 1 and so met leases of the earlier planner under the same name: its attempts now count on from the time of the takeover, and a report from a worker that is not of the gang is not taken in. - Closing between claim and start left the claim behind, and could cut a start in half: the claim is given free, nothing is started once closing has begun, and a start that was sent is seen through. - A worker that refused was asked again for ever: the next attempt avoids it. - A job that needs the workers it avoids never ran: it waits 5 s for others. - An attempt that ended without a retry freed its places without a round. - A new planner refused with neverFits what it had no workers for yet: it queues once the zone's workers are known. - 'Not run' was said of jobs that an earlier attempt or planner may have started (refused by a round, cancelled while queued again, claim unavailable): the record now says what is known. - The recovery could count as done while a gang was still being taken over, or on reports that left tasks out: it ends only after both. - A gang called whole before its home had read the task was never renewed: it is called whole again when the task is reported. - A cancel that had been answered could still be overtaken by the start.

--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -16,6 +16,8 @@
 	job   state.Job
 	parts map[netip.AddrPort]state.Task
 	racks map[netip.AddrPort]string
+	// taken is set once the gang was found whole.
+	taken bool
 }
 
 // adopt notes a part of an unknown job; once all its parts are there and none
@@ -33,8 +35,9 @@
 	if !a.add(rack, t) {
 		return
 	}
-	d.adopting.Delete(attempt)
 	d.takeOver(a, attempt)
+	// Only now may the recovery end: whoever asks for the job then finds it.
+	d.adopting.Delete(attempt)
 }
 
 func newAdoption(name state.JobAttempt, job state.Job, now time.Time) *adoption {
@@ -44,7 +47,7 @@
 	}
 }
 
-// add notes a part and reports whether the gang is whole.
+// add notes a part and reports whether it made the gang whole.
 func (a *adoption) add(rack string, t state.Task) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -57,7 +60,9 @@
 		}
 		members += part.Lease.Members
 	}
-	return members == a.job.Members
+	whole := members == a.job.Members && !a.taken
+	a.taken = a.taken || whole
+	return whole
 }
 
 func (a *adoption) placements() (placements []state.Placement) {
@@ -74,6 +79,8 @@
 	placements := a.placements()
 	r := newRecord(&a.job)
 	r.attempt = attempt.Attempt
+	r.base = attempt.Attempt - 1
+	r.claimed = !a.job.Idempotent
 	r.placements = placements
 	r.parts = a.parts
 	r.begun = d.Now()
@@ -82,6 +89,8 @@
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
 	if !d.records.PutNew(a.job.ID, r) {
+		// The job was queued meanwhile: it is not to run beside itself.
+		d.tellRacks(placements, func(o *outbox) { o.stop = append(o.stop, attempt) })
 		return
 	}
 	d.Event("jobAdopted", a.job.ID, "")
@@ -138,6 +147,7 @@
 
 func (d *Dispatcher) restoreSaved(job state.Job) {
 	r := newRecord(&job)
+	r.inherit(d.began)
 	r.saved = true
 	if d.records.PutNew(job.ID, r) {
 		d.Event("jobReloaded", job.ID, "")
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -2,8 +2,16 @@
 
 import (
 	"comfreystream/coordination/claim"
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
+	"time"
+)
+
+const (
+	// claimTries and claimPause bound the wait for the claim of a planner that closes.
+	claimTries = 3
+	claimPause = 300 * time.Millisecond
 )
 
 // claim takes the key of a non-idempotent job just before its first start. A
@@ -15,18 +23,17 @@
 	r.mu.Lock()
 	r.claimTried = true
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
-	defer cancel()
-	result, err := d.Claims.Take(ctx, &r.job)
+	result, err := d.takeClaim(r)
 	if err != nil {
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
-		return r.forbid(state.Refusal(r.job.ID, state.ClaimUnavailable))
+		return r.forbid(r.refusal(state.ClaimUnavailable))
 	}
 	switch result.State {
 	case claim.Fresh:
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.claimed = true
+		r.inherited = false
 		return nil
 	case claim.Own:
 		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.Unknown, Reason: state.AmbiguousStart})
@@ -37,6 +44,20 @@
 	}
 }
 
+// takeClaim asks again for a claim that an earlier planner took: one that
+// closes before the start gives it free within moments.
+func (d *Dispatcher) takeClaim(r *record) (result claim.Result, err error) {
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	for range claimTries {
+		result, err = d.Claims.Take(ctx, &r.job)
+		if err != nil || result.State != claim.Own || !pause.For(ctx, claimPause) {
+			break
+		}
+	}
+	return result, err
+}
+
 // forbid notes the outcome of a job that its claim does not let start.
 func (r *record) forbid(outcome state.Outcome) error {
 	r.mu.Lock()
@@ -45,12 +66,13 @@
 	return state.NewStepError("claim "+r.job.Key, r.none(), outcome.Reason, nil)
 }
 
-// release gives a claim free whose job was not started by a planner that gives the zone up.
+// release gives a claim free, also one whose write is in doubt, if its job was
+// not started by this planner, which gives the zone up.
 func (d *Dispatcher) release(r *record) {
 	r.mu.Lock()
-	claimed, ran := r.claimed, r.lifecycle.Ran()
+	ours, ran := r.claimed || r.verdict != nil && r.verdict.Reason == state.ClaimUnavailable, r.ran()
 	r.mu.Unlock()
-	if !claimed || ran != state.NotRun {
+	if !ours || ran != state.NotRun {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), storeTimeout)
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -44,11 +44,16 @@
 		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.kind())
 	}
 	d.Estimates.Observe(r.job.Organisation, r.job.Kind, r.job.DeclaredRunTime, runTime)
-	d.Planner.Ended(r.job.ID, attempt)
-	d.Signal()
+	d.free(r.job.ID, attempt)
 	d.finish(r, outcome)
 }
 
+// free gives back what an attempt held that was the job's last one, and has others placed there.
+func (d *Dispatcher) free(job state.JobID, attempt state.Attempt) {
+	d.Planner.Ended(job, attempt)
+	d.Signal()
+}
+
 // finish gives the job its outcome, once, and has it recorded where it must last.
 func (d *Dispatcher) finish(r *record, outcome state.Outcome) {
 	if !r.end(outcome, d.Now()) {
@@ -111,7 +116,7 @@
 
 // attempts names all the attempts so far; the caller has the lock.
 func (r *record) attempts() (names []state.JobAttempt) {
-	for a := state.Attempt(1); a <= r.attempt; a++ {
+	for a := r.base + 1; a <= r.attempt; a++ {
 		names = append(names, r.name(a))
 	}
 	return names
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -57,7 +57,7 @@
 		return
 	}
 	d.Signal()
-	d.finish(r, state.Refusal(r.job.ID, state.Cancelled))
+	d.finish(r, r.refusal(state.Cancelled))
 }
 
 // unknown is why a job is not known: after a change of planner it may yet be found.
@@ -95,3 +95,31 @@
 	defer r.mu.Unlock()
 	return state.Progress{Done: !r.ended.IsZero(), Phase: r.lifecycle.Phase(), Outcome: r.outcome}
 }
+
+// JobIDs lists the jobs that the planner knows, ended ones included.
+func (d *Dispatcher) JobIDs() (ids []state.JobID) {
+	for _, r := range d.records.Values() {
+		ids = append(ids, r.job.ID)
+	}
+	return ids
+}
+
+// Members lists the workers of the rack on which the attempt was placed; it is
+// empty for an attempt that this planner did not place, which may be on any.
+func (d *Dispatcher) Members(attempt state.JobAttempt, rack string) (workers []netip.AddrPort) {
+	r, found := d.records.Get(attempt.Job)
+	if !found {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.attempt != attempt.Attempt {
+		return nil
+	}
+	for _, p := range r.placements {
+		if p.Rack == rack {
+			workers = append(workers, p.Worker)
+		}
+	}
+	return workers
+}
--- a/coordination/dispatch/record.go
+++ b/coordination/dispatch/record.go
@@ -4,6 +4,7 @@
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,6 +26,14 @@
 	stopReason state.Reason
 	// frozen is set once every member of the attempt is saved and makes no more progress.
 	frozen bool
+	// refused names the workers that refused to hold the job.
+	refused []netip.AddrPort
+	// resumed is set while the attempt goes on from what an earlier one saved.
+	resumed bool
+	// inherited is set while an earlier planner may have started the job.
+	inherited bool
+	// base is the number of the last attempt that another planner may have made.
+	base state.Attempt
 	// claimTried is set once the claim may be in the store.
 	claimTried bool
 	// claimed is set once the store holds the claim of a non-idempotent job.
@@ -48,6 +57,13 @@
 	return &record{job: *job, done: make(chan struct{})}
 }
 
+// inherit marks a job that an earlier planner may have started. The time of the
+// takeover sets the attempts apart from those of other planners.
+func (r *record) inherit(takeover time.Time) {
+	r.inherited = true
+	r.base = state.Attempt(takeover.Unix())
+}
+
 // begin notes a new attempt, unless the job has been cancelled or has ended.
 func (r *record) begin(start planning.Start, now time.Time) error {
 	r.mu.Lock()
@@ -64,7 +80,6 @@
 	r.begun = now
 	r.whole = false
 	r.stopping = false
-	r.frozen = false
 	r.stopReason = ""
 	return nil
 }
@@ -81,13 +96,34 @@
 func (r *record) take(t state.Task) partEffect {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.Lease.Attempt != r.attempt || r.parts == nil {
+	if t.Lease.Attempt != r.attempt || r.parts == nil || !r.isPlacedOn(t.Lease.Worker) {
 		return partStale
 	}
 	r.parts[t.Lease.Worker] = t
 	return r.effect()
 }
 
+func (r *record) isPlacedOn(worker netip.AddrPort) bool {
+	return slices.ContainsFunc(r.placements, func(p state.Placement) bool { return p.Worker == worker })
+}
+
+// ran says what is known of the job's work, here and under earlier planners;
+// the caller has the lock.
+func (r *record) ran() state.Ran {
+	if ran := r.lifecycle.Ran(); ran != state.NotRun || !r.inherited {
+		return ran
+	}
+	return state.Unknown
+}
+
+// refusal returns the outcome of a job that gets no further attempt.
+func (r *record) refusal(reason state.Reason) state.Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ran := r.ran()
+	return state.Outcome{Job: r.job.ID, Ran: ran, Reason: reason, Retry: ran == state.NotRun && reason.MayRetry()}
+}
+
 // effect says what the parts seen so far mean; the caller has the lock.
 func (r *record) effect() partEffect {
 	if !r.whole || r.stopping {
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -13,28 +13,40 @@
 	}
 	o := d.outboxOf(report.Rack.Name)
 	reply.Resend = o.receive(&report)
+	if reply.Resend {
+		// A report after a missing one says nothing of the tasks that it leaves out.
+		return reply, nil
+	}
 	for _, w := range report.Workers {
-		d.takeWorker(w)
+		d.takeWorker(&w)
 		for _, t := range w.Tasks {
 			d.takeTask(report.Rack.Name, t, report.Full, &reply)
 		}
+		d.listWorker(&w)
 	}
 	o.take(&reply)
 	d.checkRecovered()
 	return reply, nil
 }
 
-func (d *Dispatcher) takeWorker(w state.WorkerReport) {
+// takeWorker takes over a worker's description, which its tasks need.
+func (d *Dispatcher) takeWorker(w *state.WorkerReport) {
 	if w.Lost {
 		d.loseWorker(w.Worker.Address)
 		return
 	}
-	wasListed, known := d.workers.Get(w.Worker.Address)
-	d.workers.Put(w.Worker.Address, w.Listed)
-	if !w.Listed && !known {
+	if _, known := d.workers.Get(w.Worker.Address); w.Listed || known {
+		d.Planner.PutWorker(w.Worker)
+	}
+}
+
+// listWorker notes, once the worker's tasks are taken in, whether it answers.
+func (d *Dispatcher) listWorker(w *state.WorkerReport) {
+	if w.Lost {
 		return
 	}
-	d.Planner.PutWorker(w.Worker)
+	wasListed, _ := d.workers.Get(w.Worker.Address)
+	d.workers.Put(w.Worker.Address, w.Listed)
 	if w.Listed != wasListed || w.Worker.Leaving {
 		d.Signal()
 	}
@@ -79,7 +91,7 @@
 		r.dismiss(t, attempt, reply)
 		return
 	}
-	if full {
+	if full || t.Phase == state.TaskRunning {
 		r.restate(attempt, reply)
 	}
 	d.follow(r, attempt.Attempt, effect)
@@ -100,7 +112,8 @@
 	}
 }
 
-// restate says again what an earlier reply said that may be lost.
+// restate says again what an earlier reply said: it may be lost, or have come
+// before the home knew of the task.
 func (r *record) restate(attempt state.JobAttempt, reply *state.ReportReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/coordination/dispatch/rounds.go
+++ b/coordination/dispatch/rounds.go
@@ -50,7 +50,7 @@
 	round := d.Planner.Plan()
 	for _, refusal := range round.Refusals {
 		if r, found := d.records.Get(refusal.Job); found {
-			d.finish(r, state.Refusal(refusal.Job, refusal.Reason))
+			d.finish(r, r.refusal(refusal.Reason))
 		}
 	}
 	for _, reclaim := range round.Reclaims {
@@ -67,12 +67,12 @@
 func (d *Dispatcher) begin(start planning.Start) {
 	r, found := d.records.Get(start.Job.ID)
 	if !found {
-		d.Planner.Ended(start.Job.ID, start.Attempt)
+		d.free(start.Job.ID, start.Attempt)
 		return
 	}
 	if err := r.begin(start, d.Now()); err != nil {
-		d.Planner.Ended(start.Job.ID, start.Attempt)
-		d.finish(r, state.Refusal(start.Job.ID, state.ReasonOf(err, state.Cancelled)))
+		d.free(start.Job.ID, start.Attempt)
+		d.finish(r, r.refusal(state.ReasonOf(err, state.Cancelled)))
 		return
 	}
 	d.spawn(func() { d.start(r, start) })
--- a/coordination/dispatch/seat.go
+++ b/coordination/dispatch/seat.go
@@ -1,10 +1,9 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"net/netip"
 	"sync"
-
-	"comfreystream/state"
 )
 
 // Seat holds this entry's dispatcher while it is its zone's planner, and none
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -6,6 +6,8 @@
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
 	"context"
+	"net/netip"
+	"slices"
 )
 
 // start holds and starts the gang of one attempt, and settles what comes of it.
@@ -15,7 +17,8 @@
 		d.notStarted(r, start.Attempt, gang.Result{Ran: state.NotRun, Reason: state.WorkerFailed})
 		return
 	}
-	result := d.Gang.Run(d.ctx, &job, start.Attempt, start.Placements)
+	// A start once sent is seen through: half a start would leave the work in doubt.
+	result := d.Gang.Run(context.WithoutCancel(d.ctx), &job, start.Attempt, start.Placements)
 	if !result.Started {
 		d.notStarted(r, start.Attempt, result)
 		return
@@ -55,6 +58,9 @@
 	if err := d.claim(r); err != nil {
 		return err
 	}
+	if d.ctx.Err() != nil {
+		return d.moved("commit")
+	}
 	return r.commit(attempt)
 }
 
@@ -68,16 +74,16 @@
 	if committed && result.Ran != state.NotRun {
 		d.stopUntilCertain(r, attempt)
 	}
-	if outcome := r.claimVerdict(); outcome != nil {
-		d.Planner.Ended(r.job.ID, attempt)
-		d.finish(r, *outcome)
-		return
-	}
 	if d.ctx.Err() != nil {
 		d.release(r)
 		return
 	}
-	d.decide(r, attempt, reason, result.Failed)
+	if outcome := r.claimVerdict(); outcome != nil {
+		d.free(r.job.ID, attempt)
+		d.finish(r, *outcome)
+		return
+	}
+	d.decide(r, attempt, reason, result.Failed, r.avoid(result.Refused))
 }
 
 func (r *record) claimVerdict() *state.Outcome {
@@ -86,13 +92,30 @@
 	return r.verdict
 }
 
+// avoid adds to the workers that have refused the job since an attempt was last held whole.
+func (r *record) avoid(refused []netip.AddrPort) []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, worker := range refused {
+		if !slices.Contains(r.refused, worker) {
+			r.refused = append(r.refused, worker)
+		}
+	}
+	return slices.Clone(r.refused)
+}
+
 // commit notes that starts are about to be sent, unless the attempt is to be stopped.
 func (r *record) commit(attempt state.Attempt) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.cancelled {
+		return state.NewStepError("commit "+string(r.job.ID), r.none(), state.Cancelled, nil)
+	}
 	if r.stopReason != "" || r.attempt != attempt {
 		return state.NewStepError("commit "+string(r.job.ID), r.none(), r.stopReason, nil)
 	}
+	r.resumed, r.frozen = r.frozen, false
+	r.refused = nil
 	return r.lifecycle.Apply(state.StartSent)
 }
 
@@ -113,6 +136,7 @@
 	r.apply(state.StopSent)
 	if result.Ran == state.NotRun {
 		r.apply(state.VoidConfirmed)
+		r.frozen = r.resumed
 	}
 	return true, reason
 }
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -5,6 +5,7 @@
 	"comfreystream/state"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -25,7 +26,7 @@
 	r.apply(state.StopSent)
 	r.mu.Unlock()
 	d.stopUntilCertain(r, attempt)
-	d.decide(r, attempt, reason, blamed)
+	d.decide(r, attempt, reason, blamed, nil)
 }
 
 // reclaim takes an attempt's capacity back: it asks for a checkpoint while
@@ -60,32 +61,39 @@
 	r.frozen = true
 }
 
-// decide has a job that stopped without its answer tried again or ended.
-func (d *Dispatcher) decide(r *record, attempt state.Attempt, reason state.Reason, blamed []netip.AddrPort) {
+// decide has a job that stopped without its answer tried again or ended; the
+// next attempt avoids the workers that are blamed or that refused.
+func (d *Dispatcher) decide(r *record, attempt state.Attempt, reason state.Reason, blamed, refused []netip.AddrPort) {
 	if d.ctx.Err() != nil {
 		return
 	}
-	job, ran, frozen, cancelled := r.standing()
+	job, frozen, cancelled := r.standing()
 	if cancelled {
-		d.Planner.Ended(job.ID, attempt)
-		d.finish(r, state.Outcome{Job: job.ID, Ran: ran, Reason: state.Cancelled})
+		d.free(job.ID, attempt)
+		d.finish(r, r.refusal(state.Cancelled))
 		return
 	}
-	notBefore, again := d.again(&job, attempt, ran, frozen, reason, blamed)
+	notBefore, again := d.again(r, &job, attempt, frozen, reason, blamed)
 	if again {
 		d.Event("jobRequeued", job.ID, reason)
-		d.Planner.Requeue(job.ID, attempt, notBefore, blamed)
+		d.Planner.Requeue(job.ID, attempt, notBefore, slices.Concat(blamed, refused))
 		d.Signal()
 		return
 	}
-	d.Planner.Ended(job.ID, attempt)
-	d.finish(r, state.Outcome{Job: job.ID, Attempt: attempt, Ran: ran, Reason: reason, Retry: ran == state.NotRun && reason.MayRetry()})
+	d.free(job.ID, attempt)
+	outcome := r.refusal(reason)
+	outcome.Attempt = attempt
+	d.finish(r, outcome)
 }
 
 // again decides whether to try a job once more; what the scheduler stopped
 // itself does not count against the budget.
-func (d *Dispatcher) again(job *state.Job, attempt state.Attempt, ran state.Ran, frozen bool, reason state.Reason, blamed []netip.AddrPort) (time.Time, bool) {
-	if !job.Idempotent && !frozen && ran != state.NotRun {
+func (d *Dispatcher) again(r *record, job *state.Job, attempt state.Attempt, frozen bool, reason state.Reason, blamed []netip.AddrPort) (time.Time, bool) {
+	ran := r.ranHere()
+	if frozen {
+		ran = state.NotRun
+	}
+	if !job.Idempotent && ran != state.NotRun {
 		return time.Time{}, false
 	}
 	if reason == state.Reclaimed || reason == state.RackMoved {
@@ -94,7 +102,7 @@
 	if d.Quarantine.JobIsBad(job.ID) {
 		return time.Time{}, false
 	}
-	decision := d.Retries.Next(job, attempt, ran, blamed)
+	decision := d.Retries.Next(job, attempt-r.base, ran, blamed)
 	if !decision.Again {
 		d.Count(decision.Reason)
 	}
@@ -102,9 +110,17 @@
 }
 
 // standing returns what decide needs to know, and lets late reports of the attempt pass.
-func (r *record) standing() (job state.Job, ran state.Ran, frozen, cancelled bool) {
+func (r *record) standing() (job state.Job, frozen, cancelled bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.parts = nil
-	return r.job, r.lifecycle.Ran(), r.frozen, r.cancelled
+	return r.job, r.frozen, r.cancelled
+}
+
+// ranHere is what is known of the attempts of this planner: whether an earlier
+// one started a job that is not idempotent, its claim tells before a start.
+func (r *record) ranHere() state.Ran {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lifecycle.Ran()
 }
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -24,6 +24,9 @@
 		return state.NewStepError("submit", d.noPeer(), state.QueueFull, nil)
 	}
 	r := newRecord(&job)
+	if again {
+		r.inherit(d.began)
+	}
 	if !d.records.PutNew(job.ID, r) {
 		return nil
 	}
@@ -61,17 +64,21 @@
 // enter admits, claims and queues a job whose caller waits.
 func (d *Dispatcher) enter(r *record) {
 	if reason := d.admit(&r.job); reason != "" {
-		d.finish(r, state.Refusal(r.job.ID, reason))
+		d.finish(r, r.refusal(reason))
 		return
 	}
 	d.queue(r)
 }
 
-// queue hands a job to the planner.
+// queue hands a job to the planner, once the zone's workers are known: until
+// then the planner can't tell which jobs can never run.
 func (d *Dispatcher) queue(r *record) {
+	if d.awaitRecovery(d.ctx) != nil {
+		return
+	}
 	d.Retries.FirstAttempt(r.job.Organisation)
-	if reason := d.Planner.Submit(r.job); reason != "" {
-		d.finish(r, state.Refusal(r.job.ID, reason))
+	if reason := d.Planner.SubmitAfter(r.snapshot(), r.base); reason != "" {
+		d.finish(r, r.refusal(reason))
 		return
 	}
 	if r.isCancelled() {
--- a/coordination/dispatch/waits.go
+++ b/coordination/dispatch/waits.go
@@ -1,10 +1,9 @@
 package dispatch
 
 import (
+	"comfreystream/state"
 	"sync"
 	"time"
-
-	"comfreystream/state"
 )
 
 // waitDecay is the weight of the newest wait in the running mean.
--- /dev/null
+++ b/coordination/dispatch/zone_test.go
@@ -0,0 +1,330 @@
+package dispatch_test
+
+import (
+	"comfreystream/coordination/admission"
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/dispatch"
+	"comfreystream/coordination/estimate"
+	"comfreystream/coordination/front"
+	"comfreystream/coordination/gang"
+	"comfreystream/coordination/lease"
+	"comfreystream/coordination/ledger"
+	"comfreystream/coordination/planning"
+	"comfreystream/coordination/quarantine"
+	"comfreystream/coordination/retry"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/standin/store"
+	"comfreystream/state"
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	standin "comfreystream/standin/worker"
+)
+
+const zoneName = "z"
+
+var (
+	capacity   = state.Resources{Slots: 8, Accelerators: 8, Cores: 32, MemoryBytes: 1 << 30}
+	north      = state.Organisation{Name: "north", Share: 1}
+	keeperSelf = netip.MustParseAddrPort("127.0.0.1:1")
+)
+
+// zone is one availability zone without a network: workers, their racks' home,
+// the store, and the planners that had the seat one after another.
+type zone struct {
+	t       *testing.T
+	workers map[netip.AddrPort]*standin.Worker
+	order   []*standin.Worker
+	store   *store.Store
+	keeper  *lease.Keeper
+	front   *front.Front
+	policy  []state.Organisation
+
+	mu sync.Mutex
+	// planners is indexed by the port of the address that the front sees.
+	planners []*planner
+	// fault is called once, at the step that it names, before or after the effect.
+	fault       func(z *zone)
+	step        string
+	loseReplies int
+}
+
+// planner is one holder of the seat; a dead one reaches nothing and nobody reaches it.
+type planner struct {
+	*dispatch.Dispatcher
+	zone    *zone
+	address netip.AddrPort
+	mu      sync.Mutex
+	dead    bool
+}
+
+// newZone starts a zone of racks of two workers; its manifest has north and the others.
+func newZone(t *testing.T, workers int, others ...state.Organisation) *zone {
+	z := &zone{t: t, policy: append([]state.Organisation{north}, others...), workers: make(map[netip.AddrPort]*standin.Worker), store: store.New()}
+	for n := range workers {
+		self := state.Worker{
+			Address:  netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+n)),
+			Rack:     state.Rack{Name: fmt.Sprintf("r%d", n/2), AvailabilityZone: zoneName, Position: n / 2},
+			Capacity: capacity,
+		}
+		w := standin.New(self)
+		z.workers[self.Address] = w
+		z.order = append(z.order, w)
+	}
+	z.keeper = lease.New(keeperSelf)
+	z.keeper.Workers = z.workerCalls()
+	z.keeper.Report = z.report
+	z.front = &front.Front{
+		Now: time.Now, Count: func(state.Reason) {},
+		Zones:   func(*state.Job) []string { return []string{zoneName} },
+		Planner: func(string) (netip.AddrPort, bool) { return z.current().address, true },
+		Submit: func(ctx context.Context, at netip.AddrPort, job state.Job, again bool) error {
+			return z.reach(at, func(p *planner) error { return p.Submit(ctx, job, again) })
+		},
+		Accept: func(ctx context.Context, at netip.AddrPort, job state.Job) error {
+			return z.reach(at, func(p *planner) error { return p.Accept(ctx, job) })
+		},
+		Await: func(ctx context.Context, at netip.AddrPort, job state.JobID, wait time.Duration) (progress state.Progress, err error) {
+			err = z.reach(at, func(p *planner) (err error) {
+				progress, err = p.Await(ctx, job, wait)
+				return err
+			})
+			return progress, err
+		},
+		Cancel: func(ctx context.Context, at netip.AddrPort, job state.JobID) error {
+			return z.reach(at, func(p *planner) error { return p.Cancel(ctx, job) })
+		},
+	}
+	z.takeOver()
+	var described []state.Worker
+	for _, w := range z.order {
+		described = append(described, w.Describe())
+	}
+	z.keeper.SetWorkers(described)
+	return z
+}
+
+// takeOver gives the seat to a new planner that knows nothing.
+func (z *zone) takeOver() {
+	p := &planner{zone: z}
+	d := dispatch.New(planning.New(zoneName))
+	calls := p.storeCalls()
+	shared := storage.New(calls, 1000)
+	p.Dispatcher = d
+	d.Checkpoint = func(ctx context.Context, rack string, attempt state.JobAttempt) (saved [][]byte, err error) {
+		err = p.call("checkpoint", func() (err error) {
+			saved, err = z.keeper.Checkpoint(ctx, rack, attempt)
+			return err
+		})
+		return saved, err
+	}
+	d.Claims = claim.New(shared, record.Claims())
+	d.Ledger = ledger.New(shared, record.Segments(), zoneName)
+	d.Expected = func() (all []netip.AddrPort) {
+		for _, w := range z.order {
+			all = append(all, w.Address())
+		}
+		return all
+	}
+	d.Estimates = estimate.New()
+	d.Retries = retry.New(retry.DefaultSettings(), time.Now, func() float64 { return 0.5 })
+	d.Quarantine = quarantine.New(time.Now, func(netip.AddrPort, bool) { d.Signal() })
+	d.Admission = admission.New(admission.DefaultSettings(), time.Now, func(state.Reason) {})
+	d.Gang = &gang.Starter{
+		Now: time.Now,
+		Commit: func(job state.JobID, attempt state.Attempt) error {
+			return p.call("commit", func() error { return d.Commit(job, attempt) })
+		},
+		Hold: func(ctx context.Context, rack string, r gang.HoldRequest) (leases []state.Lease, err error) {
+			err = p.call("hold", func() (err error) {
+				leases, err = z.keeper.Hold(ctx, rack, r.Job, r.Attempt, r.Placements, r.TTL)
+				return err
+			})
+			return leases, err
+		},
+		Start: func(ctx context.Context, rack string, leases []state.Lease) error {
+			return p.call("start", func() error { return z.keeper.Start(ctx, rack, leases) })
+		},
+		Stop: func(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (never bool, err error) {
+			name := state.JobAttempt{Job: job, Attempt: attempt}
+			err = p.call("stop", func() (err error) {
+				never, err = z.keeper.Stop(ctx, rack, name, nil)
+				return err
+			})
+			return never, err
+		},
+	}
+	d.Planner.Estimate = d.Estimates.Estimate
+	d.Planner.Usable = d.Usable
+	d.ApplyManifest(&state.Manifest{Generation: 1, Weights: state.Weights{CompletionTime: 1}, Organisations: z.policy})
+	z.mu.Lock()
+	p.address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(100+len(z.planners)))
+	z.planners = append(z.planners, p)
+	z.mu.Unlock()
+	d.Run()
+}
+
+func (z *zone) current() *planner {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.planners[len(z.planners)-1]
+}
+
+// kill has the current planner vanish as in a crash; the next one takes over
+// after the time that the members need to notice.
+func (z *zone) kill() {
+	p := z.current()
+	p.mu.Lock()
+	p.dead = true
+	p.mu.Unlock()
+	go func() {
+		<-time.After(3 * time.Second)
+		z.takeOver()
+		_ = p.Close()
+	}()
+}
+
+// handOver closes the current planner while the next one takes over, as a drain does.
+func (z *zone) handOver() {
+	p := z.current()
+	go func() {
+		z.takeOver()
+		_ = p.Close()
+	}()
+}
+
+func (z *zone) reach(at netip.AddrPort, call func(p *planner) error) error {
+	z.mu.Lock()
+	p := z.planners[at.Port()-100]
+	z.mu.Unlock()
+	if p.isDead() {
+		return state.NewStepError("call", at, state.HomeUnreachable, nil)
+	}
+	err := call(p)
+	if p.isDead() {
+		return state.AmbiguousStep("call", at, state.ConnectionLost, nil)
+	}
+	return err
+}
+
+func (p *planner) isDead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dead
+}
+
+// call carries out a step of the planner, with the row's fault before or after it.
+func (p *planner) call(step string, effect func() error) error {
+	p.zone.at("before " + step)
+	if p.isDead() {
+		return state.AmbiguousStep(step, p.address, state.ConnectionLost, nil)
+	}
+	err := effect()
+	p.zone.at("after " + step)
+	if p.isDead() {
+		return state.AmbiguousStep(step, p.address, state.ConnectionLost, nil)
+	}
+	return err
+}
+
+func (z *zone) at(step string) {
+	z.mu.Lock()
+	fault := z.fault
+	if z.step != step || fault == nil {
+		z.mu.Unlock()
+		return
+	}
+	z.fault = nil
+	z.mu.Unlock()
+	fault(z)
+}
+
+func (z *zone) report(_ context.Context, report state.RackReport) (reply state.ReportReply, err error) {
+	err = z.reach(z.current().address, func(p *planner) (err error) {
+		reply, err = p.Report(report)
+		return err
+	})
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.loseReplies > 0 {
+		z.loseReplies--
+		return state.ReportReply{}, state.AmbiguousStep("report", keeperSelf, state.ConnectionLost, nil)
+	}
+	return reply, err
+}
+
+func (p *planner) storeCalls() storage.Calls {
+	calls := p.zone.store.Raw()
+	write := calls.CompareAndSwap
+	calls.CompareAndSwap = func(ctx context.Context, w state.Write) (version state.Version, err error) {
+		err = p.call("write", func() (err error) {
+			version, err = write(ctx, w)
+			return err
+		})
+		return version, err
+	}
+	return calls
+}
+
+func (z *zone) workerCalls() lease.WorkerCalls {
+	return lease.WorkerCalls{
+		Attach: func(ctx context.Context, at netip.AddrPort) (token state.Token, err error) {
+			err = z.ask(ctx, at, func(w *standin.Worker) (err error) { token, err = w.Attach(); return err })
+			return token, err
+		},
+		Hold: func(ctx context.Context, at netip.AddrPort, r state.HoldRequest) (l state.Lease, err error) {
+			err = z.ask(ctx, at, func(w *standin.Worker) (err error) { l, err = w.Hold(r); return err })
+			return l, err
+		},
+		Start: func(ctx context.Context, at netip.AddrPort, token state.Token, a state.JobAttempt) error {
+			return z.ask(ctx, at, func(w *standin.Worker) error { return w.Start(token, a) })
+		},
+		Stop: func(ctx context.Context, at netip.AddrPort, token state.Token, a state.JobAttempt) (never bool, err error) {
+			err = z.ask(ctx, at, func(w *standin.Worker) (err error) { never, err = w.Stop(token, a); return err })
+			return never, err
+		},
+		Checkpoint: func(ctx context.Context, at netip.AddrPort, token state.Token, a state.JobAttempt) (saved []byte, err error) {
+			err = z.ask(ctx, at, func(w *standin.Worker) (err error) { saved, err = w.Checkpoint(token, a); return err })
+			return saved, err
+		},
+		Renew: func(ctx context.Context, at netip.AddrPort, r state.RenewRequest) (reply state.RenewReply, err error) {
+			err = z.ask(ctx, at, func(w *standin.Worker) (err error) { reply, err = w.Renew(ctx, r); return err })
+			return reply, err
+		},
+	}
+}
+
+func (z *zone) ask(ctx context.Context, at netip.AddrPort, call func(w *standin.Worker) error) error {
+	w := z.workers[at]
+	if w.Faults().Silent {
+		<-ctx.Done()
+		return state.AmbiguousStep("call worker", at, state.WorkerSilent, ctx.Err())
+	}
+	return call(w)
+}
+
+func (z *zone) close() {
+	z.mu.Lock()
+	planners := z.planners
+	z.mu.Unlock()
+	_ = z.keeper.Close()
+	for _, p := range planners {
+		_ = p.Close()
+	}
+	for _, w := range z.order {
+		_ = w.Close()
+	}
+	z.store.Close()
+}
+
+func (z *zone) starts(job state.JobID) (total int) {
+	for _, w := range z.order {
+		total += w.Starts(job)
+	}
+	return total
+}
--- a/coordination/gang/failure.go
+++ b/coordination/gang/failure.go
@@ -13,10 +13,12 @@
 type failure struct {
 	reason state.Reason
 	failed []netip.AddrPort
+	// refused names a worker that answered no, which says nothing against it.
+	refused []netip.AddrPort
 }
 
 func (f *failure) result(ran state.Ran) Result {
-	return Result{Ran: ran, Reason: f.reason, Failed: f.failed}
+	return Result{Ran: ran, Reason: f.reason, Failed: f.failed, Refused: f.refused}
 }
 
 // failureOf reads what a rack's error says; one without a step means that the
@@ -24,9 +26,14 @@
 func failureOf(p *part, err error) *failure {
 	f := &failure{reason: state.ReasonOf(err, state.HomeUnreachable)}
 	var step *state.StepError
-	if errors.As(err, &step) && blames(step.Reason) && p.uses(step.Peer) {
+	if !errors.As(err, &step) || !p.uses(step.Peer) {
+		return f
+	}
+	if blames(step.Reason) {
 		f.failed = []netip.AddrPort{step.Peer}
+		return f
 	}
+	f.refused = []netip.AddrPort{step.Peer}
 	return f
 }
 
--- a/coordination/gang/starter.go
+++ b/coordination/gang/starter.go
@@ -58,6 +58,8 @@
 	Reason state.Reason
 	// Failed names the workers that failed; those that only refused are not in it.
 	Failed []netip.AddrPort
+	// Refused names the workers that only refused.
+	Refused []netip.AddrPort
 }
 
 // Run holds all the placements and then starts them all, or leaves none
--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -1,6 +1,8 @@
 package lease_test
 
 import (
+	"comfreystream/coordination/lease"
+	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
@@ -8,9 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"comfreystream/coordination/lease"
 	standin "comfreystream/standin/worker"
-	"comfreystream/state"
 
 	"github.com/pkg/errors"
 )
--- a/coordination/planning/entry.go
+++ b/coordination/planning/entry.go
@@ -83,6 +83,23 @@
 	return false
 }
 
+// avoidance is how long a job that may start waits for other workers than those to avoid.
+const avoidance = 5 * time.Second
+
+// forgive drops the workers to avoid once the job has waited for others, as it
+// may fit nowhere else; until then it returns when that will be.
+func (e *entry) forgive(now time.Time) (due time.Time) {
+	if len(e.avoid) == 0 {
+		return time.Time{}
+	}
+	due = e.notBefore.Add(avoidance)
+	if due.After(now) {
+		return due
+	}
+	e.avoid = nil
+	return time.Time{}
+}
+
 // stoppable reports whether others than guarantees may stop the job too.
 func (e *entry) stoppable() bool {
 	return e.tenure == borrowed && e.job.Urgency != state.Urgent
--- a/coordination/planning/lifecycle.go
+++ b/coordination/planning/lifecycle.go
@@ -22,7 +22,11 @@
 
 // Submit queues the job and returns "", or the reason why it can never start.
 // A job that is known already is accepted without effect.
-func (p *Planner) Submit(job state.Job) state.Reason {
+func (p *Planner) Submit(job state.Job) state.Reason { return p.SubmitAfter(job, 0) }
+
+// SubmitAfter is Submit for a job that may have had attempts elsewhere: its
+// attempts here have numbers above last.
+func (p *Planner) SubmitAfter(job state.Job, last state.Attempt) state.Reason {
 	q, known := p.queues.get(job.Organisation)
 	if !known {
 		return state.NoManifest
@@ -33,7 +37,7 @@
 	if job.Members < 1 || job.Shape.CountIn(job.Shape) < 1 || p.sizes.neverFits(&job, p.availabilityZone) {
 		return state.NeverFits
 	}
-	e := &entry{job: job, queue: q, estimate: p.estimate(&job)}
+	e := &entry{job: job, queue: q, estimate: p.estimate(&job), attempt: last}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if reason := q.refuse(&job); reason != "" {
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -151,6 +151,9 @@
 		if len(ready) == 0 {
 			continue
 		}
+		for _, e := range ready {
+			r.Next = earlier(r.Next, e.forgive(r.now))
+		}
 		p.sortByScore(ready, r.now)
 		lanes = append(lanes, &lane{queue: q, entries: ready, share: p.shareOf(q)})
 	}
