Lose no accepted job when its planner changes, and test jobs at random

Tests, in virtual time: accepted jobs under eleven faults, reclaim with checkpoints under five, workers that fail everything, and eight seeded runs of 40 jobs with faults brought about at random, together or one after another.

--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 	"net/netip"
@@ -116,26 +117,33 @@
 	}
 }
 
-// reloadLedger takes up the saved jobs of the zone that no worker runs.
-func (d *Dispatcher) reloadLedger() {
-	select {
-	case <-d.recovered:
-	case <-d.ctx.Done():
+// reloadLoop takes up the saved jobs of the zone that no worker runs.
+func (d *Dispatcher) reloadLoop() {
+	if d.awaitRecovery(d.ctx) != nil {
 		return
 	}
-	d.persist(func(ctx context.Context) error {
-		jobs, ended, err := d.Ledger.Load(ctx)
-		if err != nil {
-			return err
-		}
-		for _, outcome := range ended {
-			d.restoreEnded(outcome)
-		}
-		for _, job := range jobs {
-			d.restoreSaved(job)
-		}
-		return nil
-	})
+	d.persist(d.reload)
+	if d.ctx.Err() != nil {
+		return
+	}
+	close(d.loaded)
+	for pause.For(d.ctx, reloadInterval) {
+		d.persist(d.reload)
+	}
+}
+
+func (d *Dispatcher) reload(ctx context.Context) error {
+	jobs, ended, err := d.Ledger.Load(ctx)
+	if err != nil {
+		return err
+	}
+	for _, outcome := range ended {
+		d.restoreEnded(outcome)
+	}
+	for _, job := range jobs {
+		d.restoreSaved(job)
+	}
+	return nil
 }
 
 func (d *Dispatcher) restoreEnded(outcome state.Outcome) {
@@ -158,4 +166,9 @@
 	known.mu.Lock()
 	defer known.mu.Unlock()
 	known.saved = true
+	if known.settled {
+		// It ended before anyone knew that it was saved.
+		known.settled = false
+		d.spawn(func() { d.settle(known) })
+	}
 }
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -26,6 +26,10 @@
 	result, err := d.takeClaim(r)
 	if err != nil {
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
+		if r.isSaved() && !state.IsAmbiguous(err) {
+			// Nobody waits, and nothing was written: it is tried again later.
+			return err
+		}
 		return r.forbid(r.refusal(state.ClaimUnavailable))
 	}
 	switch result.State {
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -25,6 +25,9 @@
 	adoptionGrace = 6 * time.Second
 	// answerRetention is how long an outcome is kept for its caller.
 	answerRetention = 10 * time.Minute
+	// reloadInterval is the time between two looks for jobs that another planner
+	// saved, as one that was cut off does, after this one had taken over.
+	reloadInterval = 20 * time.Second
 	// sweepInterval is the time between two looks for what has outlived its use.
 	sweepInterval = time.Second
 	// maxRecords bounds the jobs, ended ones included, that a planner keeps.
@@ -60,10 +63,15 @@
 	workers  *state.Table[netip.AddrPort, bool]
 	adopting *state.Table[state.JobAttempt, *adoption]
 
-	waits     waits
-	began     time.Time
+	waits waits
+	began time.Time
+	// recovered is closed once the racks were reported, governed once a manifest
+	// is in force, and loaded once the saved jobs of the zone are known.
 	recovered chan struct{}
 	recovery  sync.Once
+	governed  chan struct{}
+	governing sync.Once
+	loaded    chan struct{}
 	wake      chan struct{}
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -86,6 +94,8 @@
 		workers:   state.NewTable[netip.AddrPort, bool](),
 		adopting:  state.NewTable[state.JobAttempt, *adoption](),
 		recovered: make(chan struct{}),
+		governed:  make(chan struct{}),
+		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		ctx:       ctx,
 		cancel:    cancel,
@@ -97,7 +107,7 @@
 	d.began = d.Now()
 	d.spawn(d.planLoop)
 	d.spawn(d.sweepLoop)
-	d.spawn(d.reloadLedger)
+	d.spawn(d.reloadLoop)
 }
 
 // Close gives the zone up: it waits for every start and stop under way, and
@@ -108,7 +118,7 @@
 	d.closing.Unlock()
 	d.cancel()
 	d.tasks.Wait()
-	return nil
+	return d.Ledger.Close()
 }
 
 // spawn runs task in a goroutine that Close waits for, unless it has begun to close.
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -72,7 +72,7 @@
 	if r.mayHaveClaim() {
 		d.persist(func(ctx context.Context) error { return d.Claims.Settle(ctx, &r.job, r.outcome) })
 	}
-	if r.saved {
+	if r.isSaved() {
 		d.persist(func(ctx context.Context) error { return d.Ledger.Finish(ctx, &r.job, r.outcome) })
 	}
 	if d.ctx.Err() != nil {
@@ -130,5 +130,11 @@
 	return !r.job.Idempotent && (r.claimTried || r.adopted)
 }
 
+func (r *record) isSaved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.saved
+}
+
 // kind names the jobs that are alike, over all organisations.
 func (r *record) kind() string { return r.job.Organisation + "/" + r.job.Kind }
--- /dev/null
+++ b/coordination/dispatch/jobs_test.go
@@ -0,0 +1,329 @@
+package dispatch_test
+
+import (
+	"comfreystream/standin/store"
+	"comfreystream/state"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "comfreystream/standin/worker"
+)
+
+// outcome asks for the outcome of an accepted job as a caller does, again after each failure.
+func (z *zone) outcome(ctx context.Context, job state.JobID) (state.Progress, error) {
+	for ctx.Err() == nil {
+		progress, err := z.front.Outcome(ctx, job, time.Minute)
+		if reason := state.ReasonOf(err, ""); reason == state.UnknownJob {
+			return progress, err
+		}
+		if err == nil && progress.Done {
+			return progress, nil
+		}
+	}
+	return state.Progress{}, ctx.Err()
+}
+
+// TestAcceptedJobs has jobs accepted whose callers do not wait: whatever comes
+// after, each gets its outcome, and none is unknown meanwhile.
+func TestAcceptedJobs(t *testing.T) {
+	tests := []struct {
+		name  string
+		step  string
+		fault func(z *zone)
+		// after is brought about once all the jobs are accepted.
+		after func(z *zone)
+	}{
+		{"nothing fails", "", nil, nil},
+		{"planner dies before the job is saved", "before write", killPlanner, nil},
+		{"planner dies after the job is saved", "after write", killPlanner, nil},
+		{"planner hands over before the job is saved", "before write", handOver, nil},
+		{"planner hands over after the job is saved", "after write", handOver, nil},
+		{"planner dies with jobs queued and running", "", nil, killPlanner},
+		{"planner hands over with jobs queued and running", "", nil, handOver},
+		{"planner dies twice", "", nil, func(z *zone) {
+			z.kill()
+			<-time.After(4 * time.Second)
+			z.kill()
+		}},
+		{"planner dies while the store is down", "", nil, func(z *zone) {
+			z.store.Inject(store.Always(store.Faults{Down: true}))
+			z.kill()
+			<-time.After(15 * time.Second)
+			z.store.Inject(nil)
+		}},
+		{"store loses answers", "", nil, func(z *zone) {
+			z.store.Inject(store.Always(store.Faults{LoseAnswer: true}))
+			<-time.After(10 * time.Second)
+			z.store.Inject(nil)
+			z.kill()
+		}},
+		{"planner dies as the jobs end", "", nil, func(z *zone) {
+			<-time.After(5 * time.Second)
+			z.kill()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newZone(t, 4)
+				defer z.close()
+				<-time.After(time.Second)
+				z.mu.Lock()
+				z.step, z.fault = tt.step, tt.fault
+				z.mu.Unlock()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+				defer cancel()
+				var accepted []state.Job
+				for n := range 6 {
+					job := gangJob(fmt.Sprintf("j%d", n), 2, n%2 == 0)
+					id, err := z.front.RunAsync(ctx, job)
+					if err == nil {
+						job.ID = id
+						accepted = append(accepted, job)
+					}
+				}
+				if len(accepted) < 5 {
+					t.Errorf("only %d of 6 jobs were accepted", len(accepted))
+				}
+				if tt.after != nil {
+					z.later(0, func() { tt.after(z) })
+				}
+				for _, job := range accepted {
+					progress, err := z.outcome(ctx, job.ID)
+					if err != nil {
+						t.Errorf("%s was accepted and has no outcome: %v", job.Key, err)
+						continue
+					}
+					o := progress.Outcome
+					if job.Idempotent && o.Ran != state.RanWhole || o.Ran == state.NotRun && o.Reason != state.ClaimUnavailable {
+						t.Errorf("%s was accepted and has the outcome %v (%s)", job.Key, progress.Outcome.Ran, progress.Outcome.Reason)
+					}
+					z.check(job, progress.Outcome)
+				}
+				<-time.After(30 * time.Second)
+				z.checkFree()
+			})
+		})
+	}
+}
+
+// TestReclaim has south take back its guarantee from a job of north that can
+// be saved: it goes on from where it was, wherever the planner is lost.
+func TestReclaim(t *testing.T) {
+	tests := []struct {
+		name  string
+		step  string
+		fault func(z *zone)
+		// again is set where the job may have to run from its start.
+		again bool
+	}{
+		{"nothing fails", "", nil, false},
+		{"planner dies before the checkpoint", "before checkpoint", killPlanner, true},
+		{"planner dies after the checkpoint", "after checkpoint", killPlanner, true},
+		{"a worker is silent at the checkpoint", "before checkpoint", func(z *zone) {
+			w := z.busy()
+			w.Set(standin.Faults{Silent: true})
+			z.later(40*time.Second, func() { w.Set(standin.Faults{}) })
+		}, true},
+		{"the first hold after it is refused", "before stop", func(z *zone) {
+			w := z.order[0]
+			w.Set(standin.Faults{RefuseHolds: true})
+			z.later(20*time.Second, func() { w.Set(standin.Faults{}) })
+		}, false},
+	}
+	south := state.Organisation{Name: "south", Share: 1, Guarantees: []state.Guarantee{
+		{AvailabilityZone: zoneName, Members: 2, Shape: capacity},
+	}}
+	for _, tt := range tests {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, idempotent %v", tt.name, idempotent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					z := newZone(t, 4, south)
+					defer z.close()
+					<-time.After(time.Second)
+					z.mu.Lock()
+					z.step, z.fault = tt.step, tt.fault
+					z.mu.Unlock()
+					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+					defer cancel()
+					saved := gangJob("saved", 4, idempotent)
+					saved.Checkpointable = true
+					saved.DeclaredRunTime = time.Minute
+					saved.Payload = []byte(`{"run":"1m","answer":"saved;"}`)
+					var waiting sync.WaitGroup
+					var borrowed state.Progress
+					began := time.Now()
+					waiting.Go(func() { borrowed = z.front.Run(ctx, saved) })
+					<-time.After(20 * time.Second)
+					urgent := gangJob("urgent", 2, true)
+					urgent.Organisation, urgent.Urgency = "south", state.Urgent
+					progress := z.front.Run(ctx, urgent)
+					if progress.Outcome.Ran != state.RanWhole {
+						t.Errorf("south's job: %+v", progress)
+					}
+					z.check(urgent, progress.Outcome)
+					waiting.Wait()
+					if !borrowed.Done || borrowed.Outcome.Ran != state.RanWhole && (idempotent || !tt.again) {
+						t.Errorf("north's job: %+v", borrowed)
+					}
+					if borrowed.Done {
+						z.check(saved, borrowed.Outcome)
+					}
+					if took := time.Since(began); !tt.again && took > 100*time.Second {
+						t.Errorf("north's job of a minute took %v: it did not go on from its checkpoint", took)
+					}
+					z.checkFree()
+				})
+			})
+		}
+	}
+}
+
+// TestFailingWorkers has some of the workers fail whatever they are given: the
+// starts stay within what the retry budget allows, and few bad workers are
+// found and cost no job.
+func TestFailingWorkers(t *testing.T) {
+	const jobs = 60
+	tests := []struct {
+		name    string
+		failing int
+		most    int
+		// found is set where the workers must be quarantined and all jobs run.
+		found bool
+	}{
+		{"none", 0, jobs, true},
+		{"one of eight", 1, jobs + jobs/5 + 20, true},
+		{"half of them", 4, jobs + jobs/5 + 20, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newZone(t, 8)
+				defer z.close()
+				<-time.After(time.Second)
+				for _, w := range z.order[:tt.failing] {
+					w.Set(standin.Faults{FailTasks: true})
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+				defer cancel()
+				var mu sync.Mutex
+				ran, starts := 0, 0
+				var all sync.WaitGroup
+				for n := range jobs {
+					all.Go(func() {
+						job := gangJob(fmt.Sprintf("j%d", n), 1, true)
+						job.Kind = fmt.Sprintf("kind%d", n%5)
+						<-time.After(time.Duration(n) * time.Second)
+						progress := z.front.Run(ctx, job)
+						z.check(job, progress.Outcome)
+						mu.Lock()
+						defer mu.Unlock()
+						starts += z.starts(progress.Outcome.Job)
+						if progress.Outcome.Ran == state.RanWhole {
+							ran++
+						}
+					})
+				}
+				all.Wait()
+				t.Logf("%d of %d jobs ran, in %d starts", ran, jobs, starts)
+				if tt.found && ran < jobs || starts > tt.most {
+					t.Errorf("%d of %d jobs ran, in %d starts; want at most %d starts", ran, jobs, starts, tt.most)
+				}
+				if found := len(z.current().Quarantine.List()); tt.found && found != tt.failing {
+					t.Errorf("%d workers are quarantined, want %d", found, tt.failing)
+				}
+			})
+		})
+	}
+}
+
+// TestRandomFaults brings about faults at random, together or one after
+// another: no job may be lost, doubled or wrongly refused.
+func TestRandomFaults(t *testing.T) {
+	faults := []func(z *zone, random *rand.Rand){
+		func(z *zone, _ *rand.Rand) { z.kill() },
+		func(z *zone, _ *rand.Rand) { z.handOver() },
+		func(z *zone, random *rand.Rand) {
+			z.flaw(random, standin.Faults{Silent: true}, time.Duration(random.IntN(30))*time.Second)
+		},
+		func(z *zone, random *rand.Rand) {
+			z.flaw(random, standin.Faults{LoseStartAnswers: true}, 5*time.Second)
+		},
+		func(z *zone, random *rand.Rand) { z.flaw(random, standin.Faults{RefuseHolds: true}, 5*time.Second) },
+		func(z *zone, random *rand.Rand) { z.flaw(random, standin.Faults{FailTasks: true}, 2*time.Second) },
+		func(z *zone, _ *rand.Rand) { z.flawStore(store.Faults{Down: true}) },
+		func(z *zone, _ *rand.Rand) { z.flawStore(store.Faults{LoseAnswer: true}) },
+		func(z *zone, _ *rand.Rand) {
+			z.mu.Lock()
+			defer z.mu.Unlock()
+			z.loseReplies += 2
+		},
+	}
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				z := newZone(t, 6)
+				defer z.close()
+				<-time.After(time.Second)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Minute)
+				defer cancel()
+				var all sync.WaitGroup
+				for n := range 40 {
+					job := gangJob(fmt.Sprintf("j%d", n), 1+random.IntN(3), random.IntN(2) == 0)
+					all.Go(func() { z.submitAndCheck(ctx, job, n%4 == 0) })
+					<-time.After(time.Duration(random.IntN(2000)) * time.Millisecond)
+					for range random.IntN(3) / 2 * (1 + random.IntN(2)) {
+						faults[random.IntN(len(faults))](z, random)
+					}
+				}
+				all.Wait()
+				<-time.After(time.Minute)
+				z.checkFree()
+			})
+		})
+	}
+}
+
+func (z *zone) submitAndCheck(ctx context.Context, job state.Job, async bool) {
+	var progress state.Progress
+	if async {
+		id, err := z.front.RunAsync(ctx, job)
+		if err != nil {
+			return
+		}
+		if progress, err = z.outcome(ctx, id); err != nil {
+			z.t.Errorf("%s was accepted and is lost: %v", job.Key, err)
+			return
+		}
+	} else {
+		progress = z.front.Run(ctx, job)
+	}
+	o := progress.Outcome
+	switch {
+	case !progress.Done:
+		z.t.Errorf("%s has no outcome", job.Key)
+	case job.Idempotent && o.Ran != state.RanWhole && o.Reason != state.RetryBudgetSpent && o.Reason != state.HomeUnreachable:
+		z.t.Errorf("%s may run twice, and has the outcome %v (%s)", job.Key, o.Ran, o.Reason)
+	case !job.Idempotent && o.Ran == state.NotRun && o.Reason != state.ClaimUnavailable:
+		z.t.Errorf("%s is refused for %s", job.Key, o.Reason)
+	}
+	z.check(job, o)
+}
+
+// flaw gives one worker a fault for some time.
+func (z *zone) flaw(random *rand.Rand, faults standin.Faults, duration time.Duration) {
+	w := z.order[random.IntN(len(z.order))]
+	w.Set(faults)
+	z.later(duration, func() { w.Set(standin.Faults{}) })
+}
+
+func (z *zone) flawStore(faults store.Faults) {
+	z.store.Inject(store.Always(faults))
+	z.later(5*time.Second, func() { z.store.Inject(nil) })
+}
--- a/coordination/dispatch/manifest.go
+++ b/coordination/dispatch/manifest.go
@@ -9,5 +9,6 @@
 	}
 	d.Planner.ApplyManifest(manifest)
 	d.Admission.Apply(manifest)
+	d.governing.Do(func() { close(d.governed) })
 	d.Signal()
 }
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -22,6 +22,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-d.ctx.Done():
+		if progress := r.progress(); progress.Done {
+			return progress, nil
+		}
 		return state.Progress{}, d.moved("await " + string(job))
 	}
 	return r.progress(), nil
@@ -60,10 +63,11 @@
 	d.finish(r, r.refusal(state.Cancelled))
 }
 
-// unknown is why a job is not known: after a change of planner it may yet be found.
+// unknown is why a job is not known: after a change of planner it may yet be
+// found on workers or in the store.
 func (d *Dispatcher) unknown() state.Reason {
 	select {
-	case <-d.recovered:
+	case <-d.loaded:
 		return state.UnknownJob
 	default:
 		return state.HomeMoved
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithDeadline(d.ctx, reclaim.Deadline)
 	defer cancel()
 	r.mu.Lock()
-	racks := racksOf(r.placements)
+	racks, workers := racksOf(r.placements), len(r.placements)
 	r.mu.Unlock()
 	var saved [][]byte
 	for _, rack := range racks {
@@ -57,6 +57,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// A gang that is not saved whole has nothing to go on from.
+	if r.attempt != reclaim.Attempt || r.stopping || len(saved) != workers {
+		return
+	}
 	r.job.Checkpoints = saved
 	r.frozen = true
 }
@@ -77,6 +81,9 @@
 	if again {
 		d.Event("jobRequeued", job.ID, reason)
 		d.Planner.Requeue(job.ID, attempt, notBefore, slices.Concat(blamed, refused))
+		if r.isCancelled() && d.Planner.Cancel(job.ID) != planning.CancelRunning {
+			d.finish(r, r.refusal(state.Cancelled))
+		}
 		d.Signal()
 		return
 	}
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -31,6 +31,11 @@
 		return nil
 	}
 	d.Event("jobSubmitted", job.ID, "")
+	if again {
+		// It was admitted before.
+		d.spawn(func() { d.queue(r) })
+		return nil
+	}
 	d.spawn(func() { d.enter(r) })
 	return nil
 }
@@ -41,6 +46,9 @@
 	if d.ctx.Err() != nil {
 		return d.moved("accept")
 	}
+	if err := d.awaitLoad(ctx); err != nil {
+		return err
+	}
 	if _, known := d.records.Get(job.ID); known {
 		return nil
 	}
@@ -51,6 +59,10 @@
 		d.Count(state.NotDurable)
 		return err
 	}
+	if d.ctx.Err() != nil {
+		// The next planner may have read the saved jobs already: it must be told.
+		return d.moved("accept")
+	}
 	r := newRecord(&job)
 	r.saved = true
 	if !d.records.PutNew(job.ID, r) {
@@ -63,6 +75,12 @@
 
 // enter admits, claims and queues a job whose caller waits.
 func (d *Dispatcher) enter(r *record) {
+	select {
+	case <-d.governed:
+	default:
+		d.finish(r, r.refusal(state.NoManifest))
+		return
+	}
 	if reason := d.admit(&r.job); reason != "" {
 		d.finish(r, r.refusal(reason))
 		return
@@ -87,15 +105,33 @@
 	d.Signal()
 }
 
-// awaitRecovery waits until the racks of the zone have been reported, or the window ends.
+// awaitRecovery waits until there is a manifest and the racks of the zone have
+// been reported, or the window for that ends.
 func (d *Dispatcher) awaitRecovery(ctx context.Context) error {
+	for _, ready := range []chan struct{}{d.governed, d.recovered} {
+		select {
+		case <-ready:
+		case <-d.ctx.Done():
+			return d.moved("recover")
+		case <-ctx.Done():
+			return d.moved("recover")
+		}
+	}
+	return nil
+}
+
+// awaitLoad waits until the saved jobs of the zone are known.
+func (d *Dispatcher) awaitLoad(ctx context.Context) error {
+	if err := d.awaitRecovery(ctx); err != nil {
+		return err
+	}
 	select {
-	case <-d.recovered:
+	case <-d.loaded:
 		return nil
 	case <-d.ctx.Done():
-		return d.moved("recover")
+		return d.moved("load")
 	case <-ctx.Done():
-		return d.moved("recover")
+		return state.NewStepError("load", d.noPeer(), state.NotDurable, ctx.Err())
 	}
 }
 
--- a/coordination/dispatch/zone_test.go
+++ b/coordination/dispatch/zone_test.go
@@ -44,6 +44,7 @@
 	keeper  *lease.Keeper
 	front   *front.Front
 	policy  []state.Organisation
+	pending sync.WaitGroup
 
 	mu sync.Mutex
 	// planners is indexed by the port of the address that the front sees.
@@ -153,7 +154,7 @@
 		Stop: func(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (never bool, err error) {
 			name := state.JobAttempt{Job: job, Attempt: attempt}
 			err = p.call("stop", func() (err error) {
-				never, err = z.keeper.Stop(ctx, rack, name, nil)
+				never, err = z.keeper.Stop(ctx, rack, name, d.Members(name, rack))
 				return err
 			})
 			return never, err
@@ -182,20 +183,19 @@
 	p.mu.Lock()
 	p.dead = true
 	p.mu.Unlock()
-	go func() {
-		<-time.After(3 * time.Second)
+	z.later(3*time.Second, func() {
 		z.takeOver()
 		_ = p.Close()
-	}()
+	})
 }
 
 // handOver closes the current planner while the next one takes over, as a drain does.
 func (z *zone) handOver() {
 	p := z.current()
-	go func() {
+	z.later(0, func() {
 		z.takeOver()
 		_ = p.Close()
-	}()
+	})
 }
 
 func (z *zone) reach(at netip.AddrPort, call func(p *planner) error) error {
@@ -308,7 +308,16 @@
 	return call(w)
 }
 
+// later does something after a time; close waits for it.
+func (z *zone) later(wait time.Duration, act func()) {
+	z.pending.Go(func() {
+		<-time.After(wait)
+		act()
+	})
+}
+
 func (z *zone) close() {
+	z.pending.Wait()
 	z.mu.Lock()
 	planners := z.planners
 	z.mu.Unlock()
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -1,11 +1,6 @@
 package instance
 
 import (
-	"context"
-	"math/rand/v2"
-	"net/netip"
-	"time"
-
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/dispatch"
@@ -18,6 +13,10 @@
 	"comfreystream/protocol/peer"
 	"comfreystream/protocol/record"
 	"comfreystream/state"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
 )
 
 // newDispatcher makes the planner's seat of this entry's zone.
@@ -38,7 +37,11 @@
 		d.Signal()
 	})
 	d.Admission = admission.New(admission.DefaultSettings(), time.Now, func(state.Reason) {})
-	d.Gang = &gang.Starter{Now: time.Now, Hold: i.holdRack, Commit: d.Commit, Start: i.startRack, Stop: i.stopRack}
+	d.Gang = &gang.Starter{Now: time.Now, Hold: i.holdRack, Commit: d.Commit, Start: i.startRack}
+	d.Gang.Stop = func(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (neverStarted bool, err error) {
+		name := state.JobAttempt{Job: job, Attempt: attempt}
+		return i.stopRack(ctx, rack, name, d.Members(name, rack))
+	}
 	planner.Estimate = d.Estimates.Estimate
 	planner.Usable = d.Usable
 	d.ApplyManifest(i.rollout.Current())
@@ -86,16 +89,15 @@
 	return i.peers.Start(ctx, home, rack, leases)
 }
 
-func (i *Instance) stopRack(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (neverStarted bool, err error) {
+func (i *Instance) stopRack(ctx context.Context, rack string, attempt state.JobAttempt, workers []netip.AddrPort) (neverStarted bool, err error) {
 	home, err := i.homeOf(rack)
 	if err != nil {
 		return false, err
 	}
-	name := state.JobAttempt{Job: job, Attempt: attempt}
 	if home == i.Address() {
-		return i.keeper.Stop(ctx, rack, name, nil)
+		return i.keeper.Stop(ctx, rack, attempt, workers)
 	}
-	return i.peers.Stop(ctx, home, peer.Stop{Rack: rack, Attempt: name})
+	return i.peers.Stop(ctx, home, peer.Stop{Rack: rack, Attempt: attempt, Workers: workers})
 }
 
 func (i *Instance) checkpointRack(ctx context.Context, rack string, attempt state.JobAttempt) ([][]byte, error) {
