--- a/coordination/membership/faults_test.go
+++ b/coordination/membership/faults_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"comfreystream/state"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,17 +68,23 @@
 			time.Sleep(outOfUse)
 			wantOutOfUse(t, nodes, nodes[5])
 			time.Sleep(30 * time.Second)
+			l.watchZone(nodes[5:6])
 			resume()
 			if nodes[5].Fresh() {
 				t.Error("a paused entry counts as fresh before it hears from its zone")
 			}
+			time.Sleep(meetBound)
+			l.wantWholeZone(t, nodes[5:6])
 			return nodes
 		}},
 		{"a zone is cut off and heals", 16, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return (from.zone == "z2") != (to.zone == "z2") })
+			l.watchZone(nodes)
 			time.Sleep(time.Minute)
 			wantMeet(t, inZone(nodes, "z2"))
 			l.setCut(func(_, _ *node) bool { return false })
+			time.Sleep(meetBound)
+			l.wantWholeZone(t, nodes)
 			return nodes
 		}},
 		{"30% of the messages are lost", 16, 0.3, func(_ *testing.T, _ *link, nodes []*node) []*node {
@@ -106,6 +113,20 @@
 			}
 			return nodes
 		}},
+		{"each entry adopts a manifest", 16, 0, func(t *testing.T, _ *link, nodes []*node) []*node {
+			for _, n := range nodes {
+				n.SetAdvert(state.Advert{Generation: 7})
+			}
+			time.Sleep(meetBound)
+			for _, n := range nodes {
+				for _, member := range n.LiveIn(n.zone) {
+					if member.Advert.Generation != 7 {
+						t.Errorf("entry %d has generation %d for %v", n.index, member.Advert.Generation, member.Address)
+					}
+				}
+			}
+			return nodes
+		}},
 		{"one way between two entries of a zone is cut", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return from == nodes[1] && to == nodes[5] })
 			time.Sleep(time.Minute)
--- a/coordination/membership/link_test.go
+++ b/coordination/membership/link_test.go
@@ -31,7 +31,8 @@
 	// paused is open while the process is paused, and nil or closed otherwise.
 	paused  chan struct{}
 	stopped bool
-	changes int
+	// fewest is the smallest number of live members of its zone that it has seen.
+	fewest int
 }
 
 func newLink(seed uint64) *link {
@@ -67,7 +68,12 @@
 		return time.Now()
 	}
 	n.Send = func(to netip.AddrPort, message Message) { l.carry(n, to, message) }
-	n.OnChange = func() { l.mu.Lock(); defer l.mu.Unlock(); n.changes++ }
+	n.OnChange = func() {
+		live := len(n.LiveIn(zone))
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		n.fewest = min(n.fewest, live)
+	}
 	n.Seed(seeds)
 	ctx, cancel := context.WithCancel(t.Context())
 	n.stop = cancel
@@ -150,6 +156,29 @@
 	return false
 }
 
+// watchZone makes wantWholeZone look at what happens from now on.
+func (l *link) watchZone(nodes []*node) {
+	for _, n := range nodes {
+		live := len(n.LiveIn(n.zone))
+		l.mu.Lock()
+		n.fewest = live
+		l.mu.Unlock()
+	}
+}
+
+// wantWholeZone fails if a node took a member of its zone out of use since watchZone.
+func (l *link) wantWholeZone(t *testing.T, nodes []*node) {
+	t.Helper()
+	for _, n := range nodes {
+		l.mu.Lock()
+		fewest := n.fewest
+		l.mu.Unlock()
+		if live := len(n.LiveIn(n.zone)); fewest < live {
+			t.Errorf("entry %d once had %d of its zone's %d members in use", n.index, fewest, live)
+		}
+	}
+}
+
 // wantMeet fails unless each node knows exactly the nodes.
 func wantMeet(t *testing.T, nodes []*node) {
 	t.Helper()
