Test that a judge that was paused gives suspects their time

Cause: without the step after a pause every test still passed (found by taking single steps out on a scratch copy). Change: a table for overdue suspicions, and a row for leaving at 32 entries.

--- a/coordination/membership/claims_test.go
+++ b/coordination/membership/claims_test.go
@@ -74,6 +74,39 @@
 	}
 }
 
+// TestPausedJudge lets a suspicion be overdue when the process takes its next step.
+func TestPausedJudge(t *testing.T) {
+	tests := []struct {
+		name  string
+		pause time.Duration
+	}{
+		{"steps on time", tickPeriod},
+		{"paused for longer than the suspicion", time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			own, mate := testMember(1, "a"), testMember(2, "a")
+			now := time.UnixMilli(testStart)
+			m := New(own, rand.New(rand.NewPCG(1, 1)))
+			m.Now = func() time.Time { return now }
+			m.Tick()
+			m.Handle(mate.Gossip, Message{Kind: Push, Updates: []Update{{Member: mate, Status: Suspect}}})
+			now = now.Add(tt.pause)
+			m.Tick()
+			if got := m.View()[1].Status; got != Suspect {
+				t.Errorf("the mate is %v, want suspect", got)
+			}
+			for range nearTimeouts.suspicion/tickPeriod + farTimeouts.suspicion/tickPeriod {
+				now = now.Add(tickPeriod)
+				m.Tick()
+			}
+			if got := m.View()[1].Status; got != Dead {
+				t.Errorf("the silent mate is %v in the end, want dead", got)
+			}
+		})
+	}
+}
+
 func TestFresh(t *testing.T) {
 	const second = time.Second
 	start := time.UnixMilli(testStart)
--- a/coordination/membership/faults_test.go
+++ b/coordination/membership/faults_test.go
@@ -10,6 +10,9 @@
 const (
 	// outOfUse is the time within which a stopped entry is out of use in its zone.
 	outOfUse = 3 * time.Second
+	// atOnce is the time within which an entry that leaves is out of use in its
+	// zone; it is below what the probes alone would take.
+	atOnce = 400 * time.Millisecond
 	// joinBound is the time within which entries that start together know each other.
 	joinBound = 10 * time.Second
 	// meetBound is the time within which views agree after a fault ended.
@@ -105,6 +108,14 @@
 			l.kill(nodes[5])
 			return without(nodes, nodes[5])
 		}},
+		{"an entry of 32 leaves", 32, 0, func(t *testing.T, l *link, nodes []*node) []*node {
+			left := time.Now()
+			go func() { _ = nodes[5].Leave(t.Context()) }()
+			time.Sleep(atOnce - time.Since(left))
+			wantOutOfUse(t, nodes, nodes[5])
+			l.kill(nodes[5])
+			return without(nodes, nodes[5])
+		}},
 		{"all entries are replaced one after another", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			for i := range nodes {
 				l.kill(nodes[i])
