--- a/commands.go
+++ b/commands.go
@@ -30,6 +30,7 @@
 	statusCommand,
 	cancelCommand,
 	drainCommand,
+	loadCommand,
 	versionCommand,
 }
 
