--- a/coordination/membership/faults_test.go
+++ b/coordination/membership/faults_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"comfreystream/state"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,9 @@
 const (
 	// outOfUse is the time within which a stopped entry is out of use in its zone.
 	outOfUse = 3 * time.Second
+	// atOnce is the time within which an entry that leaves is out of use in its
+	// zone; it is below what the probes alone would take.
+	atOnce = 400 * time.Millisecond
 	// joinBound is the time within which entries that start together know each other.
 	joinBound = 10 * time.Second
 	// meetBound is the time within which views agree after a fault ended.
@@ -67,17 +71,23 @@
 			time.Sleep(outOfUse)
 			wantOutOfUse(t, nodes, nodes[5])
 			time.Sleep(30 * time.Second)
+			l.watchZone(nodes[5:6])
 			resume()
 			if nodes[5].Fresh() {
 				t.Error("a paused entry counts as fresh before it hears from its zone")
 			}
+			time.Sleep(meetBound)
+			l.wantWholeZone(t, nodes[5:6])
 			return nodes
 		}},
 		{"a zone is cut off and heals", 16, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return (from.zone == "z2") != (to.zone == "z2") })
+			l.watchZone(nodes)
 			time.Sleep(time.Minute)
 			wantMeet(t, inZone(nodes, "z2"))
 			l.setCut(func(_, _ *node) bool { return false })
+			time.Sleep(meetBound)
+			l.wantWholeZone(t, nodes)
 			return nodes
 		}},
 		{"30% of the messages are lost", 16, 0.3, func(_ *testing.T, _ *link, nodes []*node) []*node {
@@ -98,6 +108,14 @@
 			l.kill(nodes[5])
 			return without(nodes, nodes[5])
 		}},
+		{"an entry of 32 leaves", 32, 0, func(t *testing.T, l *link, nodes []*node) []*node {
+			left := time.Now()
+			go func() { _ = nodes[5].Leave(t.Context()) }()
+			time.Sleep(atOnce - time.Since(left))
+			wantOutOfUse(t, nodes, nodes[5])
+			l.kill(nodes[5])
+			return without(nodes, nodes[5])
+		}},
 		{"all entries are replaced one after another", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			for i := range nodes {
 				l.kill(nodes[i])
@@ -106,6 +124,20 @@
 			}
 			return nodes
 		}},
+		{"each entry adopts a manifest", 16, 0, func(t *testing.T, _ *link, nodes []*node) []*node {
+			for _, n := range nodes {
+				n.SetAdvert(state.Advert{Generation: 7})
+			}
+			time.Sleep(meetBound)
+			for _, n := range nodes {
+				for _, member := range n.LiveIn(n.zone) {
+					if member.Advert.Generation != 7 {
+						t.Errorf("entry %d has generation %d for %v", n.index, member.Advert.Generation, member.Address)
+					}
+				}
+			}
+			return nodes
+		}},
 		{"one way between two entries of a zone is cut", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return from == nodes[1] && to == nodes[5] })
 			time.Sleep(time.Minute)
