Log what a handler panicked with, and where

Cause: a panic was counted, but its cause and stack were dropped. Change: Limits.Panicked hears both; the entry logs handlerPanicked.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 	"comfreystream/state"
 	"comfreystream/transport"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -88,7 +89,7 @@
 func (i *Instance) listen() (err error) {
 	i.server, err = transport.Listen(i.settings.Address, i.handle, transport.Limits{
 		BodyBytes: i.settings.BodyBytes, Connections: i.settings.Connections,
-		Count: i.metrics.CountConnection, Refuse: caller.Refuse,
+		Count: i.metrics.CountConnection, Refuse: caller.Refuse, Panicked: i.logPanic,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s: change \"address\" in the settings or free the port", i.settings.Address)
@@ -101,6 +102,10 @@
 	return nil
 }
 
+func (i *Instance) logPanic(err error) {
+	i.log.Error().Str("event", "handlerPanicked").Str("error", fmt.Sprintf("%+v", err)).Send()
+}
+
 // connect makes the clients of the other sides.
 func (i *Instance) connect() {
 	i.connections = transport.NewClient(transport.ClientLimits{})
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -54,6 +54,7 @@
 	c := x.connection
 	defer c.server.handlers.Done()
 	if err := x.runHandler(); err != nil {
+		c.server.limits.Panicked(err)
 		x.refuse(&c.server.limits, HandlerPanicked)
 	}
 	x.answer()
@@ -62,7 +63,7 @@
 func (x *exchange) runHandler() (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			err = errors.Errorf("handler: %v", cause)
+			err = errors.Errorf("handle %s: panic: %v", x.ctx.Path(), cause)
 		}
 	}()
 	x.connection.server.handler(&x.ctx)
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -26,6 +26,8 @@
 	WriteTimeout time.Duration
 	// Count hears the reason of every refusal and forced close; it must not block.
 	Count func(reason string)
+	// Panicked hears what a handler panicked with, with its stack.
+	Panicked func(err error)
 	// Refuse fills the answer to a refused request; nil leaves a plain text.
 	Refuse func(response *fasthttp.Response, reason string)
 }
@@ -63,6 +65,7 @@
 		IdleTimeout:    time.Minute,
 		WriteTimeout:   10 * time.Second,
 		Count:          func(string) {},
+		Panicked:       func(error) {},
 	}
 }
 
@@ -79,6 +82,9 @@
 	if l.Count == nil {
 		l.Count = defaults.Count
 	}
+	if l.Panicked == nil {
+		l.Panicked = defaults.Panicked
+	}
 	return l
 }
 
--- a/transport/server_fault_test.go
+++ b/transport/server_fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -149,13 +150,18 @@
 
 func TestHandlerPanics(t *testing.T) {
 	var heard counts
-	s, err := Listen(loopback, func(ctx *fasthttp.RequestCtx) { panic(ctx) }, Limits{Count: heard.count})
+	said := make(chan error, 1)
+	s, err := Listen(loopback, func(*fasthttp.RequestCtx) { panic(t.Name()) },
+		Limits{Count: heard.count, Panicked: func(err error) { said <- err }})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if got := converse(t, s.Address(), getRequest); got != "500 "+HandlerPanicked || heard.all() != HandlerPanicked {
 		t.Errorf("answer %q, counted %q", got, heard.all())
 	}
+	if got := fmt.Sprintf("%+v", <-said); !strings.Contains(got, "handle /a: panic: "+t.Name()) || !strings.Contains(got, "server_fault_test.go") {
+		t.Errorf("heard %s", got)
+	}
 	_ = s.Close()
 }
 
