--- a/instance/overview.go
+++ b/instance/overview.go
@@ -58,7 +58,7 @@
 	Free          ResourcesOverview     `json:"free"`
 	Lent          ResourcesOverview     `json:"lent"`
 	Fragmentation float64               `json:"fragmentation"`
-	ReservedFor   state.JobID           `json:"reservedFor,omitempty"`
+	ReservedFor   []state.JobID         `json:"reservedFor,omitempty"`
 	Jobs          []PhaseOverview       `json:"jobs"`
 	Guarantees    []GuaranteeOverview   `json:"guarantees"`
 	Queues        []QueueOverview       `json:"queues"`
