--- a/protocol/body/decode.go
+++ b/protocol/body/decode.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -14,22 +13,49 @@
 	maxDepth = 32
 	// maxFields bounds the fields of one object.
 	maxFields = 256
+	// maxKeptBytes bounds the text after which a decoder's buffer is kept.
+	maxKeptBytes = 64 << 10
 )
 
 // Decode reads the one JSON value in text. It refuses unknown fields, a field
 // that stands twice in one object, and anything behind the value.
 func Decode(text []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
+	d := decoders.Get().(*decoder)
+	if err := d.decode(text, into); err != nil {
 		return errors.Wrap(err, "body")
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("body: more than one JSON value")
+	if len(text) <= maxKeptBytes {
+		decoders.Put(d)
 	}
 	return errors.Wrap(checkFields(text), "body")
 }
 
+// decoder decodes one text after another; after an error it is of no more use.
+type decoder struct {
+	text bytes.Reader
+	json *json.Decoder
+}
+
+var decoders = sync.Pool{New: func() any {
+	d := &decoder{}
+	d.json = json.NewDecoder(&d.text)
+	d.json.DisallowUnknownFields()
+	return d
+}}
+
+func (d *decoder) decode(text []byte, into any) error {
+	text = bytes.TrimRight(text, " \t\r\n")
+	before := d.json.InputOffset()
+	d.text.Reset(text)
+	if err := d.json.Decode(into); err != nil {
+		return err
+	}
+	if d.json.InputOffset()-before < int64(len(text)) {
+		return errors.New("more than one JSON value")
+	}
+	return nil
+}
+
 // scan walks over text that is known to be valid JSON.
 type scan struct {
 	text []byte
--- a/protocol/body/decode_test.go
+++ b/protocol/body/decode_test.go
@@ -1,8 +1,14 @@
 package body
 
 import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"reflect"
 	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 type message struct {
@@ -15,6 +21,7 @@
 	tests := []struct{ name, text, problem string }{
 		{"whole", `{"a":1,"b":{"c":[1,2]},"d":[{"e":"x"},{"e":"a"}]}`, ""},
 		{"the same name at other places", `{"a":1,"d":[{"e":"a"}],"b":{}}`, ""},
+		{"space around", " {\"a\":1} \n", ""},
 		{"unknown field", `{"x":1}`, `unknown field "x"`},
 		{"unknown field below", `{"b":{"x":1}}`, `unknown field "x"`},
 		{"field twice", `{"a":1,"a":2}`, `field "a" stands twice`},
@@ -34,6 +41,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var into message
 			err := Decode([]byte(tt.text), &into)
+			if again := Decode([]byte(tt.text), &message{}); (again == nil) != (err == nil) {
+				t.Errorf("first %v, then %v", err, again)
+			}
 			if (err == nil) != (tt.problem == "") || err != nil && !strings.Contains(err.Error(), tt.problem) {
 				t.Errorf("error %v, want %q", err, tt.problem)
 			}
@@ -46,12 +56,16 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		var first, second message
-		if Decode(text, &first) != nil {
-			return
+		var kept, fresh message
+		err := Decode(text, &kept)
+		decoder := json.NewDecoder(bytes.NewReader(text))
+		decoder.DisallowUnknownFields()
+		freshErr := decoder.Decode(&fresh)
+		if freshErr == nil {
+			_, freshErr = decoder.Token()
 		}
-		if err := Decode(text, &second); err != nil {
-			t.Errorf("accepted once, then: %v", err)
+		if err == nil && (!errors.Is(freshErr, io.EOF) || !reflect.DeepEqual(kept, fresh)) {
+			t.Errorf("a kept decoder read %+v, a fresh one %+v, %v", kept, fresh, freshErr)
 		}
 	})
 }
