--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -16,8 +16,6 @@
 	askedDirectly stage = iota
 	// askedOthers waits for an answer through helpers as well.
 	askedOthers
-	// watching tells the suspect of the suspicion until it refutes or is dead.
-	watching
 )
 
 // probe is a Ping that waits for its Ack.
@@ -79,20 +77,21 @@
 		return
 	}
 	switch {
-	case p.stage == watching:
-		m.remind(p)
 	case waited >= p.timeouts.probe:
 		m.suspect(p)
-	case p.stage == askedDirectly && waited >= p.timeouts.direct:
+	case waited >= p.timeouts.direct:
 		m.askHelpers(p)
 	}
 }
 
-// askHelpers sends the Ping again and asks other members to try.
+// askHelpers sends the Ping again and asks other members to try; it does so
+// in each step until the answer is there or the time is over.
 func (m *Members) askHelpers(p probe) {
-	defer m.probeEntrant(p.target)
-	m.setStage(p.sequence, askedOthers)
-	m.count(EventAskedHelpers)
+	if p.stage == askedDirectly {
+		m.setStage(p.sequence, askedOthers)
+		m.count(EventAskedHelpers)
+		defer m.probeEntrant(p.target)
+	}
 	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, p.tells)})
 	for _, helper := range m.helpersFor(p.target) {
 		m.Send(helper.Gossip, Message{Kind: PingRequest, Sequence: p.sequence, Target: p.gossip})
@@ -115,26 +114,34 @@
 }
 
 func (m *Members) suspect(p probe) {
+	m.probes.Delete(p.sequence)
 	r, found := m.table.Get(p.target.Address)
 	if !found || r.member.Gossip != p.gossip || !r.usable() {
-		m.probes.Delete(p.sequence)
 		return
 	}
-	m.setStage(p.sequence, watching)
 	if m.learn(Update{Member: r.member, Status: Suspect}, origin{near: true}) {
 		m.push(0, p.gossip)
 	}
-	m.remind(p)
 }
 
-// remind tells a suspect of the suspicion, for as long as there is one.
-func (m *Members) remind(p probe) {
-	r, found := m.table.Get(p.target.Address)
-	if !found || r.status != Suspect {
-		m.probes.Delete(p.sequence)
+// remindSuspects pings some suspects in each step, whoever suspected them
+// first: the Ping tells them what to refute, and the Ack brings it.
+func (m *Members) remindSuspects() {
+	v := m.view()
+	if len(v.suspects) == 0 {
 		return
 	}
-	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, p.tells)})
+	own := m.Self().AvailabilityZone
+	near := func(x *state.Member) bool { return x.AvailabilityZone == own }
+	far := func(x *state.Member) bool { return x.AvailabilityZone != own }
+	var suspects []state.Member
+	for _, r := range v.suspects {
+		suspects = append(suspects, r.member)
+	}
+	chosen := m.dice.pick(nil, nearReminders, suspects, near)
+	for _, suspect := range m.dice.pick(chosen, farReminders, suspects, far) {
+		m.ping(probe{gossip: suspect.Gossip, timeouts: nearTimeouts})
+	}
 }
 
 func (m *Members) setStage(sequence uint32, next stage) {
--- a/coordination/membership/tick.go
+++ b/coordination/membership/tick.go
@@ -17,6 +17,7 @@
 	m.news.refill()
 	m.advanceProbes(now)
 	m.expireSuspects(now)
+	m.remindSuspects()
 	m.probeNext()
 	if m.ticks%forgetTicks == 0 {
 		m.forget(now)
--- a/coordination/membership/timing.go
+++ b/coordination/membership/timing.go
@@ -35,6 +35,10 @@
 	helpers = 3
 	// seedsPerRound is the number of seeds asked at once by a member that knows nobody.
 	seedsPerRound = 3
+	// nearReminders is the number of suspects of the zone that are told in each step.
+	nearReminders = 2
+	// farReminders is the number of suspects of other zones that are told in each step.
+	farReminders = 1
 	// pushFanout is the number of members of the zone that get news at once.
 	pushFanout = 3
 	// farFanout is the number of members of other zones that get first-hand news at once.
--- a/protocol/gossip/fleet_test.go
+++ b/protocol/gossip/fleet_test.go
@@ -26,6 +26,8 @@
 	nodes  []*fleetNode
 	byAddr map[netip.AddrPort]*fleetNode
 	zones  int
+	// loss is the part of all messages that is lost.
+	loss float64
 }
 
 type fleetNode struct {
@@ -123,6 +125,9 @@
 		return
 	}
 	delay := 200*time.Microsecond + time.Duration(f.random.Int64N(int64(time.Millisecond)))
+	if f.random.Float64() < f.loss {
+		return
+	}
 	if from.zone != target.zone {
 		if f.random.Float64() < linkLoss {
 			return
--- a/protocol/gossip/load_test.go
+++ b/protocol/gossip/load_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"comfreystream/coordination/membership"
 	"comfreystream/state"
 	"fmt"
 	"net/netip"
@@ -65,6 +66,60 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// BenchmarkLoss measures, while a part of all messages is lost, how often a
+// live member is taken out of use and for how long.
+func BenchmarkLoss(b *testing.B) {
+	const span = 10 * time.Minute
+	for _, loss := range []float64{0.01, 0.1, 0.3} {
+		b.Run(fmt.Sprintf("members=32/loss=%v", loss), func(b *testing.B) {
+			var outages []time.Duration
+			refuted := 0
+			for run := range b.N {
+				f := newFleet(32, 4, uint64(run))
+				f.run(settled)
+				f.loss = loss
+				for _, n := range f.nodes {
+					n.Count = func(e membership.Event) {
+						if e == membership.EventRefuted {
+							refuted++
+						}
+					}
+					n.onChange = f.outageMeter(&outages)
+				}
+				f.run(span)
+			}
+			hours := span.Hours() * float64(32*b.N)
+			b.ReportMetric(float64(refuted)/hours, "refutations/h")
+			b.ReportMetric(float64(len(outages))/hours, "falseDeaths/h")
+			report(b, outages, "out")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// outageMeter returns a hook that notes how long live members of the zone
+// were out of use in a member's view.
+func (f *fleet) outageMeter(outages *[]time.Duration) func(*fleetNode) {
+	gone := make(map[netip.AddrPort]time.Time)
+	return func(n *fleetNode) {
+		live := make(map[netip.AddrPort]bool)
+		for _, member := range n.LiveIn(n.zone) {
+			live[member.Gossip] = true
+		}
+		for _, other := range f.nodes {
+			began, out := gone[other.gossip]
+			switch {
+			case other.zone != n.zone || live[other.gossip] == !out:
+			case out:
+				delete(gone, other.gossip)
+				*outages = append(*outages, f.now.Sub(began))
+			default:
+				gone[other.gossip] = f.now
+			}
+		}
+	}
+}
+
 // BenchmarkStart measures members that all start at once: the bytes that each
 // sends in the first ten seconds, and the time until all know all.
 func BenchmarkStart(b *testing.B) {
