--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -8,24 +8,15 @@
 	"time"
 )
 
-// stage is how far an unanswered probe has come.
-type stage uint8
-
-const (
-	// askedDirectly waits for the target's own answer.
-	askedDirectly stage = iota
-	// askedOthers waits for an answer through helpers as well.
-	askedOthers
-)
-
 // probe is a Ping that waits for its Ack.
 type probe struct {
 	sequence uint32
 	target   state.Member
 	gossip   netip.AddrPort
 	sent     time.Time
-	stage    stage
 	timeouts timeouts
+	// rounds is how often helpers were asked.
+	rounds int
 	// tells is set if the Ping carried this member's own leaving.
 	tells bool
 	// requester asked for this probe by a PingRequest; it is not valid otherwise.
@@ -79,16 +70,19 @@
 	switch {
 	case waited >= p.timeouts.probe:
 		m.suspect(p)
-	case waited >= p.timeouts.direct:
+	case waited >= p.timeouts.direct*time.Duration(1+p.rounds):
 		m.askHelpers(p)
 	}
 }
 
 // askHelpers sends the Ping again and asks other members to try; it does so
-// in each step until the answer is there or the time is over.
+// every timeouts.direct until the answer is there or the time is over.
 func (m *Members) askHelpers(p probe) {
-	if p.stage == askedDirectly {
-		m.setStage(p.sequence, askedOthers)
+	m.probes.Update(p.sequence, func(waiting probe, found bool) (probe, bool) {
+		waiting.rounds++
+		return waiting, found
+	})
+	if p.rounds == 0 {
 		m.count(EventAskedHelpers)
 		defer m.probeEntrant(p.target)
 	}
@@ -144,17 +138,10 @@
 	}
 }
 
-func (m *Members) setStage(sequence uint32, next stage) {
-	m.probes.Update(sequence, func(p probe, found bool) (probe, bool) {
-		p.stage = next
-		return p, found
-	})
-}
-
 // failing returns the members whose probes are past their direct answer.
 func (m *Members) failing() (addresses []netip.AddrPort) {
 	for _, p := range m.probes.Values() {
-		if p.stage != askedDirectly {
+		if p.rounds > 0 {
 			addresses = append(addresses, p.target.Address)
 		}
 	}
