--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 	"net/netip"
@@ -16,6 +17,8 @@
 	job   state.Job
 	parts map[netip.AddrPort]state.Task
 	racks map[netip.AddrPort]string
+	// taken is set once the gang was found whole.
+	taken bool
 }
 
 // adopt notes a part of an unknown job; once all its parts are there and none
@@ -33,8 +36,9 @@
 	if !a.add(rack, t) {
 		return
 	}
-	d.adopting.Delete(attempt)
 	d.takeOver(a, attempt)
+	// Only now may the recovery end: whoever asks for the job then finds it.
+	d.adopting.Delete(attempt)
 }
 
 func newAdoption(name state.JobAttempt, job state.Job, now time.Time) *adoption {
@@ -44,7 +48,7 @@
 	}
 }
 
-// add notes a part and reports whether the gang is whole.
+// add notes a part and reports whether it made the gang whole.
 func (a *adoption) add(rack string, t state.Task) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -57,7 +61,9 @@
 		}
 		members += part.Lease.Members
 	}
-	return members == a.job.Members
+	whole := members == a.job.Members && !a.taken
+	a.taken = a.taken || whole
+	return whole
 }
 
 func (a *adoption) placements() (placements []state.Placement) {
@@ -74,13 +80,18 @@
 	placements := a.placements()
 	r := newRecord(&a.job)
 	r.attempt = attempt.Attempt
+	r.base = attempt.Attempt - 1
+	r.claimed = !a.job.Idempotent
 	r.placements = placements
 	r.parts = a.parts
 	r.begun = d.Now()
 	r.whole = true
+	r.adopted = true
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
 	if !d.records.PutNew(a.job.ID, r) {
+		// The job was queued meanwhile: it is not to run beside itself.
+		d.tellRacks(placements, func(o *outbox) { o.stop = append(o.stop, attempt) })
 		return
 	}
 	d.Event("jobAdopted", a.job.ID, "")
@@ -106,26 +117,33 @@
 	}
 }
 
-// reloadLedger takes up the saved jobs of the zone that no worker runs.
-func (d *Dispatcher) reloadLedger() {
-	select {
-	case <-d.recovered:
-	case <-d.ctx.Done():
+// reloadLoop takes up the saved jobs of the zone that no worker runs.
+func (d *Dispatcher) reloadLoop() {
+	if d.awaitRecovery(d.ctx) != nil {
 		return
 	}
-	d.persist(func(ctx context.Context) error {
-		jobs, ended, err := d.Ledger.Load(ctx)
-		if err != nil {
-			return err
-		}
-		for _, outcome := range ended {
-			d.restoreEnded(outcome)
-		}
-		for _, job := range jobs {
-			d.restoreSaved(job)
-		}
-		return nil
-	})
+	d.persist(d.reload)
+	if d.ctx.Err() != nil {
+		return
+	}
+	close(d.loaded)
+	for pause.For(d.ctx, reloadInterval) {
+		d.persist(d.reload)
+	}
+}
+
+func (d *Dispatcher) reload(ctx context.Context) error {
+	jobs, ended, err := d.Ledger.Load(ctx)
+	if err != nil {
+		return err
+	}
+	for _, outcome := range ended {
+		d.restoreEnded(outcome)
+	}
+	for _, job := range jobs {
+		d.restoreSaved(job)
+	}
+	return nil
 }
 
 func (d *Dispatcher) restoreEnded(outcome state.Outcome) {
@@ -137,6 +155,7 @@
 
 func (d *Dispatcher) restoreSaved(job state.Job) {
 	r := newRecord(&job)
+	r.inherit(d.began)
 	r.saved = true
 	if d.records.PutNew(job.ID, r) {
 		d.Event("jobReloaded", job.ID, "")
@@ -147,4 +166,9 @@
 	known.mu.Lock()
 	defer known.mu.Unlock()
 	known.saved = true
+	if known.settled {
+		// It ended before anyone knew that it was saved.
+		known.settled = false
+		d.spawn(func() { d.settle(known) })
+	}
 }
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -1,79 +1,65 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
+	"time"
 )
 
-// ClaimState is what a claim's record says when a job asks for it.
-type ClaimState uint8
-
-// The states of a claim towards one job.
 const (
-	// ClaimFresh means that the job took the claim just now.
-	ClaimFresh ClaimState = iota
-	// ClaimOwn means that the same job took it under an earlier planner, which
-	// may have started it, and its end is not recorded.
-	ClaimOwn
-	// ClaimEnded means that the same job has ended; the outcome is recorded.
-	ClaimEnded
-	// ClaimTaken means that another job holds the key.
-	ClaimTaken
+	// claimTries and claimPause bound the wait for the claim of a planner that closes.
+	claimTries = 3
+	claimPause = 300 * time.Millisecond
 )
 
-// ClaimResult is the answer to a claim.
-type ClaimResult struct {
-	State ClaimState
-	// Outcome is set for ClaimEnded.
-	Outcome state.Outcome
-	// Holder is the job that holds the key, for ClaimTaken.
-	Holder state.JobID
-}
-
-// Claims are create-only records of non-idempotent requests in the store.
-type Claims struct {
-	// Take claims the job's key; after an error the job does not start.
-	Take func(ctx context.Context, job *state.Job) (ClaimResult, error)
-	// Settle records the outcome; one that did not run gives the key free.
-	Settle func(ctx context.Context, job *state.Job, outcome state.Outcome) error
-}
-
-// Ledger keeps accepted jobs whose callers do not wait.
-type Ledger struct {
-	// Save keeps the job; an error means that nothing was promised.
-	Save func(ctx context.Context, job *state.Job) error
-	// Finish records the outcome in place of the job.
-	Finish func(ctx context.Context, job *state.Job, outcome state.Outcome) error
-	// Load returns the saved jobs of the zone, and the outcomes of those that ended.
-	Load func(ctx context.Context) (jobs []state.Job, ended []state.Outcome, err error)
-}
-
 // claim takes the key of a non-idempotent job just before its first start. A
 // claim therefore exists only for a job that may have been started.
 func (d *Dispatcher) claim(r *record) error {
 	if r.job.Idempotent || r.claimed {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
-	defer cancel()
-	result, err := d.Claims.Take(ctx, &r.job)
+	r.mu.Lock()
+	r.claimTried = true
+	r.mu.Unlock()
+	result, err := d.takeClaim(r)
 	if err != nil {
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
-		return r.forbid(state.Refusal(r.job.ID, state.ClaimUnavailable))
+		if r.isSaved() && !state.IsAmbiguous(err) {
+			// Nobody waits, and nothing was written: it is tried again later.
+			return err
+		}
+		return r.forbid(r.refusal(state.ClaimUnavailable))
 	}
 	switch result.State {
-	case ClaimFresh:
+	case claim.Fresh:
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.claimed = true
+		r.inherited = false
 		return nil
-	case ClaimOwn:
+	case claim.Own:
 		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.Unknown, Reason: state.AmbiguousStart})
-	case ClaimEnded:
+	case claim.Ended:
 		return r.forbid(result.Outcome)
 	default:
-		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.NotRun, Reason: state.DuplicateKey, Answer: []byte(result.Holder)})
+		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.NotRun, Reason: state.DuplicateKey, Holder: result.Holder})
+	}
+}
+
+// takeClaim asks again for a claim that an earlier planner took: one that
+// closes before the start gives it free within moments.
+func (d *Dispatcher) takeClaim(r *record) (result claim.Result, err error) {
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	for range claimTries {
+		result, err = d.Claims.Take(ctx, &r.job)
+		if err != nil || result.State != claim.Own || !pause.For(ctx, claimPause) {
+			break
+		}
 	}
+	return result, err
 }
 
 // forbid notes the outcome of a job that its claim does not let start.
@@ -84,12 +70,13 @@
 	return state.NewStepError("claim "+r.job.Key, r.none(), outcome.Reason, nil)
 }
 
-// release gives a claim free whose job was not started by a planner that gives the zone up.
+// release gives a claim free, also one whose write is in doubt, if its job was
+// not started by this planner, which gives the zone up.
 func (d *Dispatcher) release(r *record) {
 	r.mu.Lock()
-	claimed, ran := r.claimed, r.lifecycle.Ran()
+	ours, ran := r.claimed || r.verdict != nil && r.verdict.Reason == state.ClaimUnavailable, r.ran()
 	r.mu.Unlock()
-	if !claimed || ran != state.NotRun {
+	if !ours || ran != state.NotRun {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), storeTimeout)
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 	"time"
@@ -21,7 +22,7 @@
 	case partCrashed:
 		blamed := r.crashed()
 		for _, worker := range blamed {
-			d.Quarantine.Failed(worker, r.job.ID, r.job.Kind)
+			d.Quarantine.Failed(worker, r.job.ID, r.kind())
 		}
 		d.spawn(func() { d.stopAttempt(r, attempt, state.TaskFailed, blamed) })
 	case partLapsed:
@@ -40,14 +41,19 @@
 	runTime, placements := d.Now().Sub(r.begun), r.placements
 	r.mu.Unlock()
 	for _, p := range placements {
-		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.job.Kind)
+		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.kind())
 	}
 	d.Estimates.Observe(r.job.Organisation, r.job.Kind, r.job.DeclaredRunTime, runTime)
-	d.Planner.Ended(r.job.ID, attempt)
-	d.signal()
+	d.free(r.job.ID, attempt)
 	d.finish(r, outcome)
 }
 
+// free gives back what an attempt held that was the job's last one, and has others placed there.
+func (d *Dispatcher) free(job state.JobID, attempt state.Attempt) {
+	d.Planner.Ended(job, attempt)
+	d.Signal()
+}
+
 // finish gives the job its outcome, once, and has it recorded where it must last.
 func (d *Dispatcher) finish(r *record, outcome state.Outcome) {
 	if !r.end(outcome, d.Now()) {
@@ -63,10 +69,10 @@
 // settle writes the outcome to the claim and the ledger until the store takes
 // it; only then may the workers forget the attempt.
 func (d *Dispatcher) settle(r *record) {
-	if !r.job.Idempotent {
+	if r.mayHaveClaim() {
 		d.persist(func(ctx context.Context) error { return d.Claims.Settle(ctx, &r.job, r.outcome) })
 	}
-	if r.saved {
+	if r.isSaved() {
 		d.persist(func(ctx context.Context) error { return d.Ledger.Finish(ctx, &r.job, r.outcome) })
 	}
 	if d.ctx.Err() != nil {
@@ -88,7 +94,7 @@
 			return
 		}
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
-		pause(d.ctx, storePause)
+		pause.For(d.ctx, storePause)
 	}
 }
 
@@ -110,8 +116,25 @@
 
 // attempts names all the attempts so far; the caller has the lock.
 func (r *record) attempts() (names []state.JobAttempt) {
-	for a := state.Attempt(1); a <= r.attempt; a++ {
+	for a := r.base + 1; a <= r.attempt; a++ {
 		names = append(names, r.name(a))
 	}
 	return names
 }
+
+// mayHaveClaim reports whether the store may hold a claim of the job: one that
+// was found running had it taken by an earlier planner.
+func (r *record) mayHaveClaim() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.job.Idempotent && (r.claimTried || r.adopted)
+}
+
+func (r *record) isSaved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.saved
+}
+
+// kind names the jobs that are alike, over all organisations.
+func (r *record) kind() string { return r.job.Organisation + "/" + r.job.Kind }
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -2,21 +2,31 @@
 
 import (
 	"comfreystream/coordination/gang"
+	"comfreystream/coordination/pause"
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
 	"context"
-	"time"
+	"net/netip"
+	"slices"
 )
 
 // start holds and starts the gang of one attempt, and settles what comes of it.
 func (d *Dispatcher) start(r *record, start planning.Start) {
 	job := r.snapshot()
-	result := d.Gang.Run(d.ctx, &job, start.Attempt, start.Placements)
+	if !d.probeAllowed(job.ID, start.Placements) {
+		d.notStarted(r, start.Attempt, gang.Result{Ran: state.NotRun, Reason: state.WorkerFailed})
+		return
+	}
+	// A start once sent is seen through: half a start would leave the work in doubt.
+	result := d.Gang.Run(context.WithoutCancel(d.ctx), &job, start.Attempt, start.Placements)
 	if !result.Started {
 		d.notStarted(r, start.Attempt, result)
 		return
 	}
 	d.Event("jobStarted", job.ID, "")
+	if start.Attempt == 1 {
+		d.waits.observe(job.Urgency, d.Now().Sub(job.Submitted))
+	}
 	d.Planner.Started(job.ID, start.Attempt)
 	d.tellRacks(start.Placements, func(o *outbox) { o.whole = append(o.whole, r.name(start.Attempt)) })
 	effect, stopReason := r.markWhole()
@@ -27,6 +37,17 @@
 	d.follow(r, start.Attempt, effect)
 }
 
+// probeAllowed reports whether every worker takes the job; one that is probed
+// after a quarantine takes one job at a time.
+func (d *Dispatcher) probeAllowed(job state.JobID, placements []state.Placement) bool {
+	for _, p := range placements {
+		if !d.Quarantine.Begin(p.Worker, job) {
+			return false
+		}
+	}
+	return true
+}
+
 // Commit is the gang's seam before the first start is sent: from here on the
 // job can be called "not run" only if every worker confirms it.
 func (d *Dispatcher) Commit(job state.JobID, attempt state.Attempt) error {
@@ -37,6 +58,9 @@
 	if err := d.claim(r); err != nil {
 		return err
 	}
+	if d.ctx.Err() != nil {
+		return d.moved("commit")
+	}
 	return r.commit(attempt)
 }
 
@@ -44,22 +68,23 @@
 func (d *Dispatcher) notStarted(r *record, attempt state.Attempt, result gang.Result) {
 	d.Count(result.Reason)
 	for _, worker := range result.Failed {
-		d.Quarantine.Failed(worker, r.job.ID, r.job.Kind)
+		d.Quarantine.Failed(worker, r.job.ID, r.kind())
 	}
 	committed, reason := r.giveUp(result)
 	if committed && result.Ran != state.NotRun {
 		d.stopUntilCertain(r, attempt)
 	}
-	if outcome := r.claimVerdict(); outcome != nil {
-		d.Planner.Ended(r.job.ID, attempt)
-		d.finish(r, *outcome)
-		return
-	}
 	if d.ctx.Err() != nil {
 		d.release(r)
 		return
 	}
-	d.decide(r, attempt, reason, result.Failed)
+	if outcome := r.claimVerdict(); outcome != nil {
+		d.dropProbes(r)
+		d.free(r.job.ID, attempt)
+		d.finish(r, *outcome)
+		return
+	}
+	d.decide(r, attempt, reason, result.Failed, r.avoid(result.Refused))
 }
 
 func (r *record) claimVerdict() *state.Outcome {
@@ -68,13 +93,30 @@
 	return r.verdict
 }
 
+// avoid adds to the workers that have refused the job since an attempt was last held whole.
+func (r *record) avoid(refused []netip.AddrPort) []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, worker := range refused {
+		if !slices.Contains(r.refused, worker) {
+			r.refused = append(r.refused, worker)
+		}
+	}
+	return slices.Clone(r.refused)
+}
+
 // commit notes that starts are about to be sent, unless the attempt is to be stopped.
 func (r *record) commit(attempt state.Attempt) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.cancelled {
+		return state.NewStepError("commit "+string(r.job.ID), r.none(), state.Cancelled, nil)
+	}
 	if r.stopReason != "" || r.attempt != attempt {
 		return state.NewStepError("commit "+string(r.job.ID), r.none(), r.stopReason, nil)
 	}
+	r.resumed, r.frozen = r.frozen, false
+	r.refused = nil
 	return r.lifecycle.Apply(state.StartSent)
 }
 
@@ -95,6 +137,7 @@
 	r.apply(state.StopSent)
 	if result.Ran == state.NotRun {
 		r.apply(state.VoidConfirmed)
+		r.frozen = r.resumed
 	}
 	return true, reason
 }
@@ -122,18 +165,9 @@
 			break
 		}
 		d.Count(state.ReasonOf(err, state.WorkerSilent))
-		pause(ctx, stopPause)
+		pause.For(ctx, stopPause)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.apply(state.MembersStopped)
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/gang/failure.go
+++ b/coordination/gang/failure.go
@@ -13,32 +13,40 @@
 type failure struct {
 	reason state.Reason
 	failed []netip.AddrPort
+	// refused names a worker that answered no, which says nothing against it.
+	refused []netip.AddrPort
 }
 
 func (f *failure) result(ran state.Ran) Result {
-	return Result{Ran: ran, Reason: f.reason, Failed: f.failed}
+	return Result{Ran: ran, Reason: f.reason, Failed: f.failed, Refused: f.refused}
 }
 
 // failureOf reads what a rack's error says; one without a step means that the
 // rack's home gave no answer.
-func failureOf(ctx context.Context, p *part, err error) *failure {
-	if ctx.Err() != nil {
-		return ended(ctx)
-	}
+func failureOf(p *part, err error) *failure {
 	f := &failure{reason: state.ReasonOf(err, state.HomeUnreachable)}
 	var step *state.StepError
-	if errors.As(err, &step) && blames(step.Reason) && p.uses(step.Peer) {
+	if !errors.As(err, &step) || !p.uses(step.Peer) {
+		return f
+	}
+	if blames(step.Reason) {
 		f.failed = []netip.AddrPort{step.Peer}
+		return f
 	}
+	f.refused = []netip.AddrPort{step.Peer}
 	return f
 }
 
-// ended is the failure of a start whose own caller gave up.
-func ended(ctx context.Context) *failure {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// orEnded returns f, or what ended ctx if the caller gave up meanwhile.
+func (f *failure) orEnded(ctx context.Context) *failure {
+	switch {
+	case f == nil || ctx.Err() == nil:
+		return f
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &failure{reason: state.DeadlinePassed}
+	default:
+		return &failure{reason: state.Cancelled}
 	}
-	return &failure{reason: state.Cancelled}
 }
 
 // blames reports whether the reason counts against the worker that gave it.
--- /dev/null
+++ b/protocol/instancelist/instancelist.go
@@ -0,0 +1,108 @@
+package instancelist
+
+import (
+	"comfreystream/protocol/message"
+	"comfreystream/state"
+	"comfreystream/transport"
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	listPath     = "/instances/list"
+	maxBodyBytes = 1 << 10
+)
+
+type listRequest struct {
+	Since uint64        `json:"since"`
+	Wait  time.Duration `json:"wait"`
+}
+
+type listReply struct {
+	Version uint64           `json:"version"`
+	Full    bool             `json:"full,omitempty"`
+	Workers []wireWorker     `json:"workers,omitempty"`
+	Entries []wireInstance   `json:"entries,omitempty"`
+	Gone    []netip.AddrPort `json:"gone,omitempty"`
+}
+
+type wireWorker struct {
+	Address  netip.AddrPort `json:"address"`
+	Rack     wireRack       `json:"rack"`
+	Capacity wireResources  `json:"capacity"`
+	Leaving  bool           `json:"leaving,omitempty"`
+}
+
+type wireRack struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availabilityZone"`
+	Position         int    `json:"position"`
+}
+
+type wireResources struct {
+	Slots        int   `json:"slots"`
+	Accelerators int   `json:"accelerators"`
+	Cores        int   `json:"cores"`
+	MemoryBytes  int64 `json:"memoryBytes"`
+}
+
+type wireInstance struct {
+	Address          netip.AddrPort `json:"address"`
+	AvailabilityZone string         `json:"availabilityZone"`
+	Leaving          bool           `json:"leaving,omitempty"`
+}
+
+// Client asks the instance list at Peer; a failure is a *state.StepError. It is
+// safe for several goroutines.
+type Client struct {
+	Connections *transport.Client
+	Peer        netip.AddrPort
+}
+
+// List returns what changed since that version of the list, as far as the
+// platform knows; the platform may hold its answer back that long until
+// something changes. Version 0 asks for the whole list.
+func (c *Client) List(ctx context.Context, since uint64, wait time.Duration) (state.InstanceChanges, error) {
+	reply, err := message.Call[listRequest, listReply](ctx, c.Connections, c.Peer, listPath, listRequest{since, wait})
+	if err != nil {
+		return state.InstanceChanges{}, err
+	}
+	changes := state.InstanceChanges{Version: reply.Version, Full: reply.Full, Gone: reply.Gone}
+	for _, w := range reply.Workers {
+		changes.Changed.Workers = append(changes.Changed.Workers, state.Worker{
+			Address: w.Address, Rack: state.Rack(w.Rack), Capacity: state.Resources(w.Capacity), Leaving: w.Leaving,
+		})
+	}
+	for _, e := range reply.Entries {
+		changes.Changed.Entries = append(changes.Changed.Entries, state.Instance(e))
+	}
+	return changes, nil
+}
+
+// Service is the instance list's side, which a stand-in fills.
+type Service struct {
+	List func(ctx context.Context, since uint64, wait time.Duration) (state.InstanceChanges, error)
+}
+
+// Handler returns the HTTP handler of an instance list.
+func (s *Service) Handler() fasthttp.RequestHandler {
+	limits := message.Limits{BodyBytes: maxBodyBytes}
+	return message.Routes([]message.Route{{Path: listPath, Handle: message.Handle(limits, s.list)}})
+}
+
+func (s *Service) list(ctx context.Context, request listRequest) (listReply, error) {
+	changes, err := s.List(ctx, request.Since, request.Wait)
+	reply := listReply{Version: changes.Version, Full: changes.Full, Gone: changes.Gone}
+	for _, w := range changes.Changed.Workers {
+		reply.Workers = append(reply.Workers, wireWorker{
+			Address: w.Address, Rack: wireRack(w.Rack), Capacity: wireResources(w.Capacity), Leaving: w.Leaving,
+		})
+	}
+	for _, e := range changes.Changed.Entries {
+		reply.Entries = append(reply.Entries, wireInstance(e))
+	}
+	return reply, err
+}
--- a/transport/client.go
+++ b/transport/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/netip"
 	"os"
@@ -12,42 +13,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ClientLimits bounds a client's connections and waits.
-type ClientLimits struct {
-	// ConnectionsPerPeer bounds the open connections to one address.
-	ConnectionsPerPeer int
-	// AnswerBytes bounds the body of an answer.
-	AnswerBytes int
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout time.Duration
-	// IdleTimeout is how long a connection without a call is kept; it must be
-	// shorter than the server's.
-	IdleTimeout time.Duration
-	// CallTimeout bounds a call whose context has no deadline.
-	CallTimeout time.Duration
-}
-
-// DefaultClientLimits returns limits that suit calls between instances.
-func DefaultClientLimits() ClientLimits {
-	return ClientLimits{
-		ConnectionsPerPeer: 256,
-		AnswerBytes:        16 << 20,
-		DialTimeout:        time.Second,
-		IdleTimeout:        4 * time.Second,
-		CallTimeout:        10 * time.Second,
-	}
-}
-
-func (l ClientLimits) orDefaults() ClientLimits {
-	defaults := DefaultClientLimits()
-	l.ConnectionsPerPeer = positive(l.ConnectionsPerPeer, defaults.ConnectionsPerPeer)
-	l.AnswerBytes = positive(l.AnswerBytes, defaults.AnswerBytes)
-	l.DialTimeout = positive(l.DialTimeout, defaults.DialTimeout)
-	l.IdleTimeout = positive(l.IdleTimeout, defaults.IdleTimeout)
-	l.CallTimeout = positive(l.CallTimeout, defaults.CallTimeout)
-	return l
-}
-
 // Client calls HTTP/1.1 servers by their IP numbers; it is safe for several
 // goroutines. A connection whose call failed is closed and never used again.
 type Client struct {
@@ -58,15 +23,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	calls  sync.WaitGroup
-
-	mu     sync.Mutex
-	closed bool
-	peers  map[netip.AddrPort]*peerPool
+	seed   maphash.Seed
+	shards [clientShards]clientShard
 }
 
 // NewClient returns a client; limits that are not set take their defaults.
 func NewClient(limits ClientLimits) *Client {
-	c := &Client{limits: limits.orDefaults(), peers: make(map[netip.AddrPort]*peerPool)}
+	c := &Client{limits: limits.orDefaults(), seed: maphash.MakeSeed()}
+	for i := range c.shards {
+		c.shards[i].peers = make(map[netip.AddrPort]*peerPool)
+	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -79,79 +45,54 @@
 		return &CallError{Peer: peer, cause: err}
 	}
 	defer c.calls.Done()
-	ctx, cancel := c.bounded(ctx)
-	defer cancel()
-	link, err := pool.take(ctx)
+	defer pool.users.Add(-1)
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		deadline = time.Now().Add(c.limits.CallTimeout)
+	}
+	l, err := pool.take(ctx, deadline)
 	if err != nil {
 		return &CallError{Peer: peer, Silent: isTimeout(err), cause: err}
 	}
-	err = link.roundTrip(ctx, request, response, c.limits.AnswerBytes)
-	if err != nil {
-		pool.discard(link)
-		return &CallError{Peer: peer, Sent: link.written > 0, Silent: isTimeout(err), cause: err}
+	if err := l.roundTrip(ctx, deadline, request, response, c.limits.AnswerBytes); err != nil {
+		pool.discard(l)
+		return &CallError{Peer: peer, Sent: l.written > 0, Silent: isTimeout(err), cause: err}
 	}
 	if response.ConnectionClose() {
-		pool.discard(link)
+		pool.discard(l)
 		return nil
 	}
-	pool.put(link)
+	pool.put(l)
 	return nil
 }
 
 // Close ends the calls under way, closes every connection and waits.
 func (c *Client) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	pools := make([]*peerPool, 0, len(c.peers))
-	for _, pool := range c.peers {
-		pools = append(pools, pool)
-	}
-	c.mu.Unlock()
 	c.cancel()
-	c.calls.Wait()
-	for _, pool := range pools {
-		pool.close()
+	for i := range c.shards {
+		c.shards[i].close()
 	}
+	c.calls.Wait()
 	return nil
 }
 
+// pool returns the peer's pool, counted as in use.
 func (c *Client) pool(peer netip.AddrPort) (*peerPool, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return nil, errors.New("the client is closed")
-	}
-	c.calls.Add(1)
-	pool, found := c.peers[peer]
-	if !found {
-		pool = newPeerPool(peer, c.limits, c.dial)
-		c.peers[peer] = pool
-	}
-	return pool, nil
+	return c.shards[maphash.Comparable(c.seed, peer)%clientShards].pool(c, peer)
 }
 
-func (c *Client) dial(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+// dial opens a connection; it ends early with the client or at the deadline.
+func (c *Client) dial(ctx context.Context, peer netip.AddrPort, deadline time.Time) (net.Conn, error) {
+	if latest := time.Now().Add(c.limits.DialTimeout); latest.Before(deadline) {
+		deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	defer context.AfterFunc(c.ctx, cancel)()
 	if c.Dial != nil {
 		return c.Dial(ctx, peer)
 	}
-	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
-	}}
-	return dialer.DialContext(ctx, "tcp", peer.String())
-}
-
-// bounded returns a context that ends with the client and has a deadline.
-func (c *Client) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
-	bounded, cancel := context.WithCancel(ctx)
-	if _, limited := ctx.Deadline(); !limited {
-		cancel()
-		bounded, cancel = context.WithTimeout(ctx, c.limits.CallTimeout)
-	}
-	stop := context.AfterFunc(c.ctx, cancel)
-	return bounded, func() {
-		stop()
-		cancel()
-	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", peer.String())
 }
 
 func isTimeout(err error) bool {
