Let only the relay ask the store for a first manifest

Cause: before the first manifest every entry asked the store about once a second, so the zone's calls grew with its entries. Change: each entry asks once when it starts; then the relay alone does. Conclusion: the calls of a zone no longer grow with its entries.

--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"comfreystream/coordination/rollout"
 	"comfreystream/state"
 	"context"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -313,6 +314,29 @@
 	}
 }
 
+func TestStoreCallsDoNotGrowWithEntries(t *testing.T) {
+	const minute = 60
+	for _, entries := range []int{2, 8, 32} {
+		for _, applied := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d entries, manifest %v", entries, applied), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, 1, entries)
+					if applied {
+						f.apply(0, sample(2, 1), 0)
+					}
+					after(10 * time.Second)
+					before := f.store.Calls(standin.Get) + f.store.Calls(standin.Watch)
+					after(minute * time.Second)
+					// The relay waits half a second at least between two calls.
+					if calls := f.store.Calls(standin.Get) + f.store.Calls(standin.Watch) - before; calls > 2*minute {
+						t.Errorf("%d calls in a minute", calls)
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestInForceComesBetweenNewestAndCurrent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 1)
--- a/coordination/rollout/run.go
+++ b/coordination/rollout/run.go
@@ -22,7 +22,7 @@
 // asks the zone's entries, so that an entry that restarts in a cut-off zone, or
 // while the store answers old data, does not fall back.
 func (r *Rollout) Run(ctx context.Context, isRelay func() bool) {
-	r.start(ctx)
+	r.start(ctx, isRelay)
 	var loops sync.WaitGroup
 	loops.Go(func() { r.watch(ctx, isRelay) })
 	loops.Go(func() { r.push(ctx) })
@@ -31,11 +31,11 @@
 }
 
 // start asks until there is a manifest: the zone's entries, and only if none
-// of them has one the store.
-func (r *Rollout) start(ctx context.Context) {
+// of them has one the store, which all ask once and the relay goes on asking.
+func (r *Rollout) start(ctx context.Context, isRelay func() bool) {
 	for attempt := 0; ; attempt++ {
 		r.askPeers(ctx)
-		if r.newest() == nil {
+		if r.newest() == nil && (attempt == 0 || isRelay()) {
 			_ = r.askStore(ctx)
 		}
 		if r.newest() != nil || !r.Storage.Pause(ctx, attempt) {
