--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -44,11 +44,16 @@
 		d.Quarantine.Succeeded(p.Worker, r.job.ID, r.kind())
 	}
 	d.Estimates.Observe(r.job.Organisation, r.job.Kind, r.job.DeclaredRunTime, runTime)
-	d.Planner.Ended(r.job.ID, attempt)
-	d.Signal()
+	d.free(r.job.ID, attempt)
 	d.finish(r, outcome)
 }
 
+// free gives back what an attempt held that was the job's last one, and has others placed there.
+func (d *Dispatcher) free(job state.JobID, attempt state.Attempt) {
+	d.Planner.Ended(job, attempt)
+	d.Signal()
+}
+
 // finish gives the job its outcome, once, and has it recorded where it must last.
 func (d *Dispatcher) finish(r *record, outcome state.Outcome) {
 	if !r.end(outcome, d.Now()) {
@@ -67,7 +72,7 @@
 	if r.mayHaveClaim() {
 		d.persist(func(ctx context.Context) error { return d.Claims.Settle(ctx, &r.job, r.outcome) })
 	}
-	if r.saved {
+	if r.isSaved() {
 		d.persist(func(ctx context.Context) error { return d.Ledger.Finish(ctx, &r.job, r.outcome) })
 	}
 	if d.ctx.Err() != nil {
@@ -111,7 +116,7 @@
 
 // attempts names all the attempts so far; the caller has the lock.
 func (r *record) attempts() (names []state.JobAttempt) {
-	for a := state.Attempt(1); a <= r.attempt; a++ {
+	for a := r.base + 1; a <= r.attempt; a++ {
 		names = append(names, r.name(a))
 	}
 	return names
@@ -125,5 +130,11 @@
 	return !r.job.Idempotent && (r.claimTried || r.adopted)
 }
 
+func (r *record) isSaved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.saved
+}
+
 // kind names the jobs that are alike, over all organisations.
 func (r *record) kind() string { return r.job.Organisation + "/" + r.job.Kind }
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -24,10 +24,18 @@
 		return state.NewStepError("submit", d.noPeer(), state.QueueFull, nil)
 	}
 	r := newRecord(&job)
+	if again {
+		r.inherit(d.began)
+	}
 	if !d.records.PutNew(job.ID, r) {
 		return nil
 	}
 	d.Event("jobSubmitted", job.ID, "")
+	if again {
+		// It was admitted before.
+		d.spawn(func() { d.queue(r) })
+		return nil
+	}
 	d.spawn(func() { d.enter(r) })
 	return nil
 }
@@ -38,6 +46,9 @@
 	if d.ctx.Err() != nil {
 		return d.moved("accept")
 	}
+	if err := d.awaitLoad(ctx); err != nil {
+		return err
+	}
 	if _, known := d.records.Get(job.ID); known {
 		return nil
 	}
@@ -48,6 +59,10 @@
 		d.Count(state.NotDurable)
 		return err
 	}
+	if d.ctx.Err() != nil {
+		// The next planner may have read the saved jobs already: it must be told.
+		return d.moved("accept")
+	}
 	r := newRecord(&job)
 	r.saved = true
 	if !d.records.PutNew(job.ID, r) {
@@ -60,18 +75,28 @@
 
 // enter admits, claims and queues a job whose caller waits.
 func (d *Dispatcher) enter(r *record) {
+	select {
+	case <-d.governed:
+	default:
+		d.finish(r, r.refusal(state.NoManifest))
+		return
+	}
 	if reason := d.admit(&r.job); reason != "" {
-		d.finish(r, state.Refusal(r.job.ID, reason))
+		d.finish(r, r.refusal(reason))
 		return
 	}
 	d.queue(r)
 }
 
-// queue hands a job to the planner.
+// queue hands a job to the planner, once the zone's workers are known: until
+// then the planner can't tell which jobs can never run.
 func (d *Dispatcher) queue(r *record) {
+	if d.awaitRecovery(d.ctx) != nil {
+		return
+	}
 	d.Retries.FirstAttempt(r.job.Organisation)
-	if reason := d.Planner.Submit(r.job); reason != "" {
-		d.finish(r, state.Refusal(r.job.ID, reason))
+	if reason := d.Planner.SubmitAfter(r.snapshot(), r.base); reason != "" {
+		d.finish(r, r.refusal(reason))
 		return
 	}
 	if r.isCancelled() {
@@ -80,15 +105,33 @@
 	d.Signal()
 }
 
-// awaitRecovery waits until the racks of the zone have been reported, or the window ends.
+// awaitRecovery waits until there is a manifest and the racks of the zone have
+// been reported, or the window for that ends.
 func (d *Dispatcher) awaitRecovery(ctx context.Context) error {
+	for _, ready := range []chan struct{}{d.governed, d.recovered} {
+		select {
+		case <-ready:
+		case <-d.ctx.Done():
+			return d.moved("recover")
+		case <-ctx.Done():
+			return d.moved("recover")
+		}
+	}
+	return nil
+}
+
+// awaitLoad waits until the saved jobs of the zone are known.
+func (d *Dispatcher) awaitLoad(ctx context.Context) error {
+	if err := d.awaitRecovery(ctx); err != nil {
+		return err
+	}
 	select {
-	case <-d.recovered:
+	case <-d.loaded:
 		return nil
 	case <-d.ctx.Done():
-		return d.moved("recover")
+		return d.moved("load")
 	case <-ctx.Done():
-		return d.moved("recover")
+		return state.NewStepError("load", d.noPeer(), state.NotDurable, ctx.Err())
 	}
 }
 
