--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -88,22 +88,6 @@
 	})
 }
 
-// failOnce lets the faults hit the next write only, and the others after it.
-func (r *rig) failOnce(faults, after standin.Faults) {
-	hit := false
-	r.store.Inject(func(o standin.Operation, _ string) standin.Faults {
-		switch {
-		case hit:
-			return after
-		case o == standin.CompareAndSwap:
-			hit = true
-			return faults
-		default:
-			return standin.Faults{}
-		}
-	})
-}
-
 func (r *rig) heal() {
 	r.store.Inject(nil)
 	<-time.After(5 * time.Second)
@@ -123,17 +107,17 @@
 			}
 		}},
 		{"the answer of the claim is lost", func(r *rig) {
-			r.failOnce(lost, standin.Faults{})
+			r.store.Inject(standin.FirstWrite(lost, standin.Faults{}))
 			r.take(r.a, "z.1", claim.Fresh)
 			r.take(r.b, "z.2", claim.Taken)
 		}},
 		{"the answer is lost, and the record is another job's before it is read back", func(r *rig) {
-			r.failOnce(lost, standin.Faults{})
+			r.store.Inject(standin.FirstWrite(lost, standin.Faults{}))
 			time.AfterFunc(time.Millisecond, func() { r.overwrite("z.2") })
 			r.take(r.a, "z.1", claim.Taken)
 		}},
 		{"the answer is lost and the store goes down: not run, and the key gets free", func(r *rig) {
-			r.failOnce(lost, down)
+			r.store.Inject(standin.FirstWrite(lost, down))
 			r.refused(r.a, "z.1", true)
 			r.heal()
 			r.take(r.b, "z.2", claim.Taken)
@@ -141,7 +125,7 @@
 			r.take(r.b, "z.2", claim.Fresh)
 		}},
 		{"the claim arrives after the job was refused: it does not hold the key", func(r *rig) {
-			r.failOnce(standin.Faults{Slow: 20 * time.Second}, down)
+			r.store.Inject(standin.FirstWrite(standin.Faults{Slow: 20 * time.Second}, down))
 			r.refused(r.a, "z.1", true)
 			r.heal()
 			r.settle(r.a, state.Refusal("z.1", state.ClaimUnavailable))
@@ -191,7 +175,7 @@
 		}},
 		{"the answer of the settlement is lost", func(r *rig) {
 			r.take(r.a, "z.1", claim.Fresh)
-			r.failOnce(lost, standin.Faults{})
+			r.store.Inject(standin.FirstWrite(lost, standin.Faults{}))
 			r.settle(r.a, ran())
 			r.take(r.b, "z.1", claim.Ended)
 		}},
@@ -232,7 +216,7 @@
 		{"a planner whose claim is in doubt does not free the other planner's", func(r *rig) {
 			r.take(r.a, "z.0", claim.Fresh)
 			r.settle(r.a, state.Refusal("z.0", state.Cancelled))
-			r.failOnce(down, down)
+			r.store.Inject(standin.FirstWrite(down, down))
 			r.refused(r.b, "z.1", true)
 			r.heal()
 			r.take(r.a, "z.1", claim.Fresh)
--- a/coordination/claim/linear_test.go
+++ b/coordination/claim/linear_test.go
@@ -93,27 +93,6 @@
 	r.all = append(r.all, porcupine.Operation{ClientId: client, Input: in, Call: begin, Output: out, Return: end})
 }
 
-// randomFaults makes one call in three go wrong.
-func randomFaults(s *standin.Store, random *rand.Rand) {
-	var mu sync.Mutex
-	s.Inject(func(standin.Operation, string) standin.Faults {
-		mu.Lock()
-		defer mu.Unlock()
-		switch random.IntN(12) {
-		case 0:
-			return standin.Faults{LoseAnswer: true}
-		case 1:
-			return standin.Faults{Down: true}
-		case 2:
-			return standin.Faults{Slow: time.Duration(random.IntN(3000)) * time.Millisecond}
-		case 3:
-			return standin.Faults{OldData: true}
-		default:
-			return standin.Faults{}
-		}
-	})
-}
-
 func TestClaimsAreLinearizable(t *testing.T) {
 	const clients, callsEach = 4, 8
 	for seed := range uint64(40) {
@@ -122,7 +101,7 @@
 				platform := standin.New()
 				defer platform.Close()
 				platform.Freeze()
-				randomFaults(platform, rand.New(rand.NewPCG(seed, 1)))
+				platform.Inject(standin.OneInThree(seed))
 				var history recorder
 				var all sync.WaitGroup
 				for client := range clients {
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -103,22 +103,6 @@
 	}
 }
 
-// failOnce lets the faults hit the next write only, and after the calls that follow.
-func (r *rig) failOnce(faults, after standin.Faults) {
-	hit := false
-	r.store.Inject(func(o standin.Operation, _ string) standin.Faults {
-		switch {
-		case hit:
-			return after
-		case o == standin.CompareAndSwap:
-			hit = true
-			return faults
-		default:
-			return standin.Faults{}
-		}
-	})
-}
-
 func (r *rig) heal() {
 	r.store.Inject(nil)
 	<-time.After(10 * time.Second)
@@ -139,18 +123,18 @@
 			r.holds([]int{1}, nil)
 		}},
 		{"the answer of the save is lost", func(r *rig) {
-			r.failOnce(lost, standin.Faults{})
+			r.store.Inject(standin.FirstWrite(lost, standin.Faults{}))
 			r.save(r.a, 1)
 			r.holds([]int{1}, nil)
 		}},
 		{"the answer is lost and the store goes down: in doubt, then undone", func(r *rig) {
-			r.failOnce(lost, down)
+			r.store.Inject(standin.FirstWrite(lost, down))
 			r.refused(ctx, job(1), state.NotDurable, true)
 			r.heal()
 			r.holds(nil, nil)
 		}},
 		{"the save arrives after it was undone: it does not count", func(r *rig) {
-			r.failOnce(standin.Faults{Slow: time.Minute}, down)
+			r.store.Inject(standin.FirstWrite(standin.Faults{Slow: time.Minute}, down))
 			r.refused(ctx, job(1), state.NotDurable, true)
 			r.heal()
 			<-time.After(time.Minute)
@@ -177,7 +161,7 @@
 			r.holds(nil, nil)
 		}},
 		{"the caller gives up during the write", func(r *rig) {
-			r.failOnce(standin.Faults{Slow: 500 * time.Millisecond}, standin.Faults{})
+			r.store.Inject(standin.FirstWrite(standin.Faults{Slow: 500 * time.Millisecond}, standin.Faults{}))
 			soon, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 			defer cancel()
 			r.refused(soon, job(1), state.NotDurable, true)
@@ -202,7 +186,7 @@
 		}},
 		{"the answer of the finish is lost", func(r *rig) {
 			r.save(r.a, 1)
-			r.failOnce(lost, standin.Faults{})
+			r.store.Inject(standin.FirstWrite(lost, standin.Faults{}))
 			r.finish(r.a, 1, nil)
 			r.holds(nil, []int{1})
 		}},
--- a/coordination/rollout/linear_test.go
+++ b/coordination/rollout/linear_test.go
@@ -61,7 +61,7 @@
 				f.apply(0, sample(3, 0), 0)
 				f.store.Freeze()
 				f.settle(inForceWithin)
-				injectAtRandom(f, rand.New(rand.NewPCG(seed, 1)))
+				f.store.Inject(standin.OneInThree(seed))
 				var clock atomic.Int64
 				var mu sync.Mutex
 				var history []porcupine.Operation
@@ -109,7 +109,7 @@
 			f.apply(0, sample(20, 0), 0)
 			f.store.Freeze()
 			f.settle(inForceWithin)
-			injectAtRandom(f, rand.New(rand.NewPCG(seed, 1)))
+			f.store.Inject(standin.OneInThree(seed))
 			for out := (applied{refused: true}); out.refused; {
 				out = apply(f.get(0, 1).Rollout, sample(20, 1), 1)
 			}
@@ -143,26 +143,6 @@
 	}
 }
 
-func injectAtRandom(f *fleet, random *rand.Rand) {
-	var mu sync.Mutex
-	f.store.Inject(func(standin.Operation, string) standin.Faults {
-		mu.Lock()
-		defer mu.Unlock()
-		switch random.IntN(12) {
-		case 0:
-			return standin.Faults{LoseAnswer: true}
-		case 1:
-			return standin.Faults{Down: true}
-		case 2:
-			return standin.Faults{Slow: time.Duration(random.IntN(3000)) * time.Millisecond}
-		case 3:
-			return standin.Faults{OldData: true}
-		default:
-			return standin.Faults{}
-		}
-	})
-}
-
 // checkAllHaveStored fails unless every entry has what the store's head names.
 func (f *fleet) checkAllHaveStored() {
 	f.t.Helper()
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -35,11 +35,6 @@
 	OldData bool
 }
 
-// Always returns the same faults for every call.
-func Always(faults Faults) func(Operation, string) Faults {
-	return func(Operation, string) Faults { return faults }
-}
-
 // Inject sets what decides on the faults of each call, by operation and key; nil ends them.
 func (s *Store) Inject(decide func(operation Operation, key string) Faults) {
 	s.mu.Lock()
