Tell old data from new at the first read after a restart

Cause: when all entries of a zone had restarted, or a planner was new, nothing told them that the store answered old data: an old manifest came in force, or saved jobs stayed unseen until the next planner. Change: Storage.Latest learns the present version from a write that cannot win; an entry without peers reads the head that way. A ledger writes a mark before it lists, and does not believe a list that is older. A first manifest without peers takes one call more, a takeover a read and a write more. Conclusion: both promises no longer rest on what a process remembers.

--- a/coordination/ledger/load.go
+++ b/coordination/ledger/load.go
@@ -10,8 +10,11 @@
 
 // Load returns the saved jobs of the zone that have not ended, and the
 // outcomes of the last OutcomeRetention. It may be called at any time; a store
-// that answers older data than this ledger has seen is an error.
+// that answers old data is an error, also towards a planner that is new.
 func (l *Ledger) Load(ctx context.Context) (jobs []state.Job, ended []state.Outcome, err error) {
+	if err := l.mark(ctx); err != nil {
+		return nil, nil, err
+	}
 	entries, latest, err := l.Storage.List(ctx, storage.ForJob, l.jobPrefix())
 	if err != nil {
 		return nil, nil, err
@@ -60,6 +63,20 @@
 	return nil
 }
 
+// mark writes a key, so that a list that is older than the write shows itself by its version.
+func (l *Ledger) mark(ctx context.Context) error {
+	marked, err := l.Storage.Update(ctx, storage.ForJob, state.Entry{Key: "ledger/" + l.zone}, 0, func(state.Entry) ([]byte, bool, error) {
+		return []byte{}, true, nil
+	})
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latest = max(l.latest, marked.Version)
+	return nil
+}
+
 func (l *Ledger) checkNotOld(latest state.Version) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -131,6 +131,11 @@
 		{"the store answers old data", func(f *fleet) { f.store.Inject(standin.Always(standin.Faults{OldData: true})) }, 2},
 		{"the store is down", func(f *fleet) { f.store.Inject(standin.Always(standin.Faults{Down: true})) }, 2},
 		{"the zone is cut off", func(f *fleet) { f.setCut(0, true) }, 2},
+		{"all restart while the store answers old data", func(f *fleet) {
+			f.store.Inject(standin.Always(standin.Faults{OldData: true}))
+			f.stopEntry(f.get(0, 1).address)
+		}, 0},
+		{"all restart", func(f *fleet) { f.stopEntry(f.get(0, 1).address) }, 2},
 		{"cut off and alone", func(f *fleet) { f.setCut(0, true); f.stopEntry(f.get(0, 1).address) }, 0},
 	}
 	for _, tt := range tests {
--- a/coordination/rollout/run.go
+++ b/coordination/rollout/run.go
@@ -1,11 +1,14 @@
 package rollout
 
 import (
+	"comfreystream/coordination/storage"
 	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -59,11 +62,16 @@
 	all.Wait()
 }
 
+// askStore takes in the head that the store has now; old data is not believed.
 func (r *Rollout) askStore(ctx context.Context) error {
-	head, entry, err := r.readHead(ctx)
+	entry, err := r.Storage.Latest(ctx, storage.ForManifest, headKey)
 	if err != nil || entry.Version == 0 {
 		return err
 	}
+	head, err := r.Codec.DecodeHead(entry.Value)
+	if err != nil {
+		return errors.Wrap(err, "decode "+headKey)
+	}
 	return r.load(ctx, head, true)
 }
 
--- a/coordination/storage/call.go
+++ b/coordination/storage/call.go
@@ -14,7 +14,8 @@
 func (s *Storage) repeat(ctx context.Context, step string, purpose Purpose, send func(context.Context) error) error {
 	for attempt := 1; ; attempt++ {
 		err := s.call(ctx, s.breaker, step, purpose, callTimeout, send)
-		if err == nil || !state.IsAmbiguous(err) || attempt == readAttempts || !s.Pause(ctx, 0) {
+		again := isStepError(err) && state.IsAmbiguous(err)
+		if !again || attempt == readAttempts || !s.Pause(ctx, 0) {
 			return err
 		}
 	}
