Bound the time in which a save answers

Cause: a save behind a silent store took up to 5 s of its own, and as long again behind another batch; the front then had given up on the planner and sent the job again. Change: Save answers within 2.5 s; a job that was still waiting is not written, one that was being written is undone.

--- a/coordination/ledger/ledger.go
+++ b/coordination/ledger/ledger.go
@@ -14,7 +14,10 @@
 	leaseInterval    = 30 * time.Minute
 	// batchInterval is how long a write waits for others to join it.
 	batchInterval = 10 * time.Millisecond
-	writeTimeout  = 5 * time.Second
+	writeTimeout  = 2 * time.Second
+	// saveTimeout bounds Save, also behind a write that is under way, so that the
+	// answer reaches an entry that waits for it.
+	saveTimeout = 2500 * time.Millisecond
 )
 
 // Ledger saves the jobs of one zone in batches; it is safe for several goroutines.
@@ -88,10 +91,13 @@
 	return nil
 }
 
-// Save keeps the job; once it returns nil the job outlives every entry. An
+// Save keeps the job; once it returns nil the job outlives every entry. It
+// takes 2.5 s at most. An
 // error is a *state.StepError with reason notDurable: the job is not kept, or
 // if the error is ambiguous it may be, and the ledger goes on trying to undo it.
 func (l *Ledger) Save(ctx context.Context, job *state.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
 	s := &save{job: job, done: make(chan error, 1)}
 	if err := l.enqueue(func() { l.saves = append(l.saves, s) }); err != nil {
 		return err
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -168,6 +168,27 @@
 			r.heal()
 			r.holds(nil, nil)
 		}},
+		{"a save behind one that hangs comes back in time", func(r *rig) {
+			r.store.Inject(standin.Always(standin.Faults{Slow: time.Minute}))
+			var all sync.WaitGroup
+			for i := range 4 {
+				all.Go(func() {
+					<-time.After(time.Duration(i) * 200 * time.Millisecond)
+					began := time.Now()
+					if err := r.a.Save(ctx, job(i)); state.ReasonOf(err, "") != state.NotDurable {
+						r.t.Error(err)
+					}
+					// A front waits 4 s for the planner's answer.
+					if took := time.Since(began); took >= 4*time.Second {
+						r.t.Errorf("took %v", took)
+					}
+				})
+			}
+			all.Wait()
+			r.heal()
+			<-time.After(time.Minute)
+			r.holds(nil, nil)
+		}},
 		{"a job over the store's limit", func(r *rig) {
 			large := job(1)
 			large.Payload = make([]byte, 2<<20)
