Reserve for the oldest blocked gang

Cause: ordering by waited accelerator time let middle-sized gangs that had waited long fall behind fresh large ones.

--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -60,11 +60,11 @@
 	})
 }
 
-// reserve renews the reservations, makes new ones for the gangs that press
-// most, and clears their places of work that can be moved when that pays.
+// reserve renews the reservations, makes new ones for the oldest blocked gangs,
+// and clears their places of work that can be moved when that pays.
 func (p *Planner) reserve(r *round) {
 	slices.SortStableFunc(r.blocked, func(a, b *entry) int {
-		return cmp.Compare(b.pressure(r.now), a.pressure(r.now))
+		return cmp.Compare(r.now.Sub(b.job.Submitted), r.now.Sub(a.job.Submitted))
 	})
 	for _, e := range r.blocked {
 		if len(p.reserved) >= maxReservations {
