--- /dev/null
+++ b/coordination/gang/start.go
@@ -0,0 +1,58 @@
+package gang
+
+import (
+	"comfreystream/state"
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// startAll starts the racks in parallel and returns the first failure, which
+// ends the others' wait.
+func (s *Starter) startAll(ctx context.Context, g *gang) *failure {
+	bounded, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	heldUntil := g.heldUntil()
+	failures := make(chan *failure, len(g.parts))
+	var all sync.WaitGroup
+	for _, p := range g.parts {
+		all.Go(func() {
+			if f := s.start(bounded, p, heldUntil); f != nil {
+				failures <- f
+				cancel()
+			}
+		})
+	}
+	all.Wait()
+	close(failures)
+	return (<-failures).orEnded(ctx)
+}
+
+// start sends a rack its start only if the answer is due before any lease lapses.
+func (s *Starter) start(ctx context.Context, p *part, heldUntil time.Time) *failure {
+	if ctx.Err() != nil {
+		return failureOf(p, ctx.Err())
+	}
+	if heldUntil.Sub(s.Now()) < startTimeout {
+		return &failure{reason: state.LeaseLapsed}
+	}
+	p.startSent = true
+	if err := s.Start(ctx, p.rack, p.leases); err != nil {
+		return failureOf(p, err)
+	}
+	return nil
+}
+
+// stopStarted stops every part and says what is known of the work.
+func (s *Starter) stopStarted(ctx context.Context, g *gang) state.Ran {
+	if !slices.ContainsFunc(g.parts, func(p *part) bool { return p.startSent }) {
+		s.release(ctx, g)
+		return state.NotRun
+	}
+	racks := g.racks(func(*part) bool { return true })
+	if neverStarted, err := s.stopAll(ctx, g.job.ID, g.attempt, racks); err == nil && neverStarted {
+		return state.NotRun
+	}
+	return state.Unknown
+}
--- /dev/null
+++ b/protocol/message/errors.go
@@ -0,0 +1,35 @@
+package message
+
+import (
+	"comfreystream/state"
+	"net/netip"
+
+	"github.com/valyala/fasthttp"
+)
+
+// errorBody is the body of an answer that is not a success.
+type errorBody struct {
+	Step      string         `json:"step"`
+	Peer      netip.AddrPort `json:"peer,omitzero"`
+	Reason    state.Reason   `json:"reason"`
+	Ambiguous bool           `json:"ambiguous"`
+	Detail    string         `json:"detail,omitempty"`
+}
+
+func fail(ctx *fasthttp.RequestCtx, err error) {
+	body := errorBody(state.PartsOf(err, string(ctx.Path())))
+	answer(ctx, statusOf(body), body)
+}
+
+func statusOf(body errorBody) int {
+	switch {
+	case body.Ambiguous:
+		return fasthttp.StatusInternalServerError
+	case body.Reason == state.BodyTooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case body.Reason.MayRetry():
+		return fasthttp.StatusServiceUnavailable
+	default:
+		return fasthttp.StatusBadRequest
+	}
+}
