--- a/coordination/planning/bench_test.go
+++ b/coordination/planning/bench_test.go
@@ -108,7 +108,7 @@
 			var rounds []time.Duration
 			for b.Loop() {
 				b.StopTimer()
-				p := newBench(13, 6).planner
+				p := newBench().planner
 				p.ApplyManifest(testManifest(1, 4, 20))
 				for i := range queuedJobs {
 					p.Submit(state.Job{ID: state.NewJobID("z1", fmt.Sprint(i)), Organisation: "chains", Members: 40, Shape: oneAccelerator})
--- a/coordination/planning/planner_test.go
+++ b/coordination/planning/planner_test.go
@@ -1,11 +1,10 @@
 package planning
 
 import (
+	"comfreystream/state"
 	"sync"
 	"testing"
 	"time"
-
-	"comfreystream/state"
 )
 
 func TestSubmit(t *testing.T) {
@@ -28,7 +27,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBench(13, 6)
+			b := newBench()
 			if tt.manifest {
 				b.planner.ApplyManifest(testManifest(1, 8, 30))
 			}
@@ -70,7 +69,7 @@
 }
 
 func TestLostRack(t *testing.T) {
-	b := newBench(13, 6)
+	b := newBench()
 	b.planner.ApplyManifest(testManifest(1, 24, 40))
 	b.plan(t)
 	for i := range 6 {
@@ -99,7 +98,7 @@
 }
 
 func TestManyCallers(t *testing.T) {
-	b := newBench(13, 6)
+	b := newBench()
 	b.planner.ApplyManifest(testManifest(1, 4, 20))
 	var callers sync.WaitGroup
 	for i := range 8 {
--- a/coordination/planning/property_test.go
+++ b/coordination/planning/property_test.go
@@ -26,7 +26,7 @@
 	serial  int
 }
 
-func newBench(workers, perRack int) *bench {
+func newBench() *bench {
 	b := &bench{
 		planner: New("z1"),
 		now:     time.Unix(1_000_000, 0),
@@ -35,8 +35,8 @@
 		stops:   make(map[state.JobID]Reclaim),
 	}
 	b.planner.Now = func() time.Time { return b.now }
-	for i := range workers {
-		w := testWorker(i, perRack)
+	for i := range 13 {
+		w := testWorker(i, 6)
 		b.workers[w.Address] = w
 		b.planner.PutWorker(w)
 	}
@@ -196,7 +196,7 @@
 
 func TestGuaranteesHoldOverRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newBench(13, 6)
+		b := newBench()
 		b.planner.ApplyManifest(testManifest(1, 4, 20))
 		generation := state.Generation(1)
 		pick := func() state.JobID {
--- a/coordination/planning/targets_test.go
+++ b/coordination/planning/targets_test.go
@@ -1,10 +1,9 @@
 package planning
 
 import (
+	"comfreystream/state"
 	"sync"
 	"testing"
-
-	"comfreystream/state"
 )
 
 // The targets of the policy against the baseline, over the seeded lists.
