--- a/coordination/estimate/distinct_bench_test.go
+++ b/coordination/estimate/distinct_bench_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/axiomhq/hyperloglog"
@@ -99,14 +100,13 @@
 		held := heap() - before
 		b.StartTimer()
 		merged := c.all()
-		for range 2 {
-			for _, sets := range seen {
-				for n := range merged {
-					c.merge(merged[n], sets[n])
-				}
-			}
-		}
+		c.mergeAll(merged, seen)
+		once := c.counts(merged)
+		c.mergeAll(merged, seen)
 		b.StopTimer()
+		if again := c.counts(merged); !slices.Equal(again, once) {
+			b.Fatalf("merging again changed the counts from %v to %v", once, again)
+		}
 		sent, worst, sum := 0, 0.0, 0.0
 		for n := range merged {
 			sent += c.bytes(seen[0][n])
@@ -122,6 +122,21 @@
 	}
 }
 
+func (c counter[Set]) mergeAll(merged []Set, seen [observers][]Set) {
+	for _, sets := range seen {
+		for n := range merged {
+			c.merge(merged[n], sets[n])
+		}
+	}
+}
+
+func (c counter[Set]) counts(sets []Set) (counts []int) {
+	for _, s := range sets {
+		counts = append(counts, c.count(s))
+	}
+	return counts
+}
+
 func (c counter[Set]) all() (sets []Set) {
 	for range organisations {
 		sets = append(sets, c.fresh())
