--- a/instance/instance.go
+++ b/instance/instance.go
@@ -1,13 +1,6 @@
 package instance
 
 import (
-	"context"
-	"math/rand/v2"
-	"net/netip"
-	"sync"
-	"sync/atomic"
-	"time"
-
 	"comfreystream/coordination/dispatch"
 	"comfreystream/coordination/front"
 	"comfreystream/coordination/lease"
@@ -22,6 +15,12 @@
 	"comfreystream/settings"
 	"comfreystream/state"
 	"comfreystream/transport"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -51,15 +50,14 @@
 	handler  atomic.Pointer[fasthttp.RequestHandler]
 	rolesDue chan struct{}
 	// draining ends the waits of callers; drained is closed once the drain is over.
-	draining     context.Context
-	beginDrain   context.CancelFunc
-	leaving      atomic.Bool
-	drainOnce    sync.Once
-	drained      chan struct{}
-	ctx          context.Context
-	cancel       context.CancelFunc
-	loops        sync.WaitGroup
-	requestCount atomic.Int64
+	draining   context.Context
+	beginDrain context.CancelFunc
+	leaving    atomic.Bool
+	drainOnce  sync.Once
+	drained    chan struct{}
+	ctx        context.Context
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
 }
 
 // Start runs an entry with checked settings. Its error names the address that
@@ -95,7 +93,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s: change \"address\" in the settings or free the port", i.settings.Address)
 	}
-	i.endpoint, err = gossip.Listen(i.server.Address(), i.metrics.CountConnection)
+	i.endpoint, err = gossip.Listen(i.server.Address(), i.metrics.CountDatagram)
 	if err != nil {
 		_ = i.server.Close()
 		return errors.Wrapf(err, "listen for membership on %s over UDP: change \"address\" in the settings or free the port", i.server.Address())
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -44,7 +44,7 @@
 	}
 	planner.Estimate = d.Estimates.Estimate
 	planner.Usable = d.Usable
-	d.ApplyManifest(i.rollout.Current())
+	d.ApplyManifest(i.rollout.Newest())
 	return d
 }
 
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -1,12 +1,11 @@
 package instance
 
 import (
+	"comfreystream/coordination/ownership"
+	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
-
-	"comfreystream/coordination/ownership"
-	"comfreystream/state"
 )
 
 // rolesInterval is the longest time between two looks at which roles are this entry's.
@@ -41,6 +40,7 @@
 		case <-i.rolesDue:
 		case <-ticker.C:
 		}
+		i.advertise()
 		if i.leaving.Load() {
 			continue
 		}
@@ -48,6 +48,12 @@
 	}
 }
 
+// advertise tells the other entries which manifest is in force here.
+func (i *Instance) advertise() {
+	generation, digest := i.rollout.Advert()
+	i.members.SetAdvert(state.Advert{Generation: generation, Digest: digest})
+}
+
 // assignOnce takes up no role on a view that is out of date: an entry that was
 // paused first hears what has happened since.
 func (i *Instance) assignOnce() {
@@ -74,6 +80,10 @@
 	}
 	i.log.Info().Str("event", "plannerRole").Bool("active", active).Send()
 	i.seat.SetActive(active)
+	// A manifest that came while the planner was made found no seat to apply it to.
+	if d, err := i.seat.Current(); err == nil {
+		d.ApplyManifest(i.rollout.Newest())
+	}
 }
 
 // isRelay reports whether this entry watches the store for its zone.
@@ -97,3 +107,6 @@
 	}
 	return home.Address, nil
 }
+
+// Plans reports whether this entry is its zone's planner.
+func (i *Instance) Plans() bool { return i.seat.Active() }
--- a/protocol/caller/errors.go
+++ b/protocol/caller/errors.go
@@ -7,15 +7,16 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
 // failure is what went wrong, before it is put into a body.
 type failure struct {
-	reason     state.Reason
-	ran        state.Ran
-	job        state.JobID
+	reason state.Reason
+	ran    state.Ran
+	job    state.JobID
+	// holder is the job that holds the key of a refused duplicate.
+	holder     state.JobID
 	step       string
 	peer       netip.AddrPort
 	detail     string
@@ -31,7 +32,8 @@
 	// RetryAfter is set if Retry is.
 	RetryAfter duration    `json:"retryAfter,omitzero"`
 	Job        state.JobID `json:"job,omitempty"`
-	// Ask is the path that tells more, if the outcome is unknown.
+	// Ask is the path that tells more: about the job, if its outcome is unknown,
+	// or about the one that holds the key of a duplicate.
 	Ask  string         `json:"ask,omitempty"`
 	Step string         `json:"step,omitempty"`
 	Peer netip.AddrPort `json:"peer,omitzero"`
@@ -49,17 +51,11 @@
 
 // failureOf describes err; only an error with a step can say "not run".
 func failureOf(err error) failure {
-	var step *state.StepError
-	if !errors.As(err, &step) {
-		return failure{reason: state.TaskFailed, ran: state.Unknown, detail: err.Error()}
-	}
-	f := failure{reason: step.Reason, step: step.Step, peer: step.Peer}
-	if step.Ambiguous {
+	parts := state.PartsOf(err, "")
+	f := failure{reason: parts.Reason, step: parts.Step, peer: parts.Peer, detail: parts.Detail}
+	if parts.Ambiguous {
 		f.ran = state.Unknown
 	}
-	if cause := step.Unwrap(); cause != nil {
-		f.detail = cause.Error()
-	}
 	return f
 }
 
@@ -93,6 +89,9 @@
 	if f.ran == state.Unknown && f.job != "" {
 		body.Ask = jobsPath + "/" + string(f.job)
 	}
+	if f.holder != "" {
+		body.Ask = jobsPath + "/" + string(f.holder)
+	}
 	return body
 }
 
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -1,16 +1,15 @@
 package fleet
 
 import (
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
+	"comfreystream/transport"
 	"context"
 	"io"
 	"os"
 	"testing"
 	"time"
 
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
-	"comfreystream/transport"
-
 	"github.com/rs/zerolog"
 )
 
@@ -25,7 +24,7 @@
   ],
 }`
 
-func startFleet(t *testing.T, plan Plan) (*Fleet, *caller.Client) {
+func startFleet(t testing.TB, plan Plan) (*Fleet, *caller.Client) {
 	t.Helper()
 	plan.Capacity = state.Resources{Slots: 8, Accelerators: 8, Cores: 32, MemoryBytes: 128 << 30}
 	plan.WorkersPerRack = 2
@@ -94,6 +93,9 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				if known := tt.reason == state.DuplicateKey; (progress.Outcome.Holder != "") != known {
+					t.Errorf("the key's holder is %q", progress.Outcome.Holder)
+				}
 				if o := progress.Outcome; !progress.Done || o.Ran != tt.ran || o.Reason != tt.reason {
 					t.Errorf("outcome %+v", progress)
 				}
--- a/transport/server.go
+++ b/transport/server.go
@@ -24,6 +24,9 @@
 	keepAliveProbes   = 3
 )
 
+// restartPause is the time before an engine that failed is replaced.
+const restartPause = 100 * time.Millisecond
+
 // Server answers HTTP/1.1 requests on one TCP address; handlers run on a
 // bounded pool of goroutines, never on an event loop.
 type Server struct {
@@ -32,23 +35,28 @@
 	handler fasthttp.RequestHandler
 	limits  Limits
 	address netip.AddrPort
-	engine  gnet.Engine
 	pool    *ants.PoolWithFuncGeneric[*exchange]
 
 	parsers sync.Pool
 
 	connections atomic.Int64
-	inFlight    atomic.Int64
-	draining    atomic.Bool
-	drained     atomic.Bool
+	// inFlight counts the requests without a whole answer; late those of them
+	// that came in a drain.
+	inFlight atomic.Int64
+	late     atomic.Int64
+	draining atomic.Bool
+	drained  atomic.Bool
 	// settled hears that a request was answered while the server drains.
 	settled chan struct{}
 
 	booted   chan error
-	stopped  chan error
+	stopped  chan struct{}
 	handlers sync.WaitGroup
+	closing  chan struct{}
 	close    sync.Once
-	closeErr error
+
+	mu     sync.Mutex
+	engine gnet.Engine
 }
 
 // Listen starts a server on the address; port 0 takes a free port. Limits
@@ -59,7 +67,8 @@
 		limits:  limits.orDefaults(),
 		settled: make(chan struct{}, 1),
 		booted:  make(chan error, 1),
-		stopped: make(chan error, 1),
+		stopped: make(chan struct{}),
+		closing: make(chan struct{}),
 	}
 	pool, err := ants.NewPoolWithFuncGeneric(s.limits.Handlers, (*exchange).handle, ants.WithNonblocking(true))
 	if err != nil {
@@ -71,6 +80,7 @@
 	}
 	go s.run(address)
 	if err := <-s.booted; err != nil {
+		<-s.stopped
 		pool.Release()
 		return nil, errors.Wrapf(err, "listen: %s", address)
 	}
@@ -80,16 +90,20 @@
 // Address returns the address that the server is bound to.
 func (s *Server) Address() netip.AddrPort { return s.address }
 
-// Drain answers every request in flight, and those that still arrive, with
-// "Connection: close", and returns once none is left; after that the server
-// reads no further request. It returns early with the context's error.
+// Drain answers the requests in flight, and those that still arrive, with
+// "Connection: close". Once the former are answered the server reads no
+// further request, and Drain returns when none is left. It returns early with
+// the context's error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-	if err := s.waitSettled(ctx); err != nil {
+	if err := s.waitSettled(ctx, &s.inFlight); err != nil {
 		return err
 	}
 	s.drained.Store(true)
-	return s.waitSettled(ctx)
+	if err := s.waitSettled(ctx, &s.inFlight); err != nil {
+		return err
+	}
+	return s.waitSettled(ctx, &s.late)
 }
 
 // Close closes every connection and waits until all handlers have returned;
@@ -97,25 +111,33 @@
 func (s *Server) Close() error {
 	s.close.Do(func() {
 		s.drained.Store(true)
-		stopNow, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = s.engine.Stop(stopNow)
-		s.closeErr = <-s.stopped
+		close(s.closing)
+		s.stopEngine()
+		<-s.stopped
 		s.handlers.Wait()
 		s.pool.Release()
 	})
-	return s.closeErr
+	return nil
 }
 
 // OnBoot implements gnet.EventHandler.
 func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.mu.Lock()
 	s.engine = engine
+	s.mu.Unlock()
+	if s.isClosing() {
+		return gnet.Shutdown
+	}
+	if s.address.IsValid() {
+		return gnet.None
+	}
 	address, err := boundAddress(engine)
-	s.address = address
-	s.booted <- err
 	if err != nil {
+		s.booted <- err
 		return gnet.Shutdown
 	}
+	s.address = address
+	s.booted <- nil
 	return gnet.None
 }
 
@@ -131,6 +153,11 @@
 		s.limits.Count(TooManyConnections)
 		return nil, gnet.Close
 	}
+	// Set here and not for the listener: there gnet would report a failed bind
+	// as a failure to set this option.
+	if err := conn.SetKeepAlive(true, keepAliveIdle, keepAliveInterval, keepAliveProbes); err != nil {
+		return nil, gnet.Close
+	}
 	c.expireIn(s.limits.IdleTimeout, ConnectionIdle)
 	return nil, gnet.None
 }
@@ -153,34 +180,70 @@
 	return gnet.None
 }
 
+// run keeps an engine on the address until the server is closed; gnet gives
+// an engine up when it can accept no connection, as without file descriptors.
 func (s *Server) run(address netip.AddrPort) {
-	err := gnet.Run(s, "tcp://"+address.String(),
+	defer close(s.stopped)
+	for {
+		err := s.runEngine(address)
+		if !s.address.IsValid() {
+			s.booted <- err
+			return
+		}
+		if s.isClosing() {
+			return
+		}
+		s.limits.Count(EngineFailed)
+		address = s.address
+		select {
+		case <-s.closing:
+			return
+		case <-time.After(restartPause):
+		}
+	}
+}
+
+func (s *Server) runEngine(address netip.AddrPort) error {
+	return gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
+		gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithTCPKeepAlive(keepAliveIdle),
-		gnet.WithTCPKeepInterval(keepAliveInterval),
-		gnet.WithTCPKeepCount(keepAliveProbes),
 		gnet.WithLogger(zap.NewNop().Sugar()))
+}
+
+func (s *Server) stopEngine() {
+	s.mu.Lock()
+	engine := s.engine
+	s.mu.Unlock()
+	stopNow, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = engine.Stop(stopNow)
+}
+
+func (s *Server) isClosing() bool {
 	select {
-	case s.booted <- err:
+	case <-s.closing:
+		return true
 	default:
+		return false
 	}
-	s.stopped <- err
 }
 
-func (s *Server) waitSettled(ctx context.Context) error {
-	for s.inFlight.Load() > 0 {
+func (s *Server) waitSettled(ctx context.Context, requests *atomic.Int64) error {
+	for requests.Load() > 0 {
 		select {
 		case <-s.settled:
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "drain: %s: %d requests in flight", s.address, s.inFlight.Load())
+			return errors.Wrapf(ctx.Err(), "drain: %s: %d requests in flight", s.address, requests.Load())
 		}
 	}
 	return nil
 }
 
-func (s *Server) settle() {
-	if s.inFlight.Add(-1) > 0 || !s.draining.Load() {
+func (s *Server) begin(late bool) { s.counter(late).Add(1) }
+
+func (s *Server) settle(late bool) {
+	if s.counter(late).Add(-1) > 0 || !s.draining.Load() {
 		return
 	}
 	select {
@@ -189,6 +252,13 @@
 	}
 }
 
+func (s *Server) counter(late bool) *atomic.Int64 {
+	if late {
+		return &s.late
+	}
+	return &s.inFlight
+}
+
 func boundAddress(engine gnet.Engine) (netip.AddrPort, error) {
 	descriptor, err := engine.Dup()
 	if err != nil {
--- a/transport/server_fault_test.go
+++ b/transport/server_fault_test.go
@@ -197,3 +197,40 @@
 		})
 	}
 }
+
+func TestListenAgainOnTheSameAddress(t *testing.T) {
+	address := loopback
+	for range 3 {
+		s, err := Listen(address, echo, Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = s.Address()
+		if got := converse(t, address, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); got != "200 /a:" {
+			t.Errorf("answer %q", got)
+		}
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestEngineIsReplaced(t *testing.T) {
+	failed := make(chan string, 1)
+	s, err := Listen(loopback, echo, Limits{Count: func(reason string) { failed <- reason }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.stopEngine()
+	if reason := <-failed; reason != EngineFailed {
+		t.Errorf("counted %q", reason)
+	}
+	client := NewClient(ClientLimits{})
+	for get(t, client, s.Address()) != nil { // refused until the new engine listens
+		<-time.After(restartPause / 10)
+	}
+	_ = client.Close()
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
