Test two planners of a zone at once over one home

Six more faults: the planner is cut off from callers and reports at one step and goes on against homes and store, while the next one takes over.

No fault found. go test -count=30 -run TestGang ./coordination/dispatch: 0 failed of 30 runs of 70 cases.

--- a/coordination/dispatch/faults_test.go
+++ b/coordination/dispatch/faults_test.go
@@ -92,6 +92,7 @@
 
 func killPlanner(z *zone) { z.kill() }
 func handOver(z *zone)    { z.handOver() }
+func cutOff(z *zone)      { z.cutOff() }
 func set(f standin.Faults) func(z *zone) {
 	return func(z *zone) { z.busy().Set(f) }
 }
@@ -152,6 +153,12 @@
 			z.kill()
 		}, ran, ran},
 		{"planner dies as the gang ends", "ending", killPlanner, ran, ran},
+		{"planner cut off before hold", "before hold", cutOff, ran, once},
+		{"planner cut off after hold", "after hold", cutOff, ran, once},
+		{"planner cut off before start", "before start", cutOff, ran, once},
+		{"planner cut off after start", "after start", cutOff, ran, once},
+		{"planner cut off at a write", "before write", cutOff, ran, once},
+		{"planner cut off while the gang runs", "running", cutOff, ran, ran},
 		{"worker silent before hold", "before hold", set(standin.Faults{Silent: true}), ran, ran},
 		{"worker silent at start", "before commit", set(standin.Faults{Silent: true}), ran, wants{state.Unknown}},
 		{"start's answer lost", "before commit", set(standin.Faults{LoseStartAnswers: true}), ran, wants{state.Unknown}},
--- a/coordination/dispatch/zone_test.go
+++ b/coordination/dispatch/zone_test.go
@@ -214,6 +214,14 @@
 	})
 }
 
+// cutOff has the next planner take over while the current one goes on for a
+// while: it reaches homes and store, but no report or caller reaches it.
+func (z *zone) cutOff() {
+	p := z.current()
+	z.takeOver()
+	z.later(15*time.Second, func() { _ = p.Close() })
+}
+
 func (z *zone) reach(at netip.AddrPort, call func(p *planner) error) error {
 	z.mu.Lock()
 	p := z.planners[at.Port()-100]
