Refuse an acceptance that waits for a store that is away

Cause: a new planner whose store was silent let an acceptance wait for the saved jobs until its deadline; the front took that for a lost connection and sent it again, and the caller waited 15 s for an untyped failure.

--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -120,11 +120,14 @@
 	return nil
 }
 
-// awaitLoad waits until the saved jobs of the zone are known.
+// awaitLoad waits until the saved jobs of the zone are known, at most for one
+// call to the store: while it is away the caller hears so instead of waiting.
 func (d *Dispatcher) awaitLoad(ctx context.Context) error {
 	if err := d.awaitRecovery(ctx); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	select {
 	case <-d.loaded:
 		return nil
