Report on quiet racks each 30 s, and announce a planner that begins

Cause: docs/CAPACITY.md found that a zone's planner gets 29 KB/s of rack reports that say nothing, against 2 KB/s for all control. A rack whose gangs the planner has all called whole has nothing to hear, and the members tell that its home lives. Change: 2 s only while a gang is unsettled, else 30 s; a planner that begins asks the zone's entries for full reports. Calculated for 157 racks: 29 KB/s before, 2.0 KB/s after; not measured at that size. The fault table showed with it that a planner that knows no worker yet refused jobs as neverFits: not run, but wrongly refused. It now holds such a verdict back until every expected worker is known, for 10 s at most. The table's planner announces itself as the wiring does; its checks are as they were.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -20,6 +20,11 @@
 	// recoveryWindow is how long a new planner waits for the racks' reports
 	// before it plans with those that came.
 	recoveryWindow = 3 * time.Second
+	// fitsGrace is how long a new planner takes no job for impossible while it
+	// does not know every worker that the instance list names.
+	fitsGrace = 10 * time.Second
+	// fitsPause is the time between two looks whether such a job fits now.
+	fitsPause = 300 * time.Millisecond
 	// adoptionGrace is how long the parts of a gang that was found running may
 	// take to be reported before the gang counts as incomplete.
 	adoptionGrace = 6 * time.Second
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"comfreystream/coordination/admission"
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
 )
@@ -95,7 +96,11 @@
 		return
 	}
 	d.Retries.FirstAttempt(r.job.Organisation)
-	if reason := d.Planner.SubmitAfter(r.snapshot(), r.base); reason != "" {
+	reason := d.plan(r)
+	if d.ctx.Err() != nil {
+		return
+	}
+	if reason != "" {
 		d.finish(r, r.refusal(reason))
 		return
 	}
@@ -105,6 +110,18 @@
 	d.Signal()
 }
 
+// plan hands a job to the planner. That nothing can hold it is believed only
+// once every expected worker is known, or when they had time enough to be.
+func (d *Dispatcher) plan(r *record) state.Reason {
+	for {
+		reason := d.Planner.SubmitAfter(r.snapshot(), r.base)
+		known := d.allListed() || d.Now().Sub(d.began) > fitsGrace
+		if reason != state.NeverFits || known || !pause.For(d.ctx, fitsPause) {
+			return reason
+		}
+	}
+}
+
 // awaitRecovery waits until there is a manifest and the racks of the zone have
 // been reported, or the window for that ends.
 func (d *Dispatcher) awaitRecovery(ctx context.Context) error {
--- a/coordination/dispatch/zone_test.go
+++ b/coordination/dispatch/zone_test.go
@@ -184,6 +184,8 @@
 	z.planners = append(z.planners, p)
 	z.mu.Unlock()
 	d.Run()
+	// As the wiring does when it sees another planner.
+	z.keeper.Announce()
 }
 
 func (z *zone) current() *planner {
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -19,8 +19,11 @@
 	// holdTimeout bounds one request for a lease; it is below what the gang waits
 	// for the rack, so that a silent worker is named.
 	holdTimeout = 300 * time.Millisecond
-	// reportInterval is the longest time between two reports on a rack.
+	// reportInterval is the longest time between two reports on a rack while a
+	// gang on it is not known to be whole, or has ended and is not forgotten.
 	reportInterval = 2 * time.Second
+	// quietInterval is the longest time between two reports on any other rack.
+	quietInterval = 30 * time.Second
 	// retryPause is the pause after a failed call to a worker or a planner.
 	retryPause = 300 * time.Millisecond
 )
@@ -97,6 +100,16 @@
 	return gone
 }
 
+// Announce has everything reported anew: another planner, or one that has
+// begun again, knows nothing of the racks.
+func (k *Keeper) Announce() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range k.racks {
+		r.announce()
+	}
+}
+
 // Racks returns the names of the racks whose home this is.
 func (k *Keeper) Racks() (names []string) {
 	k.mu.Lock()
--- a/coordination/lease/rack.go
+++ b/coordination/lease/rack.go
@@ -20,6 +20,8 @@
 	workers  map[netip.AddrPort]*worker
 	sequence uint64
 	full     bool
+	// settled holds the attempts that the planner has called whole.
+	settled map[state.JobAttempt]bool
 }
 
 // worker is what the rack's home knows of one worker; the rack's lock guards it.
@@ -43,6 +45,7 @@
 	r := &rack{
 		keeper: k, self: self, ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), workers: make(map[netip.AddrPort]*worker), full: true,
+		settled: make(map[state.JobAttempt]bool),
 	}
 	r.loops.Go(r.reportLoop)
 	return r
--- a/coordination/lease/report.go
+++ b/coordination/lease/report.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// reportLoop tells the planner of changes at once and that the home lives at intervals.
+// reportLoop tells the planner of changes at once, and otherwise asks at
+// intervals what the planner has to say.
 func (r *rack) reportLoop() {
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
@@ -23,10 +24,39 @@
 			pause.For(r.ctx, retryPause)
 			r.signal()
 		}
-		timer.Reset(reportInterval)
+		timer.Reset(r.interval())
 	}
 }
 
+// interval returns the time to the next report: a rack on which the planner has
+// called every gang whole has nothing to hear.
+func (r *rack) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.workers {
+		for attempt := range w.tasks {
+			if !r.settled[attempt] {
+				return reportInterval
+			}
+		}
+	}
+	return quietInterval
+}
+
+// announce has everything reported again, as to a planner that knows nothing.
+func (r *rack) announce() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startAfresh()
+}
+
+// startAfresh has the next report tell everything; the caller has the lock.
+func (r *rack) startAfresh() {
+	r.full = true
+	clear(r.settled)
+	r.signal()
+}
+
 func (r *rack) report() error {
 	report := r.nextReport()
 	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
@@ -76,15 +106,20 @@
 func (r *rack) putBack(report state.RackReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.full = true
+	r.startAfresh()
 	r.sequence = report.Sequence
 }
 
 func (r *rack) settle(reply state.ReportReply) {
 	r.mu.Lock()
 	if reply.Resend {
-		r.full = true
-		r.signal()
+		r.startAfresh()
+	}
+	for _, attempt := range reply.Whole {
+		r.settled[attempt] = true
+	}
+	for _, attempt := range reply.Forget {
+		delete(r.settled, attempt)
 	}
 	for _, w := range r.workers {
 		w.confirm = appendKnown(w.confirm, reply.Whole, w)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,6 +50,8 @@
 
 	handler  atomic.Pointer[fasthttp.RequestHandler]
 	rolesDue chan struct{}
+	// lastPlanner belongs to the goroutine that assigns roles.
+	lastPlanner netip.AddrPort
 	// draining ends the waits of callers; drained is closed once the drain is over.
 	draining   context.Context
 	beginDrain context.CancelFunc
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -3,6 +3,7 @@
 import (
 	"comfreystream/coordination/ownership"
 	"comfreystream/state"
+	"context"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,6 +12,9 @@
 // rolesInterval is the longest time between two looks at which roles are this entry's.
 const rolesInterval = 500 * time.Millisecond
 
+// announceTimeout bounds the call that tells another entry of a new planner.
+const announceTimeout = time.Second
+
 // rolesChanged asks for a new look at the roles.
 func (i *Instance) rolesChanged() {
 	select {
@@ -72,6 +76,7 @@
 	i.keeper.SetWorkers(mine)
 	planner, found := ownership.Planner(zone, members)
 	i.setPlanner(found && planner.Address == i.Address())
+	i.noticePlanner(planner.Address)
 }
 
 func (i *Instance) setPlanner(active bool) {
@@ -80,12 +85,39 @@
 	}
 	i.log.Info().Str("event", "plannerRole").Bool("active", active).Send()
 	i.seat.SetActive(active)
+	if active {
+		i.loops.Go(i.announcePlanner)
+	}
 	// A manifest that came while the planner was made found no seat to apply it to.
 	if d, err := i.seat.Current(); err == nil {
 		d.ApplyManifest(i.rollout.Newest())
 	}
 }
 
+// announcePlanner asks the homes of the zone's racks for full reports. Homes
+// that it does not reach report within their interval, or when they see the change.
+func (i *Instance) announcePlanner() {
+	i.keeper.Announce()
+	for _, peer := range i.zonePeers() {
+		i.loops.Go(func() {
+			ctx, cancel := context.WithTimeout(i.ctx, announceTimeout)
+			defer cancel()
+			if err := i.peers.Announce(ctx, peer); err != nil {
+				i.metrics.CountRetry(state.ReasonOf(err, state.HomeUnreachable))
+			}
+		})
+	}
+}
+
+// noticePlanner has this entry's racks reported anew once the zone's planner changes.
+func (i *Instance) noticePlanner(planner netip.AddrPort) {
+	if planner == i.lastPlanner {
+		return
+	}
+	i.lastPlanner = planner
+	i.keeper.Announce()
+}
+
 // isRelay reports whether this entry watches the store for its zone.
 func (i *Instance) isRelay() bool {
 	relay, found := ownership.Relay(i.settings.AvailabilityZone, i.members.LiveIn(i.settings.AvailabilityZone))
--- a/instance/services.go
+++ b/instance/services.go
@@ -25,6 +25,10 @@
 		},
 		Checkpoint: i.keeper.Checkpoint,
 		Report:     i.takeReport,
+		Announce: func(context.Context) error {
+			i.keeper.Announce()
+			return nil
+		},
 		PushManifest: func(_ context.Context, update rollout.Update) (rollout.Have, error) {
 			return i.rollout.Receive(update)
 		},
--- a/protocol/peer/client.go
+++ b/protocol/peer/client.go
@@ -31,6 +31,7 @@
 			stop:       newProcedure[attemptRequest, stopResponse](h, stepStop),
 			checkpoint: newProcedure[attemptRequest, checkpointResponse](h, stepCheckpoint),
 			report:     newProcedure[wireRackReport, wireReportReply](h, stepReport),
+			announce:   newProcedure[none, none](h, stepAnnounce),
 		},
 		manifest: manifestCalls{
 			push:  newProcedure[wireUpdate, wireHave](h, stepPushManifest),
--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -78,6 +78,7 @@
 		Report: func(_ context.Context, report state.RackReport) (state.ReportReply, error) {
 			return state.ReportReply{Resend: true, Stop: []state.JobAttempt{sampleAttempt}}, r.note(report)
 		},
+		Announce: func(context.Context) error { return r.note("announced") },
 		PushManifest: func(_ context.Context, update rollout.Update) (rollout.Have, error) {
 			return rollout.Have{Generation: 9, Digest: 8}, r.note(update)
 		},
@@ -137,6 +138,7 @@
 			report,
 			state.ReportReply{Resend: true, Stop: []state.JobAttempt{sampleAttempt}},
 		},
+		{"announce", func(c *Client, p netip.AddrPort) (any, error) { return nil, c.Announce(ctx, p) }, "announced", nil},
 		{"push", func(c *Client, p netip.AddrPort) (any, error) { return c.PushManifest(ctx, p, sampleUpdate) }, sampleUpdate, have},
 		{"fetch", func(c *Client, p netip.AddrPort) (any, error) { return c.FetchManifest(ctx, p, have) }, have, sampleUpdate},
 	}
--- a/protocol/peer/racks.go
+++ b/protocol/peer/racks.go
@@ -14,6 +14,7 @@
 	stepStop       = "stop"
 	stepCheckpoint = "checkpoint"
 	stepReport     = "report"
+	stepAnnounce   = "announce"
 )
 
 type holdRequest struct {
@@ -49,6 +50,7 @@
 	stop       procedure[attemptRequest, stopResponse]
 	checkpoint procedure[attemptRequest, checkpointResponse]
 	report     procedure[wireRackReport, wireReportReply]
+	announce   procedure[none, none]
 }
 
 func (s *Service) handleRacks(mux *http.ServeMux) {
@@ -70,6 +72,9 @@
 		saved, err := s.Checkpoint(ctx, r.Rack, r.Attempt.attempt())
 		return checkpointResponse{Saved: saved}, err
 	})
+	handle(mux, stepAnnounce, func(ctx context.Context, _ none) (none, error) {
+		return none{}, s.Announce(ctx)
+	})
 	handle(mux, stepReport, func(ctx context.Context, r wireRackReport) (wireReportReply, error) {
 		reply, err := s.Report(ctx, clock{time.Now()}.rackReport(r))
 		return toWireReply(reply), err
@@ -112,3 +117,9 @@
 	reply, err := c.racks.report.ask(ctx, peer, clock{time.Now()}.toRackReport(report))
 	return reply.reply(), err
 }
+
+// Announce asks the peer to report its racks in full to a planner that has begun.
+func (c *Client) Announce(ctx context.Context, peer netip.AddrPort) error {
+	_, err := c.racks.announce.ask(ctx, peer, none{})
+	return err
+}
--- a/protocol/peer/service.go
+++ b/protocol/peer/service.go
@@ -46,6 +46,8 @@
 	// Stop reports neverStarted only if no member was ever started.
 	Stop       func(ctx context.Context, stop Stop) (neverStarted bool, err error)
 	Checkpoint func(ctx context.Context, rack string, attempt state.JobAttempt) ([][]byte, error)
+	// Announce has the racks reported in full to the zone's planner.
+	Announce func(ctx context.Context) error
 	// Report takes what the home of a rack tells the zone's planner.
 	Report func(ctx context.Context, report state.RackReport) (state.ReportReply, error)
 	// PushManifest takes in an update and returns what is in force after it.
