Bound the wait of accept for the saved jobs

Cause: with the store silent before a new planner had read the ledger, accept waited for as long as its caller's entry did, so the refusal never arrived.

Change: it waits 2 s and then refuses with notDurable.

TestStoreAway/silent failed in the one full run of the fleet's tests with -race before; after: 0 failed of 2 (go test -race -count=2 -run TestStoreAway ./standin/fleet).

--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -4,8 +4,13 @@
 	"comfreystream/coordination/admission"
 	"comfreystream/state"
 	"context"
+	"time"
 )
 
+// loadWait is how long a job to be accepted waits for the saved ones to be
+// known; it leaves the answer time to reach the entry that asked.
+const loadWait = 2 * time.Second
+
 // Submit takes a job in. It may be called again with the same job, by an entry
 // that lost the first answer or the first planner: again says so. A refusal is
 // the job's outcome; an error means that this entry is not the zone's planner
@@ -125,6 +130,8 @@
 	if err := d.awaitRecovery(ctx); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, loadWait)
+	defer cancel()
 	select {
 	case <-d.loaded:
 		return nil
