--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -39,6 +39,9 @@
 	Codec   Codec
 	// Peers returns the other live entries of the zone.
 	Peers func() []netip.AddrPort
+	// Others returns the live entries of all zones but this one, for the start in
+	// a zone without another entry; it may be nil.
+	Others func() []netip.AddrPort
 	// Push sends an update to an entry, which answers with what it has in force after it.
 	Push func(ctx context.Context, peer netip.AddrPort, update Update) (Have, error)
 	// Fetch asks any entry for the update from what this one has; it may
--- a/coordination/rollout/run.go
+++ b/coordination/rollout/run.go
@@ -30,8 +30,8 @@
 	loops.Wait()
 }
 
-// start asks until there is a manifest: the zone's entries, and only if none
-// of them has one the store.
+// start asks until there is a manifest: the zone's entries, or all others if the
+// zone has none, and only if none of them has one the store.
 func (r *Rollout) start(ctx context.Context) {
 	for attempt := 0; ; attempt++ {
 		r.askPeers(ctx)
@@ -48,6 +48,9 @@
 // from the others what they have beyond it.
 func (r *Rollout) askPeers(ctx context.Context) {
 	peers := r.Peers()
+	if len(peers) == 0 && r.Others != nil {
+		peers = r.Others()
+	}
 	for len(peers) > 0 && r.newest() == nil && ctx.Err() == nil {
 		r.pull(ctx, peers[0])
 		peers = peers[1:]
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,6 +29,7 @@
 
 // Instance is one running entry.
 type Instance struct {
+	network  Network
 	settings *settings.Settings
 	log      zerolog.Logger
 	metrics  *metrics.Metrics
@@ -63,8 +64,13 @@
 // Start runs an entry with checked settings. Its error names the address that
 // could not be opened; nothing goes on after an error.
 func Start(s *settings.Settings, log zerolog.Logger) (*Instance, error) {
+	return StartOver(Network{}, s, log)
+}
+
+// StartOver is Start over a network that may have faults.
+func StartOver(network Network, s *settings.Settings, log zerolog.Logger) (*Instance, error) {
 	i := &Instance{
-		settings: s, log: log, metrics: metrics.New(), started: time.Now(),
+		network: network, settings: s, log: log, metrics: metrics.New(), started: time.Now(),
 		rolesDue: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
@@ -104,6 +110,7 @@
 // connect makes the clients of the other sides.
 func (i *Instance) connect() {
 	i.connections = transport.NewClient(transport.ClientLimits{})
+	i.connections.Dial = i.network.Dial
 	i.peers = peer.NewClient(i.connections)
 	i.list = newListing(&instancelist.Client{Connections: i.connections, Peer: i.settings.InstanceList})
 }
@@ -117,6 +124,7 @@
 	i.members.OnChange = i.rolesChanged
 	i.members.Seed(i.settings.Seeds)
 	i.endpoint.Serve(i.members)
+	i.members.Send = i.network.over(i.members.Send)
 	i.storage = i.newStorage()
 	i.rollout = i.newRollout()
 	i.members.OnAdvert = func(m state.Member) { i.rollout.Heard(m.Address, m.Advert.Generation, m.Advert.Digest) }
@@ -130,7 +138,7 @@
 // run starts the loops.
 func (i *Instance) run() {
 	i.loops.Go(func() { i.members.Run(i.ctx) })
-	i.loops.Go(func() { i.rollout.Run(i.ctx, i.isRelay) })
+	i.loops.Go(i.runRollout)
 	i.loops.Go(func() { i.list.run(i.ctx, i.listChanged) })
 	i.loops.Go(i.assignRoles)
 }
@@ -161,3 +169,6 @@
 func hasPeerPrefix(path []byte) bool {
 	return len(path) >= len(peer.PathPrefix) && string(path[:len(peer.PathPrefix)]) == peer.PathPrefix
 }
+
+// AvailabilityZone returns the zone that the entry is in.
+func (i *Instance) AvailabilityZone() string { return i.settings.AvailabilityZone }
--- a/instance/manifest.go
+++ b/instance/manifest.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"comfreystream/coordination/pause"
 	"comfreystream/coordination/planning"
 	"comfreystream/coordination/rollout"
 	"comfreystream/coordination/storage"
@@ -19,6 +20,9 @@
 const (
 	// applyTimeout is how long an operator waits for all live entries.
 	applyTimeout = 6 * time.Second
+	// meetTimeout is how long an entry that starts looks for others before it asks the store.
+	meetTimeout = 3 * time.Second
+	meetPause   = 50 * time.Millisecond
 	// manifestName stands for the file's name in messages about a body.
 	manifestName = "manifest"
 )
@@ -34,6 +38,7 @@
 func (i *Instance) newRollout() *rollout.Rollout {
 	r := rollout.New(i.storage, manifest.Codec())
 	r.Peers = i.zonePeers
+	r.Others = i.otherMembers
 	r.Push = i.peers.PushManifest
 	r.Fetch = i.peers.FetchManifest
 	r.InForce = i.manifestInForce
@@ -41,6 +46,33 @@
 	return r
 }
 
+// runRollout first lets the entry meet others: the store may answer old data,
+// and only they can tell that there is a newer manifest.
+func (i *Instance) runRollout() {
+	ctx, cancel := context.WithTimeout(i.ctx, meetTimeout)
+	defer cancel()
+	for !i.hasMet() && pause.For(ctx, meetPause) {
+		continue
+	}
+	i.rollout.Run(i.ctx, i.isRelay)
+}
+
+// hasMet reports whether another entry of the zone is a live member, or one of
+// another zone if the list names none of this zone, or the list names no other.
+func (i *Instance) hasMet() bool {
+	if len(i.zonePeers()) > 0 {
+		return true
+	}
+	list := i.list.latest.Load()
+	others := slices.DeleteFunc(slices.Clone(list.Entries), func(e state.Instance) bool { return e.Leaving || e.Address == i.Address() })
+	if len(list.Workers) == 0 || slices.ContainsFunc(others, func(e state.Instance) bool {
+		return e.AvailabilityZone == i.settings.AvailabilityZone
+	}) {
+		return false
+	}
+	return len(others) == 0 || len(i.members.Live()) > 1
+}
+
 // zonePeers returns the other live entries of the zone.
 func (i *Instance) zonePeers() (peers []netip.AddrPort) {
 	for _, m := range i.members.LiveIn(i.settings.AvailabilityZone) {
@@ -51,6 +83,16 @@
 	return peers
 }
 
+// otherMembers returns all the live entries but this one.
+func (i *Instance) otherMembers() (others []netip.AddrPort) {
+	for _, m := range i.members.Live() {
+		if m.Address != i.Address() {
+			others = append(others, m.Address)
+		}
+	}
+	return others
+}
+
 // manifestInForce puts a higher generation in force here; the adverts that
 // tell the others follow with the next look at the roles.
 func (i *Instance) manifestInForce(m *state.Manifest) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -5,11 +5,14 @@
 	"comfreystream/logs"
 	"comfreystream/settings"
 	"comfreystream/standin/instancelist"
+	"comfreystream/standin/link"
 	"comfreystream/standin/store"
 	"comfreystream/standin/worker"
 	"comfreystream/state"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -24,6 +27,9 @@
 	drainTime = 10 * time.Second
 )
 
+// Platform is the group of the store and the instance list on the links.
+const Platform = "platform"
+
 // Plan says what a fleet is made of.
 type Plan struct {
 	AvailabilityZones []string
@@ -45,6 +51,8 @@
 	log   zerolog.Logger
 	Store *store.Served
 	List  *instancelist.Served
+	// Links join the zones and the platform, which is the group "platform".
+	Links *link.Links
 
 	mu      sync.Mutex
 	workers []*worker.Served
@@ -54,7 +62,7 @@
 // Start starts the stand-ins, the workers and the entries; after an error
 // everything is stopped again.
 func Start(plan Plan) (f *Fleet, err error) {
-	f = &Fleet{plan: plan, log: logs.New(plan.Log, plan.LogLevel)}
+	f = &Fleet{plan: plan, log: logs.New(plan.Log, plan.LogLevel), Links: link.New()}
 	if err := f.start(); err != nil {
 		_ = f.Close()
 		return nil, err
@@ -71,6 +79,8 @@
 	if err != nil {
 		return errors.Wrap(err, "start instance list")
 	}
+	f.Links.Place(f.Store.Address(), Platform)
+	f.Links.Place(f.List.Address(), Platform)
 	for _, zone := range f.plan.AvailabilityZones {
 		if err := f.startZone(zone); err != nil {
 			return err
@@ -104,13 +114,14 @@
 	f.mu.Lock()
 	f.workers = append(f.workers, w)
 	f.mu.Unlock()
+	f.Links.Place(w.Address(), rack.AvailabilityZone)
 	f.List.AddWorker(w.Describe())
 	return w, nil
 }
 
 // AddEntry starts an entry in the zone and lists it.
 func (f *Fleet) AddEntry(zone string) (*instance.Instance, error) {
-	e, err := instance.Start(&settings.Settings{
+	e, err := instance.StartOver(f.network(zone), &settings.Settings{
 		AvailabilityZone: zone, Address: anyPort,
 		Store: f.Store.Address(), InstanceList: f.List.Address(),
 		StoreCallsPerSecond: 500, Connections: 4096, BodyBytes: 1 << 20, DrainLimit: drainTime,
@@ -121,10 +132,21 @@
 	f.mu.Lock()
 	f.entries = append(f.entries, e)
 	f.mu.Unlock()
+	f.Links.Place(e.Address(), zone)
 	f.List.AddEntry(state.Instance{Address: e.Address(), AvailabilityZone: zone})
 	return e, nil
 }
 
+// network puts an entry of the zone on the links.
+func (f *Fleet) network(zone string) instance.Network {
+	return instance.Network{
+		Dial: func(ctx context.Context, peer netip.AddrPort) (net.Conn, error) {
+			return f.Links.Dial(ctx, zone, peer)
+		},
+		Carries: func(to netip.AddrPort) bool { return f.Links.Carries(zone, to) },
+	}
+}
+
 // Drop takes an entry off the list; the caller closes or abandons it.
 func (f *Fleet) Drop(e *instance.Instance) {
 	f.List.Remove(e.Address())
--- a/standin/fleet/takeover_bench_test.go
+++ b/standin/fleet/takeover_bench_test.go
@@ -42,7 +42,7 @@
 }
 
 // planner waits until an entry plans for the first zone, and returns it.
-func (f *Fleet) planner(b *testing.B) (planner *instance.Instance) {
+func (f *Fleet) planner(b testing.TB) (planner *instance.Instance) {
 	b.Helper()
 	err := f.until(b.Context(), func() error {
 		i := slices.IndexFunc(f.Entries(), (*instance.Instance).Plans)
