--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -8,26 +8,15 @@
 	"time"
 )
 
-// stage is how far an unanswered probe has come.
-type stage uint8
-
-const (
-	// askedDirectly waits for the target's own answer.
-	askedDirectly stage = iota
-	// askedOthers waits for an answer through helpers as well.
-	askedOthers
-	// watching tells the suspect of the suspicion until it refutes or is dead.
-	watching
-)
-
 // probe is a Ping that waits for its Ack.
 type probe struct {
 	sequence uint32
 	target   state.Member
 	gossip   netip.AddrPort
 	sent     time.Time
-	stage    stage
 	timeouts timeouts
+	// rounds is how often helpers were asked.
+	rounds int
 	// tells is set if the Ping carried this member's own leaving.
 	tells bool
 	// requester asked for this probe by a PingRequest; it is not valid otherwise.
@@ -79,20 +68,24 @@
 		return
 	}
 	switch {
-	case p.stage == watching:
-		m.remind(p)
 	case waited >= p.timeouts.probe:
 		m.suspect(p)
-	case p.stage == askedDirectly && waited >= p.timeouts.direct:
+	case waited >= p.timeouts.direct*time.Duration(1+p.rounds):
 		m.askHelpers(p)
 	}
 }
 
-// askHelpers sends the Ping again and asks other members to try.
+// askHelpers sends the Ping again and asks other members to try; it does so
+// every timeouts.direct until the answer is there or the time is over.
 func (m *Members) askHelpers(p probe) {
-	defer m.probeEntrant(p.target)
-	m.setStage(p.sequence, askedOthers)
-	m.count(EventAskedHelpers)
+	m.probes.Update(p.sequence, func(waiting probe, found bool) (probe, bool) {
+		waiting.rounds++
+		return waiting, found
+	})
+	if p.rounds == 0 {
+		m.count(EventAskedHelpers)
+		defer m.probeEntrant(p.target)
+	}
 	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, p.tells)})
 	for _, helper := range m.helpersFor(p.target) {
 		m.Send(helper.Gossip, Message{Kind: PingRequest, Sequence: p.sequence, Target: p.gossip})
@@ -115,39 +108,40 @@
 }
 
 func (m *Members) suspect(p probe) {
+	m.probes.Delete(p.sequence)
 	r, found := m.table.Get(p.target.Address)
 	if !found || r.member.Gossip != p.gossip || !r.usable() {
-		m.probes.Delete(p.sequence)
 		return
 	}
-	m.setStage(p.sequence, watching)
 	if m.learn(Update{Member: r.member, Status: Suspect}, origin{near: true}) {
 		m.push(0, p.gossip)
 	}
-	m.remind(p)
 }
 
-// remind tells a suspect of the suspicion, for as long as there is one.
-func (m *Members) remind(p probe) {
-	r, found := m.table.Get(p.target.Address)
-	if !found || r.status != Suspect {
-		m.probes.Delete(p.sequence)
+// remindSuspects pings some suspects in each step, whoever suspected them
+// first: the Ping tells them what to refute, and the Ack brings it.
+func (m *Members) remindSuspects() {
+	v := m.view()
+	if len(v.suspects) == 0 {
 		return
 	}
-	m.Send(p.gossip, Message{Kind: Ping, Sequence: p.sequence, Updates: m.updatesFor(p.gossip, p.tells)})
-}
-
-func (m *Members) setStage(sequence uint32, next stage) {
-	m.probes.Update(sequence, func(p probe, found bool) (probe, bool) {
-		p.stage = next
-		return p, found
-	})
+	own := m.Self().AvailabilityZone
+	near := func(x *state.Member) bool { return x.AvailabilityZone == own }
+	far := func(x *state.Member) bool { return x.AvailabilityZone != own }
+	var suspects []state.Member
+	for _, r := range v.suspects {
+		suspects = append(suspects, r.member)
+	}
+	chosen := m.dice.pick(nil, nearReminders, suspects, near)
+	for _, suspect := range m.dice.pick(chosen, farReminders, suspects, far) {
+		m.ping(probe{gossip: suspect.Gossip, timeouts: nearTimeouts})
+	}
 }
 
 // failing returns the members whose probes are past their direct answer.
 func (m *Members) failing() (addresses []netip.AddrPort) {
 	for _, p := range m.probes.Values() {
-		if p.stage != askedDirectly {
+		if p.rounds > 0 {
 			addresses = append(addresses, p.target.Address)
 		}
 	}
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"comfreystream/coordination/rollout"
 	"comfreystream/state"
 	"context"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -130,6 +131,11 @@
 		{"the store answers old data", func(f *fleet) { f.store.Inject(standin.Always(standin.Faults{OldData: true})) }, 2},
 		{"the store is down", func(f *fleet) { f.store.Inject(standin.Always(standin.Faults{Down: true})) }, 2},
 		{"the zone is cut off", func(f *fleet) { f.setCut(0, true) }, 2},
+		{"all restart while the store answers old data", func(f *fleet) {
+			f.store.Inject(standin.Always(standin.Faults{OldData: true}))
+			f.stopEntry(f.get(0, 1).address)
+		}, 0},
+		{"all restart", func(f *fleet) { f.stopEntry(f.get(0, 1).address) }, 2},
 		{"cut off and alone", func(f *fleet) { f.setCut(0, true); f.stopEntry(f.get(0, 1).address) }, 0},
 	}
 	for _, tt := range tests {
@@ -313,6 +319,29 @@
 	}
 }
 
+func TestStoreCallsDoNotGrowWithEntries(t *testing.T) {
+	const minute = 60
+	for _, entries := range []int{2, 8, 32} {
+		for _, applied := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d entries, manifest %v", entries, applied), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, 1, entries)
+					if applied {
+						f.apply(0, sample(2, 1), 0)
+					}
+					after(10 * time.Second)
+					before := f.store.Calls(standin.Get) + f.store.Calls(standin.Watch)
+					after(minute * time.Second)
+					// The relay waits half a second at least between two calls.
+					if calls := f.store.Calls(standin.Get) + f.store.Calls(standin.Watch) - before; calls > 2*minute {
+						t.Errorf("%d calls in a minute", calls)
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestInForceComesBetweenNewestAndCurrent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 1)
--- a/coordination/rollout/run.go
+++ b/coordination/rollout/run.go
@@ -1,11 +1,14 @@
 package rollout
 
 import (
+	"comfreystream/coordination/storage"
 	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -22,7 +25,7 @@
 // asks the zone's entries, so that an entry that restarts in a cut-off zone, or
 // while the store answers old data, does not fall back.
 func (r *Rollout) Run(ctx context.Context, isRelay func() bool) {
-	r.start(ctx)
+	r.start(ctx, isRelay)
 	var loops sync.WaitGroup
 	loops.Go(func() { r.watch(ctx, isRelay) })
 	loops.Go(func() { r.push(ctx) })
@@ -31,11 +34,11 @@
 }
 
 // start asks until there is a manifest: the zone's entries, and only if none
-// of them has one the store.
-func (r *Rollout) start(ctx context.Context) {
+// of them has one the store, which all ask once and the relay goes on asking.
+func (r *Rollout) start(ctx context.Context, isRelay func() bool) {
 	for attempt := 0; ; attempt++ {
 		r.askPeers(ctx)
-		if r.newest() == nil {
+		if r.newest() == nil && (attempt == 0 || isRelay()) {
 			_ = r.askStore(ctx)
 		}
 		if r.newest() != nil || !r.Storage.Pause(ctx, attempt) {
@@ -59,11 +62,16 @@
 	all.Wait()
 }
 
+// askStore takes in the head that the store has now; old data is not believed.
 func (r *Rollout) askStore(ctx context.Context) error {
-	head, entry, err := r.readHead(ctx)
+	entry, err := r.Storage.Latest(ctx, storage.ForManifest, headKey)
 	if err != nil || entry.Version == 0 {
 		return err
 	}
+	head, err := r.Codec.DecodeHead(entry.Value)
+	if err != nil {
+		return errors.Wrap(err, "decode "+headKey)
+	}
 	return r.load(ctx, head, true)
 }
 
