Ask the store before calling a job unknown, and look longer for a planner

Ruled out: the ledger, which held every such job, and the leases. Change: the saved jobs are read again before unknownJob is said, shared by all who ask, twice a second at most; a job that may have been taken in is asked for a minute long.

--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -77,12 +77,15 @@
 	governed  chan struct{}
 	governing sync.Once
 	loaded    chan struct{}
-	wake      chan struct{}
-	ctx       context.Context
-	cancel    context.CancelFunc
-	tasks     sync.WaitGroup
-	closing   sync.Mutex
-	closed    bool
+	// reloaded holds when the last read of the saved jobs on account of an
+	// unknown one began; whoever has taken it reads.
+	reloaded chan time.Time
+	wake     chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	closing  sync.Mutex
+	closed   bool
 }
 
 // New returns a dispatcher whose seams are to be set before Run.
@@ -101,6 +104,7 @@
 		recovered: make(chan struct{}),
 		governed:  make(chan struct{}),
 		loaded:    make(chan struct{}),
+		reloaded:  make(chan time.Time, 1),
 		wake:      make(chan struct{}, 1),
 		ctx:       ctx,
 		cancel:    cancel,
@@ -110,6 +114,7 @@
 // Run starts planning; it returns at once.
 func (d *Dispatcher) Run() {
 	d.began = d.Now()
+	d.reloaded <- time.Time{}
 	d.spawn(d.planLoop)
 	d.spawn(d.sweepLoop)
 	d.spawn(d.reloadLoop)
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -11,9 +11,9 @@
 // Await waits up to wait for the job's outcome. It fails with unknownJob for a
 // job that this planner does not know, and with homeMoved when it gives the zone up.
 func (d *Dispatcher) Await(ctx context.Context, job state.JobID, wait time.Duration) (state.Progress, error) {
-	r, found := d.records.Get(job)
-	if !found {
-		return state.Progress{}, state.NewStepError("await "+string(job), d.noPeer(), d.unknown(), nil)
+	r, err := d.find(ctx, "await", job)
+	if err != nil {
+		return state.Progress{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -32,9 +32,9 @@
 
 // Cancel ends a job: one that is queued has not run; one that runs is stopped first.
 func (d *Dispatcher) Cancel(ctx context.Context, job state.JobID) error {
-	r, found := d.records.Get(job)
-	if !found {
-		return state.NewStepError("cancel "+string(job), d.noPeer(), d.unknown(), nil)
+	r, err := d.find(ctx, "cancel", job)
+	if err != nil {
+		return err
 	}
 	attempt, first := r.markCancelled()
 	if !first {
--- a/coordination/front/front.go
+++ b/coordination/front/front.go
@@ -17,8 +17,11 @@
 	callTimeout = 2 * time.Second
 	// retryPause is the pause before the next call after one that failed.
 	retryPause = 150 * time.Millisecond
-	// homelessLimit is how long a job may be without any planner that takes it.
+	// homelessLimit is how long a request may be without any planner that takes it.
 	homelessLimit = 10 * time.Second
+	// uncertainLimit is how long a job that some planner may have taken in is
+	// asked for before its outcome is called unknown.
+	uncertainLimit = time.Minute
 )
 
 // Front serves callers at one entry; it keeps nothing of its own and is safe
--- a/coordination/front/run.go
+++ b/coordination/front/run.go
@@ -84,12 +84,13 @@
 	if reason == state.QueueFull && !j.uncertain {
 		return refused(j.job.ID, reason), true
 	}
-	if f.Now().Sub(j.homeless) < homelessLimit {
-		return state.Progress{}, false
-	}
-	if !j.uncertain {
+	homeless := f.Now().Sub(j.homeless)
+	if !j.uncertain && homeless >= homelessLimit {
 		return refused(j.job.ID, state.HomeUnreachable), true
 	}
+	if homeless < uncertainLimit {
+		return state.Progress{}, false
+	}
 	outcome := state.Outcome{Job: j.job.ID, Ran: state.Unknown, Reason: state.HomeUnreachable}
 	return state.Progress{Done: true, Phase: state.JobDone, Outcome: outcome}, true
 }
