--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -4,6 +4,7 @@
 	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -66,6 +67,14 @@
 	return whole
 }
 
+// copyParts returns the parts apart from the adoption, which a report that is
+// being taken in may still change.
+func (a *adoption) copyParts() map[netip.AddrPort]state.Task {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.parts)
+}
+
 func (a *adoption) placements() (placements []state.Placement) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -83,7 +92,7 @@
 	r.base = attempt.Attempt - 1
 	r.claimed = !a.job.Idempotent
 	r.placements = placements
-	r.parts = a.parts
+	r.parts = a.copyParts()
 	r.begun = d.Now()
 	r.whole = true
 	r.adopted = true
