--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -3,6 +3,7 @@
 import (
 	"comfreystream/state"
 	"net/netip"
+	"slices"
 )
 
 // Report takes in what a rack's home says of its workers and answers what is
@@ -154,3 +155,8 @@
 	}
 	return len(expected) > 0
 }
+
+// anyListed reports whether any worker's home has read its tasks.
+func (d *Dispatcher) anyListed() bool {
+	return slices.Contains(d.workers.Values(), true)
+}
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -119,6 +119,7 @@
 		return d.Now(), true
 	}
 	if d.Quarantine.JobIsBad(job.ID) {
+		d.Count(state.FailsEverywhere)
 		return time.Time{}, false
 	}
 	decision := d.Retries.Next(job, attempt-r.base, ran, blamed)
--- a/state/reason.go
+++ b/state/reason.go
@@ -29,6 +29,7 @@
 	StoreUnavailable    Reason = "storeUnavailable"
 	TaskFailed          Reason = "taskFailed"
 	RetryBudgetSpent    Reason = "retryBudgetSpent"
+	FailsEverywhere     Reason = "failsEverywhere"
 	AmbiguousStart      Reason = "ambiguousStart"
 )
 
@@ -52,7 +53,7 @@
 	BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone, NeverFits,
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
-	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent,
+	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
 	AmbiguousStart, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
 }
