--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -116,12 +116,13 @@
 }
 
 // plan hands a job to the planner. That nothing can hold it is believed only
-// once every expected worker is known, or when they had time enough to be; a
-// planner that hears of no worker at all may have been replaced without knowing.
+// once every expected worker is known, or when they had time enough to be. For a
+// job that another planner took in the time does not count: a planner that hears
+// of some workers only may have been replaced without knowing.
 func (d *Dispatcher) plan(r *record) state.Reason {
 	for {
 		reason := d.Planner.SubmitAfter(r.snapshot(), r.base)
-		known := d.allListed() || d.anyListed() && d.Now().Sub(d.began) > fitsGrace
+		known := d.allListed() || !r.inherited && d.anyListed() && d.Now().Sub(d.began) > fitsGrace
 		if reason != state.NeverFits || known || !pause.For(d.ctx, fitsPause) {
 			return reason
 		}
