Count an adopted gang's places before its end can give them free

Cause: an adopted job was to be seen before the planner knew of its places; a report of its end that came in between gave nothing free, and the planner then counted the places as used for good. Ruled out: leases on workers, quarantine, reservations. The gang now counts as whole only once the planner has its places.

--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -94,7 +94,6 @@
 	r.placements = placements
 	r.parts = a.copyParts()
 	r.begun = d.Now()
-	r.whole = true
 	r.adopted = true
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
@@ -106,10 +105,21 @@
 	d.Event("jobAdopted", a.job.ID, "")
 	d.Planner.Restore(a.job, attempt.Attempt, placements, r.begun)
 	d.tellRacks(placements, func(o *outbox) { o.whole = append(o.whole, attempt) })
+	d.followAdopted(r, attempt.Attempt)
+}
+
+// followAdopted acts on what was reported of a gang while it was being adopted:
+// before the planner knows of its places, none of it may be given free.
+func (d *Dispatcher) followAdopted(r *record, attempt state.Attempt) {
 	r.mu.Lock()
-	effect := r.effect()
+	r.whole = true
+	effect, stopReason := r.effect(), r.stopReason
 	r.mu.Unlock()
-	d.follow(r, attempt.Attempt, effect)
+	if stopReason != "" {
+		d.spawn(func() { d.stopAttempt(r, attempt, stopReason, nil) })
+		return
+	}
+	d.follow(r, attempt, effect)
 }
 
 // dropIncomplete has gangs stopped whose parts did not all turn up.
