--- a/cmd_apply.go
+++ b/cmd_apply.go
@@ -1,15 +1,16 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/protocol/manifest"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
 	"os"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/protocol/manifest"
+	"comfreystream/state"
 )
 
 var applyCommand = command{
--- a/cmd_cancel.go
+++ b/cmd_cancel.go
@@ -1,11 +1,12 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
 )
 
 var cancelCommand = command{
--- a/cmd_check.go
+++ b/cmd_check.go
@@ -1,11 +1,12 @@
 package main
 
 import (
-	"comfreystream/protocol/manifest"
 	"fmt"
 	"os"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/protocol/manifest"
 )
 
 var checkCommand = command{
--- a/cmd_drain.go
+++ b/cmd_drain.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
 	"context"
 	"fmt"
 	"net/netip"
+
+	"comfreystream/protocol/caller"
 )
 
 var drainCommand = command{
--- a/cmd_load.go
+++ b/cmd_load.go
@@ -1,11 +1,6 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/standin/fleet"
-	"comfreystream/state"
-	"comfreystream/transport"
-	"comfreystream/workload"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +13,12 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/standin/fleet"
+	"comfreystream/state"
+	"comfreystream/transport"
+	"comfreystream/workload"
 )
 
 const embeddedStart = 30 * time.Second
--- a/cmd_serve.go
+++ b/cmd_serve.go
@@ -1,14 +1,15 @@
 package main
 
 import (
-	"comfreystream/instance"
-	"comfreystream/logs"
-	"comfreystream/settings"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/instance"
+	"comfreystream/logs"
+	"comfreystream/settings"
 )
 
 var serveCommand = command{
--- a/cmd_status.go
+++ b/cmd_status.go
@@ -1,12 +1,13 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
 	"time"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
 )
 
 var statusCommand = command{
--- a/cmd_submit.go
+++ b/cmd_submit.go
@@ -1,14 +1,15 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
 )
 
 var submitCommand = command{
--- a/cmd_try.go
+++ b/cmd_try.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"comfreystream/standin/fleet"
-	"comfreystream/state"
 	"context"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"comfreystream/standin/fleet"
+	"comfreystream/state"
 )
 
 const tryTimeout = 14 * time.Second
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -1,12 +1,13 @@
 package admission
 
 import (
-	"comfreystream/state"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"comfreystream/state"
 )
 
 // Settings bounds a zone's queue.
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -1,9 +1,10 @@
 package admission
 
 import (
-	"comfreystream/state"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/coordination/admission/manifest.go
+++ b/coordination/admission/manifest.go
@@ -1,10 +1,11 @@
 package admission
 
 import (
-	"comfreystream/state"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"comfreystream/state"
 )
 
 // Apply puts the manifest's limits in force; what an organisation has used of
--- a/coordination/claim/bench_test.go
+++ b/coordination/claim/bench_test.go
@@ -1,16 +1,16 @@
 package claim_test
 
 import (
-	"comfreystream/coordination/claim"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/record"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"testing"
 
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // BenchmarkClaim reports the calls to the store for one job's claim and settlement.
--- a/coordination/claim/claim.go
+++ b/coordination/claim/claim.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -1,17 +1,17 @@
 package claim_test
 
 import (
-	"comfreystream/coordination/claim"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/record"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
 	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // rig is two planners over one store.
--- a/coordination/claim/linear_test.go
+++ b/coordination/claim/linear_test.go
@@ -1,11 +1,6 @@
 package claim_test
 
 import (
-	"comfreystream/coordination/claim"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/record"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"math"
@@ -18,7 +13,12 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"comfreystream/coordination/claim"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // input is a Take, or a Settle with a refusal if free is set.
--- a/coordination/claim/record.go
+++ b/coordination/claim/record.go
@@ -1,9 +1,10 @@
 package claim
 
 import (
-	"comfreystream/state"
 	"crypto/sha256"
 	"encoding/hex"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/claim/settle.go
+++ b/coordination/claim/settle.go
@@ -1,10 +1,11 @@
 package claim
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"net/netip"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 // maxOutcomeBytes is the largest answer that a record keeps, in the store's
--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -1,13 +1,14 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"maps"
 	"net/netip"
 	"sync"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 // adoption collects the parts of a gang that an earlier planner started.
--- a/coordination/dispatch/capacity_bench_test.go
+++ b/coordination/dispatch/capacity_bench_test.go
@@ -1,6 +1,12 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/dispatch"
 	"comfreystream/coordination/estimate"
@@ -8,11 +14,6 @@
 	"comfreystream/coordination/quarantine"
 	"comfreystream/coordination/retry"
 	"comfreystream/state"
-	"fmt"
-	"net/netip"
-	"runtime"
-	"testing"
-	"time"
 )
 
 // BenchmarkAdopt has a planner that knows nothing take over a zone of racks of
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -1,11 +1,12 @@
 package dispatch
 
 import (
+	"context"
+	"time"
+
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/pause"
 	"comfreystream/state"
-	"context"
-	"time"
 )
 
 const (
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -1,6 +1,11 @@
 package dispatch
 
 import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/estimate"
@@ -10,10 +15,6 @@
 	"comfreystream/coordination/quarantine"
 	"comfreystream/coordination/retry"
 	"comfreystream/state"
-	"context"
-	"net/netip"
-	"sync"
-	"time"
 )
 
 const (
--- a/coordination/dispatch/faults_test.go
+++ b/coordination/dispatch/faults_test.go
@@ -1,8 +1,6 @@
 package dispatch_test
 
 import (
-	"comfreystream/standin/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"strings"
@@ -11,7 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"comfreystream/standin/store"
 	standin "comfreystream/standin/worker"
+	"comfreystream/state"
 )
 
 // longestPart is how long a gang may run in part: the life of a lease that is not renewed.
--- a/coordination/dispatch/find.go
+++ b/coordination/dispatch/find.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 // findInterval is the least time between two reads of the saved jobs on
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/dispatch/jobs_test.go
+++ b/coordination/dispatch/jobs_test.go
@@ -1,8 +1,6 @@
 package dispatch_test
 
 import (
-	"comfreystream/standin/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -11,7 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"comfreystream/standin/store"
 	standin "comfreystream/standin/worker"
+	"comfreystream/state"
 )
 
 // outcome asks for the outcome of an accepted job as a caller does, again after each failure.
--- a/coordination/dispatch/outbox.go
+++ b/coordination/dispatch/outbox.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"sync"
+
+	"comfreystream/state"
 )
 
 // outbox is a rack's shard: which report of its home came last, and what the
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -1,11 +1,12 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/planning"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
+
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 )
 
 // Await waits up to wait for the job's outcome. It fails with unknownJob for a
--- a/coordination/dispatch/record.go
+++ b/coordination/dispatch/record.go
@@ -1,12 +1,13 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/planning"
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 )
 
 // record is one job's shard: what is known of it, under its own lock.
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // Report takes in what a rack's home says of its workers and answers what is
--- a/coordination/dispatch/rounds.go
+++ b/coordination/dispatch/rounds.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
+	"time"
+
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
-	"time"
 )
 
 // planLoop runs a planning round after each change, and when the last round asked for one.
--- a/coordination/dispatch/seat.go
+++ b/coordination/dispatch/seat.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"sync"
+
+	"comfreystream/state"
 )
 
 // Seat holds this entry's dispatcher while it is its zone's planner, and none
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -1,13 +1,14 @@
 package dispatch
 
 import (
+	"context"
+	"net/netip"
+	"slices"
+
 	"comfreystream/coordination/gang"
 	"comfreystream/coordination/pause"
 	"comfreystream/coordination/planning"
 	"comfreystream/state"
-	"context"
-	"net/netip"
-	"slices"
 )
 
 // start holds and starts the gang of one attempt, and settles what comes of it.
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -1,12 +1,13 @@
 package dispatch
 
 import (
-	"comfreystream/coordination/planning"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/coordination/planning"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -1,11 +1,12 @@
 package dispatch
 
 import (
+	"context"
+	"time"
+
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/pause"
 	"comfreystream/state"
-	"context"
-	"time"
 )
 
 // loadWait is how long a job to be accepted waits for the saved ones to be
--- a/coordination/dispatch/sweep.go
+++ b/coordination/dispatch/sweep.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // sweepLoop drops what has outlived its use.
--- a/coordination/dispatch/waits.go
+++ b/coordination/dispatch/waits.go
@@ -1,9 +1,10 @@
 package dispatch
 
 import (
-	"comfreystream/state"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // waitDecay is the weight of the newest wait in the running mean.
--- a/coordination/dispatch/zone_test.go
+++ b/coordination/dispatch/zone_test.go
@@ -1,6 +1,13 @@
 package dispatch_test
 
 import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/dispatch"
@@ -15,15 +22,8 @@
 	"comfreystream/coordination/storage"
 	"comfreystream/protocol/record"
 	"comfreystream/standin/store"
-	"comfreystream/state"
-	"context"
-	"fmt"
-	"net/netip"
-	"sync"
-	"testing"
-	"time"
-
 	standin "comfreystream/standin/worker"
+	"comfreystream/state"
 )
 
 const zoneName = "z"
--- a/coordination/estimate/estimates.go
+++ b/coordination/estimate/estimates.go
@@ -1,9 +1,10 @@
 package estimate
 
 import (
-	"comfreystream/state"
 	"math"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/estimate/estimates_test.go
+++ b/coordination/estimate/estimates_test.go
@@ -1,13 +1,14 @@
 package estimate
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 // width is how far an estimate may be above the true quantile: one bucket.
--- a/coordination/front/front.go
+++ b/coordination/front/front.go
@@ -1,12 +1,13 @@
 package front
 
 import (
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/front/run.go
+++ b/coordination/front/run.go
@@ -1,11 +1,12 @@
 package front
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 // journey is one job's way through the planners of a zone.
--- a/coordination/gang/failure.go
+++ b/coordination/gang/failure.go
@@ -1,12 +1,13 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // failure is why a gang did not start and which workers are to blame.
--- a/coordination/gang/fake_test.go
+++ b/coordination/gang/fake_test.go
@@ -1,7 +1,6 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // fakeWorker grants leases that lapse, and keeps a record of what it started.
--- a/coordination/gang/hold.go
+++ b/coordination/gang/hold.go
@@ -1,8 +1,9 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
+
+	"comfreystream/state"
 )
 
 // holdAll holds the racks one after another and gives up at the first that refuses.
--- a/coordination/gang/parts.go
+++ b/coordination/gang/parts.go
@@ -1,10 +1,11 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"slices"
 	"strings"
 	"time"
+
+	"comfreystream/state"
 )
 
 // gang is one attempt's parts, sorted by rack.
--- a/coordination/gang/start.go
+++ b/coordination/gang/start.go
@@ -1,11 +1,12 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
 	"slices"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // startAll starts the racks in parallel and returns the first failure, which
--- a/coordination/gang/starter.go
+++ b/coordination/gang/starter.go
@@ -1,10 +1,11 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -1,7 +1,6 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
@@ -10,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"comfreystream/state"
 )
 
 // The zone of the tests: racks a and b with two workers of two slots each.
--- a/coordination/gang/stop.go
+++ b/coordination/gang/stop.go
@@ -1,10 +1,11 @@
 package gang
 
 import (
-	"comfreystream/state"
 	"context"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // stopAll stops the attempt in all the racks in parallel; neverStarted holds
--- a/coordination/lease/bench_test.go
+++ b/coordination/lease/bench_test.go
@@ -1,8 +1,6 @@
 package lease_test
 
 import (
-	"comfreystream/coordination/lease"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
@@ -10,6 +8,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"comfreystream/coordination/lease"
+	"comfreystream/state"
 )
 
 // BenchmarkMemory reports the live heap and stacks of the home of racks of
--- a/coordination/lease/gang.go
+++ b/coordination/lease/gang.go
@@ -1,12 +1,13 @@
 package lease
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"comfreystream/state"
 )
 
 // Hold takes leases on workers of one rack for the attempt, all or none.
--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -1,11 +1,12 @@
 package lease
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -1,8 +1,6 @@
 package lease_test
 
 import (
-	"comfreystream/coordination/lease"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
@@ -10,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
-	standin "comfreystream/standin/worker"
-
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/lease"
+	standin "comfreystream/standin/worker"
+	"comfreystream/state"
 )
 
 var (
--- a/coordination/lease/rack.go
+++ b/coordination/lease/rack.go
@@ -1,10 +1,11 @@
 package lease
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
+
+	"comfreystream/state"
 )
 
 // rack is the shard of one rack: its workers, and the changes not yet reported.
--- a/coordination/lease/report.go
+++ b/coordination/lease/report.go
@@ -1,10 +1,11 @@
 package lease
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 // reportLoop tells the planner of changes at once, and otherwise asks at
--- a/coordination/lease/tend.go
+++ b/coordination/lease/tend.go
@@ -1,10 +1,11 @@
 package lease
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"math/rand/v2"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 // tend attaches to a worker and renews its leases until ctx ends; after a
--- a/coordination/ledger/flush.go
+++ b/coordination/ledger/flush.go
@@ -1,11 +1,12 @@
 package ledger
 
 import (
-	"comfreystream/state"
 	"context"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/ledger/ledger.go
+++ b/coordination/ledger/ledger.go
@@ -1,11 +1,12 @@
 package ledger
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"sync"
 	"time"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -2,11 +2,6 @@
 
 import (
 	"bytes"
-	"comfreystream/coordination/ledger"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/record"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"slices"
@@ -15,7 +10,12 @@
 	"testing/synctest"
 	"time"
 
+	"comfreystream/coordination/ledger"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/record"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // rig is two planners of a zone over one store.
--- a/coordination/ledger/load.go
+++ b/coordination/ledger/load.go
@@ -1,11 +1,12 @@
 package ledger
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 // Load returns the saved jobs of the zone that have not ended, and the
--- a/coordination/ledger/segment.go
+++ b/coordination/ledger/segment.go
@@ -1,8 +1,9 @@
 package ledger
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Item is a saved job, or its outcome once it has ended.
--- a/coordination/ledger/withdraw.go
+++ b/coordination/ledger/withdraw.go
@@ -1,8 +1,9 @@
 package ledger
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // withdraw undoes a save whose caller was not told that the job is kept. A
--- a/coordination/ledger/write.go
+++ b/coordination/ledger/write.go
@@ -1,9 +1,10 @@
 package ledger
 
 import (
+	"context"
+
 	"comfreystream/coordination/storage"
 	"comfreystream/state"
-	"context"
 )
 
 const (
--- a/coordination/membership/claims_test.go
+++ b/coordination/membership/claims_test.go
@@ -1,11 +1,12 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 const testStart = 1_786_000_000_000
--- a/coordination/membership/dice.go
+++ b/coordination/membership/dice.go
@@ -1,10 +1,11 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // dice shares one source of random numbers between goroutines.
--- a/coordination/membership/faults_test.go
+++ b/coordination/membership/faults_test.go
@@ -1,10 +1,11 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/membership/filter.go
+++ b/coordination/membership/filter.go
@@ -1,10 +1,11 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreystream/state"
 )
 
 // filterBits is the size of a Filter.
--- a/coordination/membership/learn.go
+++ b/coordination/membership/learn.go
@@ -1,9 +1,10 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 // origin says how an update came here.
--- a/coordination/membership/link_test.go
+++ b/coordination/membership/link_test.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"maps"
@@ -11,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 // link joins members in memory; it delays messages, loses them and cuts paths.
--- a/coordination/membership/members.go
+++ b/coordination/membership/members.go
@@ -1,13 +1,14 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"context"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Members is one entry's view of all entries; its methods are safe for
--- a/coordination/membership/message.go
+++ b/coordination/membership/message.go
@@ -1,9 +1,10 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Kind says what a message asks for.
--- a/coordination/membership/page.go
+++ b/coordination/membership/page.go
@@ -1,10 +1,11 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // compare sends the filter of the table to one member of this zone and of
--- a/coordination/membership/probe.go
+++ b/coordination/membership/probe.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // probe is a Ping that waits for its Ack.
--- a/coordination/membership/record.go
+++ b/coordination/membership/record.go
@@ -1,8 +1,9 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // record is what this member knows of another one.
--- a/coordination/membership/self.go
+++ b/coordination/membership/self.go
@@ -1,8 +1,9 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"sync"
+
+	"comfreystream/state"
 )
 
 // heardLeaving is the number of acknowledgements after which the others
--- a/coordination/membership/tick.go
+++ b/coordination/membership/tick.go
@@ -1,10 +1,11 @@
 package membership
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Tick takes one step: it judges silent members, probes the next one and
--- a/coordination/membership/view.go
+++ b/coordination/membership/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"encoding/binary"
 	"net/netip"
 	"slices"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreystream/state"
 )
 
 // views keeps the last view that was derived from the table.
--- a/coordination/ownership/rank.go
+++ b/coordination/ownership/rank.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreystream/state"
 )
 
 // Home returns the member that holds the key, or false if there are none. It
--- a/coordination/ownership/rank_test.go
+++ b/coordination/ownership/rank_test.go
@@ -1,13 +1,14 @@
 package ownership
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
+
+	"comfreystream/state"
 )
 
 const testKeys = 4096
--- a/coordination/planning/baseline_test.go
+++ b/coordination/planning/baseline_test.go
@@ -1,8 +1,9 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // baseline is the plain policy that the planner is measured against: first come
--- a/coordination/planning/bench_test.go
+++ b/coordination/planning/bench_test.go
@@ -1,12 +1,13 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 // largeZone returns a planner of 1,250 workers on which 33,000 tasks run, in
--- a/coordination/planning/caller_test.go
+++ b/coordination/planning/caller_test.go
@@ -1,7 +1,6 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -9,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"comfreystream/state"
 )
 
 const gib = int64(1) << 30
--- a/coordination/planning/check.go
+++ b/coordination/planning/check.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // Misfit names a guarantee that the zone's racks cannot hold beside those that fit.
--- a/coordination/planning/cover.go
+++ b/coordination/planning/cover.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"maps"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // dissolve ends a guarantee; the work that ran on it goes on beside the others.
--- a/coordination/planning/entry.go
+++ b/coordination/planning/entry.go
@@ -1,9 +1,10 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 type phase uint8
--- a/coordination/planning/guarantee.go
+++ b/coordination/planning/guarantee.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"maps"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // guarantee is a promised shape and the places that are kept for it. For each
--- a/coordination/planning/guarantee_layout.go
+++ b/coordination/planning/guarantee_layout.go
@@ -1,8 +1,9 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // layoutGuarantee returns places for the members that are not pinned, next to
--- a/coordination/planning/layout.go
+++ b/coordination/planning/layout.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // gang is what a layout must find room for.
--- a/coordination/planning/lifecycle.go
+++ b/coordination/planning/lifecycle.go
@@ -1,10 +1,11 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // CancelResult says what a cancelled job was.
--- a/coordination/planning/place.go
+++ b/coordination/planning/place.go
@@ -1,8 +1,9 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // place starts the job, or has others make way for it, and reports whether
--- a/coordination/planning/planner.go
+++ b/coordination/planning/planner.go
@@ -1,11 +1,12 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Planner decides for one availability zone; it is safe for several goroutines.
--- a/coordination/planning/planner_test.go
+++ b/coordination/planning/planner_test.go
@@ -1,10 +1,11 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"sync"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 func TestSubmit(t *testing.T) {
--- a/coordination/planning/policy_test.go
+++ b/coordination/planning/policy_test.go
@@ -1,9 +1,10 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 func plannerPolicy(s site) func(now func() time.Time) policy {
--- a/coordination/planning/property_test.go
+++ b/coordination/planning/property_test.go
@@ -1,7 +1,6 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"comfreystream/state"
 )
 
 func drawJob(t *rapid.T) state.Job {
--- a/coordination/planning/queue.go
+++ b/coordination/planning/queue.go
@@ -1,9 +1,10 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // queueSet holds a queue for each organisation of the manifest.
--- a/coordination/planning/reclaim.go
+++ b/coordination/planning/reclaim.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/planning/replay_test.go
+++ b/coordination/planning/replay_test.go
@@ -1,10 +1,11 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"container/heap"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/planning/reservation.go
+++ b/coordination/planning/reservation.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // reservation keeps workers for the gang that has waited the most, so that
--- a/coordination/planning/sizes.go
+++ b/coordination/planning/sizes.go
@@ -1,10 +1,11 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // lostRemembered is how long a lost worker still counts for what could ever fit.
--- a/coordination/planning/targets_test.go
+++ b/coordination/planning/targets_test.go
@@ -1,9 +1,10 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"sync"
 	"testing"
+
+	"comfreystream/state"
 )
 
 // The targets of the policy against the baseline, over the seeded lists.
--- a/coordination/planning/view.go
+++ b/coordination/planning/view.go
@@ -2,9 +2,10 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // View shows operators what the planner knows of its zone; its parts are read
--- a/coordination/planning/workload_test.go
+++ b/coordination/planning/workload_test.go
@@ -1,12 +1,13 @@
 package planning
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 // site is a zone to plan for and the load that it gets.
--- a/coordination/planning/zone.go
+++ b/coordination/planning/zone.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"sync"
+
+	"comfreystream/state"
 )
 
 // zone holds the workers by rack. Only the holder of the planner's rounds lock
--- a/coordination/quarantine/failures.go
+++ b/coordination/quarantine/failures.go
@@ -1,10 +1,11 @@
 package quarantine
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -1,13 +1,14 @@
 package quarantine
 
 import (
-	"comfreystream/state"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 var (
--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -1,9 +1,10 @@
 package quarantine
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 // streakLength is how many failures of a worker are kept.
--- a/coordination/retry/backoff.go
+++ b/coordination/retry/backoff.go
@@ -1,8 +1,9 @@
 package retry
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -1,11 +1,12 @@
 package retry
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"comfreystream/state"
 )
 
 // spend takes a retry from the budgets of the failed workers and of the
--- a/coordination/retry/retries.go
+++ b/coordination/retry/retries.go
@@ -1,11 +1,12 @@
 package retry
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/retry/retries_test.go
+++ b/coordination/retry/retries_test.go
@@ -1,11 +1,12 @@
 package retry
 
 import (
-	"comfreystream/state"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 var (
--- a/coordination/rollout/apply.go
+++ b/coordination/rollout/apply.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"slices"
@@ -11,6 +9,9 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/rollout/await.go
+++ b/coordination/rollout/await.go
@@ -1,12 +1,13 @@
 package rollout
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 const awaitInterval = 100 * time.Millisecond
--- a/coordination/rollout/bench_test.go
+++ b/coordination/rollout/bench_test.go
@@ -1,11 +1,12 @@
 package rollout_test
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/coordination/storage"
 	"fmt"
 	"testing"
 	"time"
+
+	"comfreystream/coordination/rollout"
+	"comfreystream/coordination/storage"
 )
 
 // BenchmarkStoreCalls reports the calls to the store by purpose for one zone
--- a/coordination/rollout/fleet_test.go
+++ b/coordination/rollout/fleet_test.go
@@ -1,11 +1,6 @@
 package rollout_test
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/manifest"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
@@ -16,7 +11,12 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/rollout"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/manifest"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // fleet is entries in several zones over one stand-in store.
--- a/coordination/rollout/linear_test.go
+++ b/coordination/rollout/linear_test.go
@@ -1,9 +1,6 @@
 package rollout_test
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/protocol/manifest"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"math"
@@ -18,7 +15,10 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/rollout"
+	"comfreystream/protocol/manifest"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // applied is one call of Apply and what came of it.
--- a/coordination/rollout/load.go
+++ b/coordination/rollout/load.go
@@ -1,11 +1,12 @@
 package rollout
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/rollout/part.go
+++ b/coordination/rollout/part.go
@@ -1,11 +1,12 @@
 package rollout
 
 import (
-	"comfreystream/state"
 	"encoding/binary"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
+	"comfreystream/state"
 )
 
 // Part is one organisation's policy as it is stored and sent.
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -1,8 +1,6 @@
 package rollout_test
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
@@ -13,7 +11,9 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/rollout"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // inForceWithin is the users' bound for a change of configuration.
--- a/coordination/rollout/run.go
+++ b/coordination/rollout/run.go
@@ -1,14 +1,15 @@
 package rollout
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/rollout/snapshot.go
+++ b/coordination/rollout/snapshot.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // removalsKept is for how many generations a removed organisation is
--- a/coordination/storage/call.go
+++ b/coordination/storage/call.go
@@ -1,12 +1,13 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"context"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sony/gobreaker/v2"
+
+	"comfreystream/state"
 )
 
 // repeat sends a call that may be sent twice without harm, and again after a
--- a/coordination/storage/lease.go
+++ b/coordination/storage/lease.go
@@ -1,10 +1,11 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"context"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // SharedLease is a lease for values that are to go some time after they were
--- a/coordination/storage/olddata.go
+++ b/coordination/storage/olddata.go
@@ -1,8 +1,9 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"fmt"
+
+	"comfreystream/state"
 )
 
 // OldData says that the store answers an older version than one that is known.
--- a/coordination/storage/put.go
+++ b/coordination/storage/put.go
@@ -1,11 +1,12 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"context"
 	"slices"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // Put replaces the value of previous, as it was read, if nobody has written
--- a/coordination/storage/read.go
+++ b/coordination/storage/read.go
@@ -1,11 +1,12 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"context"
 	"math"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/storage/storage.go
+++ b/coordination/storage/storage.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"context"
 	"crypto/rand"
 	"net/netip"
@@ -10,6 +9,8 @@
 
 	"github.com/sony/gobreaker/v2"
 	"golang.org/x/time/rate"
+
+	"comfreystream/state"
 )
 
 const (
--- a/coordination/storage/storage_test.go
+++ b/coordination/storage/storage_test.go
@@ -1,9 +1,6 @@
 package storage_test
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"strings"
@@ -14,7 +11,10 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 const key = "manifest/head"
--- a/coordination/storage/update.go
+++ b/coordination/storage/update.go
@@ -1,10 +1,11 @@
 package storage
 
 import (
-	"comfreystream/state"
 	"context"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 const maxRaces = 8
--- a/entry.go
+++ b/entry.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 	"os"
@@ -10,6 +8,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/transport"
 )
 
 // entryFlags name the entry that a verb talks to; every entry serves alike.
--- a/instance/fronting.go
+++ b/instance/fronting.go
@@ -1,12 +1,13 @@
 package instance
 
 import (
-	"comfreystream/coordination/front"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/coordination/front"
+	"comfreystream/state"
 )
 
 // newFront makes the part that callers reach.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -1,6 +1,18 @@
 package instance
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
 	"comfreystream/coordination/dispatch"
 	"comfreystream/coordination/front"
 	"comfreystream/coordination/lease"
@@ -15,17 +27,6 @@
 	"comfreystream/settings"
 	"comfreystream/state"
 	"comfreystream/transport"
-	"context"
-	"fmt"
-	"math/rand/v2"
-	"net/netip"
-	"sync"
-	"sync/atomic"
-	"time"
-
-	"github.com/pkg/errors"
-	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
 )
 
 // Instance is one running entry.
--- a/instance/listing.go
+++ b/instance/listing.go
@@ -1,13 +1,14 @@
 package instance
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/protocol/instancelist"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/protocol/instancelist"
+	"comfreystream/state"
 )
 
 const (
--- a/instance/listing_test.go
+++ b/instance/listing_test.go
@@ -1,10 +1,11 @@
 package instance
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"reflect"
 	"testing"
+
+	"comfreystream/state"
 )
 
 func TestMerge(t *testing.T) {
--- a/instance/manifest.go
+++ b/instance/manifest.go
@@ -1,6 +1,13 @@
 package instance
 
 import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
 	"comfreystream/coordination/pause"
 	"comfreystream/coordination/planning"
 	"comfreystream/coordination/rollout"
@@ -9,12 +16,6 @@
 	"comfreystream/protocol/manifest"
 	"comfreystream/protocol/store"
 	"comfreystream/state"
-	"context"
-	"net/netip"
-	"slices"
-	"time"
-
-	"github.com/pkg/errors"
 )
 
 const (
--- a/instance/network.go
+++ b/instance/network.go
@@ -1,10 +1,11 @@
 package instance
 
 import (
-	"comfreystream/coordination/membership"
 	"context"
 	"net"
 	"net/netip"
+
+	"comfreystream/coordination/membership"
 )
 
 // Network carries what the entry sends; the zero value is the machine's own.
--- a/instance/overview.go
+++ b/instance/overview.go
@@ -1,16 +1,17 @@
 package instance
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/coordination/planning"
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"encoding/json"
 	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/coordination/planning"
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 // Overview is what an operator on call asks first, as JSON.
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -1,6 +1,11 @@
 package instance
 
 import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
 	"comfreystream/coordination/admission"
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/dispatch"
@@ -13,10 +18,6 @@
 	"comfreystream/protocol/peer"
 	"comfreystream/protocol/record"
 	"comfreystream/state"
-	"context"
-	"math/rand/v2"
-	"net/netip"
-	"time"
 )
 
 // newDispatcher makes the planner's seat of this entry's zone.
--- a/instance/rackhome.go
+++ b/instance/rackhome.go
@@ -1,10 +1,11 @@
 package instance
 
 import (
+	"context"
+
 	"comfreystream/coordination/lease"
 	"comfreystream/protocol/worker"
 	"comfreystream/state"
-	"context"
 )
 
 // newKeeper makes the home of this entry's racks.
--- a/instance/roles.go
+++ b/instance/roles.go
@@ -1,12 +1,13 @@
 package instance
 
 import (
-	"comfreystream/coordination/ownership"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
 	"time"
+
+	"comfreystream/coordination/ownership"
+	"comfreystream/state"
 )
 
 // rolesInterval is the longest time between two looks at which roles are this entry's.
--- a/instance/services.go
+++ b/instance/services.go
@@ -1,12 +1,13 @@
 package instance
 
 import (
+	"context"
+	"time"
+
 	"comfreystream/coordination/rollout"
 	"comfreystream/protocol/caller"
 	"comfreystream/protocol/peer"
 	"comfreystream/state"
-	"context"
-	"time"
 )
 
 // peerService is what this entry does for others.
--- a/metrics/family.go
+++ b/metrics/family.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"slices"
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
+
+	"comfreystream/state"
 )
 
 // counter is a tally counter whose value can be read, too.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -1,11 +1,6 @@
 package metrics
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/gossip"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"io"
 	"time"
 
@@ -13,6 +8,12 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/coordination/rollout"
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/gossip"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // reportInterval is how old a value on the page may be.
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -1,14 +1,15 @@
 package metrics
 
 import (
-	"comfreystream/protocol/gossip"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"strings"
 	"testing"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
+
+	"comfreystream/protocol/gossip"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 func TestPage(t *testing.T) {
--- a/overview.go
+++ b/overview.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"comfreystream/instance"
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"comfreystream/instance"
 )
 
 // printOverview prints an entry's overview as tables.
--- a/protocol/caller/caller_test.go
+++ b/protocol/caller/caller_test.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"reflect"
@@ -11,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
 )
 
 var (
--- a/protocol/caller/client.go
+++ b/protocol/caller/client.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -13,6 +11,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // Client asks entries as callers and operators do; a failure is a
--- a/protocol/caller/entry.go
+++ b/protocol/caller/entry.go
@@ -1,12 +1,13 @@
 package caller
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 type membersBody struct {
--- a/protocol/caller/errors.go
+++ b/protocol/caller/errors.go
@@ -1,13 +1,14 @@
 package caller
 
 import (
-	"comfreystream/state"
 	"math"
 	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
 )
 
 // failure is what went wrong, before it is put into a body.
--- a/protocol/caller/fuzz_test.go
+++ b/protocol/caller/fuzz_test.go
@@ -1,12 +1,13 @@
 package caller
 
 import (
-	"comfreystream/protocol/body"
 	"encoding/json"
 	"slices"
 	"testing"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/body"
 )
 
 // FuzzHandler checks that whatever is sent gets an answer in the documented
--- a/protocol/caller/jobs.go
+++ b/protocol/caller/jobs.go
@@ -1,13 +1,14 @@
 package caller
 
 import (
-	"comfreystream/protocol/body"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/body"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // maxProgressWait bounds how long a request for a job's progress is held.
--- a/protocol/caller/manifest.go
+++ b/protocol/caller/manifest.go
@@ -1,14 +1,15 @@
 package caller
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"net/netip"
 	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // appliedBody answers a manifest that was accepted.
--- a/protocol/caller/refuse.go
+++ b/protocol/caller/refuse.go
@@ -1,11 +1,12 @@
 package caller
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"encoding/json"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // Refuse fills the answer to a request that reached no handler; it fits
--- a/protocol/caller/routes.go
+++ b/protocol/caller/routes.go
@@ -1,11 +1,12 @@
 package caller
 
 import (
-	"comfreystream/state"
 	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/caller/service.go
+++ b/protocol/caller/service.go
@@ -1,12 +1,13 @@
 package caller
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
 )
 
 // Change is an operator's request to replace the manifest.
--- a/protocol/caller/submission.go
+++ b/protocol/caller/submission.go
@@ -1,12 +1,13 @@
 package caller
 
 import (
-	"comfreystream/state"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // The words for the ordered classes, by their values.
--- a/protocol/gossip/endpoint.go
+++ b/protocol/gossip/endpoint.go
@@ -1,10 +1,11 @@
 package gossip
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/transport"
 	"net/netip"
 	"sync/atomic"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/transport"
 )
 
 // headerBytes is what IPv4 and UDP add to a datagram.
--- a/protocol/gossip/endpoint_test.go
+++ b/protocol/gossip/endpoint_test.go
@@ -1,8 +1,6 @@
 package gossip
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/state"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -11,6 +9,9 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/state"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
--- a/protocol/gossip/fleet_test.go
+++ b/protocol/gossip/fleet_test.go
@@ -1,13 +1,14 @@
 package gossip
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/state"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/gossip/load_test.go
+++ b/protocol/gossip/load_test.go
@@ -1,8 +1,6 @@
 package gossip
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/state"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -10,6 +8,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/gossip/wire.go
+++ b/protocol/gossip/wire.go
@@ -1,13 +1,14 @@
 package gossip
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 const (
--- a/protocol/gossip/wire_test.go
+++ b/protocol/gossip/wire_test.go
@@ -1,9 +1,6 @@
 package gossip
 
 import (
-	"comfreystream/coordination/membership"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"net/netip"
 	"reflect"
 	"strings"
@@ -11,6 +8,10 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"comfreystream/coordination/membership"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 var (
--- a/protocol/instancelist/instancelist.go
+++ b/protocol/instancelist/instancelist.go
@@ -1,14 +1,15 @@
 package instancelist
 
 import (
-	"comfreystream/protocol/message"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/message"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 const (
--- a/protocol/manifest/codec.go
+++ b/protocol/manifest/codec.go
@@ -1,11 +1,11 @@
 package manifest
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/state"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/rollout"
+	"comfreystream/state"
 )
 
 type headRecord struct {
--- a/protocol/manifest/decode.go
+++ b/protocol/manifest/decode.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"comfreystream/protocol/document"
-	"comfreystream/state"
 	"fmt"
 	"math"
 	"slices"
+
+	"comfreystream/protocol/document"
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/manifest/encode.go
+++ b/protocol/manifest/encode.go
@@ -1,8 +1,9 @@
 package manifest
 
 import (
-	"comfreystream/state"
 	"encoding/json"
+
+	"comfreystream/state"
 )
 
 type manifestFile struct {
--- a/protocol/manifest/manifest_test.go
+++ b/protocol/manifest/manifest_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"comfreystream/protocol/document"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/protocol/document"
 )
 
 const oneOrganisation = `{"format": 1, "weights": {"completionTime": 0.5, "fragmentation": 0.5}, "organisations": [ORGANISATION]}`
--- a/protocol/message/call.go
+++ b/protocol/message/call.go
@@ -1,15 +1,16 @@
 package message
 
 import (
-	"comfreystream/protocol/body"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"encoding/json"
 	"net/netip"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/body"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 const contentType = "application/json"
--- a/protocol/message/errors.go
+++ b/protocol/message/errors.go
@@ -1,10 +1,11 @@
 package message
 
 import (
-	"comfreystream/state"
 	"net/netip"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
 )
 
 // errorBody is the body of an answer that is not a success.
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -1,10 +1,11 @@
 package message
 
 import (
-	"comfreystream/protocol/body"
 	"testing"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/body"
 )
 
 // FuzzHandle checks that any body gets an answer that the other side can read.
--- a/protocol/message/handle.go
+++ b/protocol/message/handle.go
@@ -1,14 +1,15 @@
 package message
 
 import (
-	"comfreystream/protocol/body"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"encoding/json"
 	"net/netip"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/body"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // Limits bounds what a handler accepts.
--- a/protocol/message/message_test.go
+++ b/protocol/message/message_test.go
@@ -1,8 +1,6 @@
 package message
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 	"strings"
@@ -11,6 +9,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 type question struct {
--- a/protocol/message/routes.go
+++ b/protocol/message/routes.go
@@ -1,10 +1,11 @@
 package message
 
 import (
-	"comfreystream/state"
 	"net/netip"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
 )
 
 // Route is a handler under an exact path.
--- a/protocol/peer/await.go
+++ b/protocol/peer/await.go
@@ -1,10 +1,11 @@
 package peer
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/peer/await_test.go
+++ b/protocol/peer/await_test.go
@@ -1,11 +1,12 @@
 package peer
 
 import (
-	"comfreystream/state"
 	"context"
 	"sync"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 // TestAwaitBeyondTheBound holds as many waits as one peer may have; the next
--- a/protocol/peer/bench_test.go
+++ b/protocol/peer/bench_test.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net"
 	"net/netip"
@@ -11,6 +9,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // BenchmarkCall measures one call between two entries over loopback, with
--- a/protocol/peer/capacity_bench_test.go
+++ b/protocol/peer/capacity_bench_test.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"fmt"
 	"net/netip"
@@ -11,6 +9,9 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 var benchRack = state.Rack{Name: "costa-1-r17", AvailabilityZone: "costa-1", Position: 17}
--- a/protocol/peer/fuzz_test.go
+++ b/protocol/peer/fuzz_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"comfreystream/state"
 	"reflect"
 	"testing"
 	"time"
+
+	"comfreystream/state"
 )
 
 // roundTrip decodes text as a message of the type and passes it to use; what
--- a/protocol/peer/jobs.go
+++ b/protocol/peer/jobs.go
@@ -1,11 +1,12 @@
 package peer
 
 import (
-	"comfreystream/state"
 	"context"
 	"net/http"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/peer/manifest.go
+++ b/protocol/peer/manifest.go
@@ -1,11 +1,12 @@
 package peer
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/state"
 	"context"
 	"net/http"
 	"net/netip"
+
+	"comfreystream/coordination/rollout"
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/peer/peer_test.go
+++ b/protocol/peer/peer_test.go
@@ -1,9 +1,6 @@
 package peer
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"io"
 	"net/netip"
@@ -16,6 +13,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/coordination/rollout"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
--- a/protocol/peer/procedure.go
+++ b/protocol/peer/procedure.go
@@ -1,14 +1,15 @@
 package peer
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/http"
 	"net/netip"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // result is the answer of every call: a value or a typed error.
--- a/protocol/peer/service.go
+++ b/protocol/peer/service.go
@@ -1,15 +1,16 @@
 package peer
 
 import (
-	"comfreystream/coordination/rollout"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/coordination/rollout"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // Hold asks the home of a rack for leases for one attempt, all or none.
--- a/protocol/peer/wire_job.go
+++ b/protocol/peer/wire_job.go
@@ -1,9 +1,10 @@
 package peer
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 type wireResources struct {
--- a/protocol/peer/wire_rack.go
+++ b/protocol/peer/wire_rack.go
@@ -1,9 +1,10 @@
 package peer
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/state"
 )
 
 // wireLease carries the time that is left instead of a time of day, since
--- a/protocol/peer/wire_word.go
+++ b/protocol/peer/wire_word.go
@@ -1,10 +1,10 @@
 package peer
 
 import (
-	"comfreystream/state"
-
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // The enumerations on the wire; a value beyond the last is refused.
--- a/protocol/record/claim.go
+++ b/protocol/record/claim.go
@@ -1,10 +1,10 @@
 package record
 
 import (
+	"github.com/pkg/errors"
+
 	"comfreystream/coordination/claim"
 	"comfreystream/state"
-
-	"github.com/pkg/errors"
 )
 
 type claimRecord struct {
--- a/protocol/record/job.go
+++ b/protocol/record/job.go
@@ -1,11 +1,12 @@
 package record
 
 import (
-	"comfreystream/state"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // jobRecord is a job as kept outside the program; keys are never given another meaning.
--- a/protocol/record/outcome.go
+++ b/protocol/record/outcome.go
@@ -1,9 +1,9 @@
 package record
 
 import (
-	"comfreystream/state"
-
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 type outcomeRecord struct {
--- a/protocol/record/segment.go
+++ b/protocol/record/segment.go
@@ -1,11 +1,12 @@
 package record
 
 import (
-	"comfreystream/coordination/ledger"
-	"comfreystream/state"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/ledger"
+	"comfreystream/state"
 )
 
 type segmentRecord struct {
--- a/protocol/record/stored_test.go
+++ b/protocol/record/stored_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
+	"testing"
+	"time"
+
 	"comfreystream/coordination/claim"
 	"comfreystream/coordination/ledger"
 	"comfreystream/state"
-	"testing"
-	"time"
 )
 
 // FuzzStored feeds values of the store to the decoders of claims and segments;
--- a/protocol/store/client.go
+++ b/protocol/store/client.go
@@ -1,13 +1,14 @@
 package store
 
 import (
+	"context"
+	"net/netip"
+	"time"
+
 	"comfreystream/coordination/storage"
 	"comfreystream/protocol/message"
 	"comfreystream/state"
 	"comfreystream/transport"
-	"context"
-	"net/netip"
-	"time"
 )
 
 // Client asks the store at Peer; a failure is a *state.StepError that is
--- a/protocol/store/envelope.go
+++ b/protocol/store/envelope.go
@@ -1,13 +1,14 @@
 package store
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 type envelope struct {
--- a/protocol/store/service.go
+++ b/protocol/store/service.go
@@ -1,15 +1,16 @@
 package store
 
 import (
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/message"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/message"
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/store/store_test.go
+++ b/protocol/store/store_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"bytes"
-	"comfreystream/coordination/storage"
-	"comfreystream/protocol/store"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 	"testing"
@@ -13,7 +9,11 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/storage"
+	"comfreystream/protocol/store"
 	standin "comfreystream/standin/store"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 func TestContract(t *testing.T) {
--- a/protocol/store/wire.go
+++ b/protocol/store/wire.go
@@ -1,8 +1,9 @@
 package store
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/protocol/worker/bench_test.go
+++ b/protocol/worker/bench_test.go
@@ -1,8 +1,6 @@
 package worker
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"fmt"
 	"net/netip"
@@ -12,6 +10,9 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 var benchJob = state.Job{
--- a/protocol/worker/client.go
+++ b/protocol/worker/client.go
@@ -1,12 +1,13 @@
 package worker
 
 import (
+	"context"
+	"net/netip"
+
 	"comfreystream/protocol/message"
 	"comfreystream/protocol/record"
 	"comfreystream/state"
 	"comfreystream/transport"
-	"context"
-	"net/netip"
 )
 
 // Client asks workers; its methods fail with a *state.StepError that is
--- a/protocol/worker/handler.go
+++ b/protocol/worker/handler.go
@@ -1,12 +1,13 @@
 package worker
 
 import (
-	"comfreystream/protocol/message"
-	"comfreystream/protocol/record"
-	"comfreystream/state"
 	"context"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/protocol/message"
+	"comfreystream/protocol/record"
+	"comfreystream/state"
 )
 
 const maxBodyBytes = 4 << 20
--- a/protocol/worker/wire.go
+++ b/protocol/worker/wire.go
@@ -1,10 +1,11 @@
 package worker
 
 import (
-	"comfreystream/protocol/record"
-	"comfreystream/state"
 	"net/netip"
 	"time"
+
+	"comfreystream/protocol/record"
+	"comfreystream/state"
 )
 
 const (
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,10 +1,11 @@
 package settings
 
 import (
-	"comfreystream/protocol/document"
 	"fmt"
 	"net/netip"
 	"time"
+
+	"comfreystream/protocol/document"
 )
 
 const (
--- a/standin/fleet/bench_test.go
+++ b/standin/fleet/bench_test.go
@@ -1,14 +1,15 @@
 package fleet
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // processorTime returns what this process has used so far, user and system.
--- a/standin/fleet/crowd_test.go
+++ b/standin/fleet/crowd_test.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +11,9 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
 )
 
 func TestMain(m *testing.M) {
--- a/standin/fleet/faults_test.go
+++ b/standin/fleet/faults_test.go
@@ -1,9 +1,6 @@
 package fleet
 
 import (
-	"comfreystream/instance"
-	"comfreystream/standin/store"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"net/netip"
@@ -11,6 +8,10 @@
 	"sync"
 	"testing"
 	"time"
+
+	"comfreystream/instance"
+	"comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 var fourZones = Plan{AvailabilityZones: []string{"za", "zb", "zc", "zd"}, EntriesPerZone: 2, WorkersPerZone: 2}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -1,14 +1,6 @@
 package fleet
 
 import (
-	"comfreystream/instance"
-	"comfreystream/logs"
-	"comfreystream/settings"
-	"comfreystream/standin/instancelist"
-	"comfreystream/standin/link"
-	"comfreystream/standin/store"
-	"comfreystream/standin/worker"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +11,15 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"comfreystream/instance"
+	"comfreystream/logs"
+	"comfreystream/settings"
+	"comfreystream/standin/instancelist"
+	"comfreystream/standin/link"
+	"comfreystream/standin/store"
+	"comfreystream/standin/worker"
+	"comfreystream/state"
 )
 
 var (
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -1,9 +1,6 @@
 package fleet
 
 import (
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"io"
 	"os"
@@ -11,6 +8,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 const manifestFile = `{
--- a/standin/fleet/ready.go
+++ b/standin/fleet/ready.go
@@ -1,14 +1,15 @@
 package fleet
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/instance"
-	"comfreystream/protocol/caller"
 	"context"
 	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/instance"
+	"comfreystream/protocol/caller"
 )
 
 const readyPause = 50 * time.Millisecond
--- a/standin/fleet/store_test.go
+++ b/standin/fleet/store_test.go
@@ -1,12 +1,13 @@
 package fleet
 
 import (
-	"comfreystream/standin/store"
-	"comfreystream/state"
 	"context"
 	"strings"
 	"testing"
 	"time"
+
+	"comfreystream/standin/store"
+	"comfreystream/state"
 )
 
 // loseEachSecond loses the answer of every other call about a key, the first included.
--- a/standin/fleet/takeover_bench_test.go
+++ b/standin/fleet/takeover_bench_test.go
@@ -1,13 +1,14 @@
 package fleet
 
 import (
-	"comfreystream/instance"
-	"comfreystream/state"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/instance"
+	"comfreystream/state"
 )
 
 // BenchmarkTakeover kills a zone's planner without a word and reports how long
--- a/standin/instancelist/difference.go
+++ b/standin/instancelist/difference.go
@@ -1,9 +1,10 @@
 package instancelist
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"slices"
+
+	"comfreystream/state"
 )
 
 // difference returns what leads from one list to the other.
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -1,8 +1,6 @@
 package instancelist
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 	"slices"
@@ -12,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	listprotocol "comfreystream/protocol/instancelist"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // List is the instance list; it is safe for several goroutines.
--- a/standin/instancelist/instancelist_test.go
+++ b/standin/instancelist/instancelist_test.go
@@ -1,8 +1,6 @@
 package instancelist
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 	"reflect"
@@ -11,6 +9,8 @@
 	"time"
 
 	listprotocol "comfreystream/protocol/instancelist"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 var (
--- a/standin/platform/main.go
+++ b/standin/platform/main.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"comfreystream/standin/instancelist"
-	"comfreystream/standin/store"
-	"comfreystream/standin/worker"
-	"comfreystream/state"
 	"fmt"
 	"net/netip"
 	"os"
@@ -14,6 +10,11 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+
+	"comfreystream/standin/instancelist"
+	"comfreystream/standin/store"
+	"comfreystream/standin/worker"
+	"comfreystream/state"
 )
 
 type arguments struct {
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -1,11 +1,12 @@
 package store
 
 import (
-	"comfreystream/state"
 	"context"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // Operation is one of the store's calls.
--- a/standin/store/serve.go
+++ b/standin/store/serve.go
@@ -1,10 +1,10 @@
 package store
 
 import (
-	"comfreystream/transport"
 	"net/netip"
 
 	storeprotocol "comfreystream/protocol/store"
+	"comfreystream/transport"
 )
 
 // Served is a stand-in store behind a real port.
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"comfreystream/coordination/storage"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"slices"
@@ -12,6 +10,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/storage"
+	"comfreystream/state"
 )
 
 const maxValueBytes = 1 << 20
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -1,9 +1,10 @@
 package worker
 
 import (
-	"comfreystream/state"
 	"context"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Attach grants a new fencing token; every older one is stale from then on.
--- a/standin/worker/plan.go
+++ b/standin/worker/plan.go
@@ -1,10 +1,11 @@
 package worker
 
 import (
-	"comfreystream/state"
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"comfreystream/state"
 )
 
 const defaultRunTime = 20 * time.Millisecond
--- a/standin/worker/serve.go
+++ b/standin/worker/serve.go
@@ -1,14 +1,14 @@
 package worker
 
 import (
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"net/netip"
 
-	workerprotocol "comfreystream/protocol/worker"
-
 	"github.com/valyala/fasthttp"
+
+	workerprotocol "comfreystream/protocol/worker"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 // Served is a stand-in worker behind a real loopback port.
--- a/standin/worker/task.go
+++ b/standin/worker/task.go
@@ -1,8 +1,9 @@
 package worker
 
 import (
-	"comfreystream/state"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Start runs the members under a held lease; a second start of the same lease changes nothing.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -1,10 +1,11 @@
 package worker
 
 import (
-	"comfreystream/state"
 	"net/netip"
 	"sync"
 	"time"
+
+	"comfreystream/state"
 )
 
 // Worker grants leases and pretends to run tasks; it is safe for several goroutines.
--- a/trial.go
+++ b/trial.go
@@ -2,10 +2,6 @@
 
 import (
 	"bytes"
-	"comfreystream/protocol/caller"
-	"comfreystream/standin/fleet"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +9,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/standin/fleet"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 const trialManifest = `{
--- a/workload/fragmentation.go
+++ b/workload/fragmentation.go
@@ -1,10 +1,11 @@
 package workload
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/instance"
 	"context"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/instance"
 )
 
 // Sample is the fragmentation of a zone at a moment of the run, as the zone's
--- a/workload/job.go
+++ b/workload/job.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"comfreystream/state"
 	"fmt"
 	"time"
+
+	"comfreystream/state"
 )
 
 const (
--- a/workload/report.go
+++ b/workload/report.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
-	"comfreystream/state"
 	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // Report is what a run measured.
--- a/workload/results.go
+++ b/workload/results.go
@@ -1,12 +1,13 @@
 package workload
 
 import (
-	"comfreystream/state"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"comfreystream/state"
 )
 
 const (
--- a/workload/runner.go
+++ b/workload/runner.go
@@ -1,13 +1,14 @@
 package workload
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/protocol/caller"
-	"comfreystream/state"
 	"context"
 	"net/netip"
 	"sync"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/protocol/caller"
+	"comfreystream/state"
 )
 
 const progressEvery = time.Second
--- a/workload/submit.go
+++ b/workload/submit.go
@@ -1,13 +1,14 @@
 package workload
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 const (
--- a/workload/wave.go
+++ b/workload/wave.go
@@ -1,12 +1,13 @@
 package workload
 
 import (
-	"comfreystream/coordination/pause"
-	"comfreystream/state"
 	"context"
 	"fmt"
 	"sync"
 	"time"
+
+	"comfreystream/coordination/pause"
+	"comfreystream/state"
 )
 
 // waveHold is the time between a wave's submission and its cancellation.
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"bytes"
-	"comfreystream/protocol/caller"
-	"comfreystream/standin/fleet"
-	"comfreystream/state"
-	"comfreystream/transport"
 	"context"
 	"encoding/json"
 	"io"
@@ -18,6 +14,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"comfreystream/protocol/caller"
+	"comfreystream/standin/fleet"
+	"comfreystream/state"
+	"comfreystream/transport"
 )
 
 const testManifest = `{"format": 1, "weights": {"completionTime": 0.5, "fragmentation": 0.5},
