--- a/coordination/membership/faults_test.go
+++ b/coordination/membership/faults_test.go
@@ -56,48 +56,48 @@
 	}{
 		{"an entry stops", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.kill(nodes[5])
-			time.Sleep(outOfUse)
+			<-time.After(outOfUse)
 			wantOutOfUse(t, nodes, nodes[5])
 			return without(nodes, nodes[5])
 		}},
 		{"an entry of 32 stops", 32, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.kill(nodes[5])
-			time.Sleep(outOfUse)
+			<-time.After(outOfUse)
 			wantOutOfUse(t, nodes, nodes[5])
 			return without(nodes, nodes[5])
 		}},
 		{"an entry is paused and returns", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			resume := l.pause(nodes[5])
 			defer resume()
-			time.Sleep(outOfUse)
+			<-time.After(outOfUse)
 			wantOutOfUse(t, nodes, nodes[5])
-			time.Sleep(30 * time.Second)
+			<-time.After(30 * time.Second)
 			l.watchZone(nodes[5:6])
 			resume()
 			if nodes[5].Fresh() {
 				t.Error("a paused entry counts as fresh before it hears from its zone")
 			}
-			time.Sleep(meetBound)
+			<-time.After(meetBound)
 			l.wantWholeZone(t, nodes[5:6])
 			return nodes
 		}},
 		{"a zone is cut off and heals", 16, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return (from.zone == "z2") != (to.zone == "z2") })
 			l.watchZone(nodes)
-			time.Sleep(time.Minute)
+			<-time.After(time.Minute)
 			wantMeet(t, inZone(nodes, "z2"))
 			l.setCut(func(_, _ *node) bool { return false })
-			time.Sleep(meetBound)
+			<-time.After(meetBound)
 			l.wantWholeZone(t, nodes)
 			return nodes
 		}},
 		{"30% of the messages are lost", 16, 0.3, func(_ *testing.T, _ *link, nodes []*node) []*node {
-			time.Sleep(time.Minute)
+			<-time.After(time.Minute)
 			return nodes
 		}},
 		{"an entry restarts at the same address", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.kill(nodes[5])
-			time.Sleep(100 * time.Millisecond)
+			<-time.After(100 * time.Millisecond)
 			nodes[5] = l.start(t, 5, nodes[5].zone)
 			return nodes
 		}},
@@ -112,7 +112,7 @@
 		{"an entry of 32 leaves", 32, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			left := time.Now()
 			go func() { _ = nodes[5].Leave(t.Context()) }()
-			time.Sleep(atOnce - time.Since(left))
+			<-time.After(atOnce - time.Since(left))
 			wantOutOfUse(t, nodes, nodes[5])
 			l.kill(nodes[5])
 			return without(nodes, nodes[5])
@@ -121,7 +121,7 @@
 			for i := range nodes {
 				l.kill(nodes[i])
 				nodes[i] = l.start(t, 8+i, nodes[i].zone)
-				time.Sleep(5 * time.Second)
+				<-time.After(5 * time.Second)
 			}
 			return nodes
 		}},
@@ -129,7 +129,7 @@
 			for _, n := range nodes {
 				n.SetAdvert(state.Advert{Generation: 7})
 			}
-			time.Sleep(meetBound)
+			<-time.After(meetBound)
 			for _, n := range nodes {
 				for _, member := range n.LiveIn(n.zone) {
 					if member.Advert.Generation != 7 {
@@ -141,13 +141,13 @@
 		}},
 		{"one way between two entries of a zone is cut", 8, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return from == nodes[1] && to == nodes[5] })
-			time.Sleep(time.Minute)
+			<-time.After(time.Minute)
 			wantMeet(t, nodes)
 			return nodes
 		}},
 		{"one way between two zones is cut", 16, 0, func(t *testing.T, l *link, nodes []*node) []*node {
 			l.setCut(func(from, to *node) bool { return from.zone == "z1" && to.zone == "z3" })
-			time.Sleep(time.Minute)
+			<-time.After(time.Minute)
 			wantMeet(t, nodes)
 			return nodes
 		}},
@@ -157,7 +157,7 @@
 				l.kill(gone)
 				left = without(left, gone)
 			}
-			time.Sleep(outOfUse)
+			<-time.After(outOfUse)
 			for _, n := range inZone(left, "z0") {
 				if live := len(n.LiveIn("z0")); live != 4 {
 					t.Errorf("entry %d has %d live members in its zone, want 4", n.index, live)
@@ -175,7 +175,7 @@
 				l.setLoss(tt.loss)
 				left := tt.fault(t, l, nodes)
 				l.setLoss(0)
-				time.Sleep(meetBound)
+				<-time.After(meetBound)
 				wantMeet(t, left)
 				for _, n := range left {
 					if !n.Fresh() {
--- a/coordination/membership/link_test.go
+++ b/coordination/membership/link_test.go
@@ -202,7 +202,7 @@
 	for i := range nodes {
 		nodes[i] = l.start(t, i, fmt.Sprint("z", i%4))
 	}
-	time.Sleep(joinBound)
+	<-time.After(joinBound)
 	wantMeet(t, nodes)
 	return nodes
 }
