Hold renewals open for 4 s, and confirm whole gangs at once

They could not be held open for longer, since the word that a gang runs whole travelled with the next renewal and had to come before its leases end (8 s). Change: that word goes in a renewal of its own, and what a lost renewal said is said again. Reads of the instance list are held for 4 s, below the time after which a connection counts as silent, since the platform sends no heartbeats.

--- a/coordination/lease/keeper.go
+++ b/coordination/lease/keeper.go
@@ -14,7 +14,7 @@
 	// it outlasts the loss of every entry of a zone and their replacement.
 	confirmedTTL = 20 * time.Second
 	// renewWait is how long a worker holds back its answer to a renewal.
-	renewWait = 2 * time.Second
+	renewWait = 4 * time.Second
 	// callTimeout bounds each call to a worker, less what the worker may wait.
 	callTimeout = time.Second
 	// holdTimeout bounds one request for a lease; it is below what the gang waits
--- a/coordination/lease/report.go
+++ b/coordination/lease/report.go
@@ -123,8 +123,11 @@
 		delete(r.settled, attempt)
 	}
 	for _, w := range r.workers {
-		w.confirm = appendKnown(w.confirm, reply.Whole, w)
+		w.confirm = appendRunning(w.confirm, reply.Whole, w)
 		w.forget = appendKnown(w.forget, reply.Forget, w)
+		if len(w.confirm) > 0 && w.listed {
+			r.loops.Go(func() { r.confirm(w) })
+		}
 	}
 	r.mu.Unlock()
 	for _, attempt := range reply.Stop {
@@ -132,6 +135,14 @@
 	}
 }
 
+// confirm tells a worker at once which gangs run whole: its renewal may wait
+// for longer than their leases last. What gets lost goes with the next renewal.
+func (r *rack) confirm(w *worker) {
+	if err := r.exchange(r.ctx, w, 0); err != nil {
+		r.keeper.Count(state.ReasonOf(err, state.WorkerSilent))
+	}
+}
+
 func (r *rack) stopHolders(attempt state.JobAttempt) {
 	for _, address := range r.holders(attempt) {
 		if _, err := r.stopOn(r.ctx, address, attempt); err != nil {
@@ -148,3 +159,14 @@
 	}
 	return list
 }
+
+// appendRunning adds the attempts that run on the worker; those that have ended
+// need no confirmation.
+func appendRunning(list, attempts []state.JobAttempt, w *worker) []state.JobAttempt {
+	for _, attempt := range attempts {
+		if t, found := w.tasks[attempt]; found && t.Phase < state.TaskDone {
+			list = append(list, attempt)
+		}
+	}
+	return list
+}
--- a/coordination/lease/tend.go
+++ b/coordination/lease/tend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"comfreystream/coordination/pause"
 	"comfreystream/state"
@@ -41,42 +42,67 @@
 	return nil
 }
 
+// renew extends the worker's leases and waits a while for changes.
 func (r *rack) renew(ctx context.Context, w *worker) error {
-	request := r.renewRequest(w)
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+callTimeout)
+	wait := renewWait
+	r.mu.Lock()
+	if !w.listed {
+		wait = 0
+	}
+	r.mu.Unlock()
+	return r.exchange(ctx, w, wait)
+}
+
+// exchange sends one renewal with what is to be confirmed and forgotten, and
+// takes the reply in; several may be under way on one worker.
+func (r *rack) exchange(ctx context.Context, w *worker, wait time.Duration) error {
+	request := r.takeRequest(w, wait)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	reply, err := r.keeper.Workers.Renew(ctx, w.address, request)
 	if err != nil {
+		r.giveBack(w, request)
 		return err
 	}
 	r.takeIn(w, request, reply)
 	return nil
 }
 
-func (r *rack) renewRequest(w *worker) state.RenewRequest {
+func (r *rack) takeRequest(w *worker, wait time.Duration) state.RenewRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	request := state.RenewRequest{
-		Token: w.token, TTL: confirmedTTL, Since: w.version, Wait: renewWait,
+		Token: w.token, TTL: confirmedTTL, Since: w.version, Wait: wait,
 		Confirm: w.confirm, Forget: w.forget,
 	}
-	if !w.listed {
-		request.Wait = 0
-	}
+	w.confirm, w.forget = nil, nil
 	return request
 }
 
+// giveBack has what a lost renewal said said again.
+func (r *rack) giveBack(w *worker, request state.RenewRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.confirm = append(w.confirm, request.Confirm...)
+	w.forget = append(w.forget, request.Forget...)
+}
+
+// takeIn notes the tasks of a reply, unless the worker is to be listed anew, or a
+// newer reply came before it: that
+// one told of the same changes and of later ones.
 func (r *rack) takeIn(w *worker, request state.RenewRequest, reply state.RenewReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	partial := !w.listed && request.Since != 0
+	if partial || w.token != request.Token || w.listed && reply.Version < w.version {
+		return
+	}
 	if !w.listed {
 		clear(w.tasks)
 		w.changed = true
 	}
 	w.listed, w.lost = true, false
 	w.version = reply.Version
-	w.confirm = w.confirm[len(request.Confirm):]
-	w.forget = w.forget[len(request.Forget):]
 	for _, attempt := range request.Forget {
 		delete(w.tasks, attempt)
 	}
--- a/instance/listing.go
+++ b/instance/listing.go
@@ -13,7 +13,7 @@
 
 const (
 	// listWait is how long the platform may hold back its answer until the list changes.
-	listWait = 10 * time.Second
+	listWait = 4 * time.Second
 	// listPause is the least time between two reads, and after one that failed.
 	listPause   = time.Second
 	listTimeout = listWait + 2*time.Second
