--- a/coordination/gang/fake_test.go
+++ b/coordination/gang/fake_test.go
@@ -62,8 +62,8 @@
 	answerLost
 	// late loses the answer and delivers the request again after the stop.
 	late
-	// pause is a starter that goes on only after pauseTime.
-	pause
+	// paused is a starter that goes on only after pauseTime.
+	paused
 	// death is the end of the starter: this message and all later ones are lost.
 	death
 )
@@ -101,7 +101,7 @@
 	z.count++
 	f := z.fault(m, z.count)
 	z.mu.Unlock()
-	if f == pause {
+	if f == paused {
 		<-time.After(pauseTime)
 	}
 	z.mu.Lock()
--- a/coordination/gang/starter_test.go
+++ b/coordination/gang/starter_test.go
@@ -128,7 +128,7 @@
 	for at := 1; at <= holdsAndStarts; at++ {
 		t.Run(fmt.Sprint("before message ", at), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				z := newFakeZone(func(_ message, count int) fault { return map[int]fault{at: pause}[count] })
+				z := newFakeZone(func(_ message, count int) fault { return map[int]fault{at: paused}[count] })
 				aborted := make(chan state.Ran, 1)
 				go func() {
 					<-time.After(pauseTime / 2)
--- a/coordination/gang/stop.go
+++ b/coordination/gang/stop.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 )
 
@@ -28,11 +28,12 @@
 
 // stop asks one rack until it answers, at most stopTries times.
 func (s *Starter) stop(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (neverStarted bool, err error) {
-	pause := stopPause
+	between := stopPause
 	for try := range stopTries {
 		if try > 0 {
-			wait(pause)
-			pause *= 2
+			// A stop is seen through although its caller has given up.
+			pause.For(context.WithoutCancel(ctx), between)
+			between *= 2
 		}
 		neverStarted, err = s.stopOnce(ctx, rack, job, attempt)
 		if err == nil {
@@ -48,11 +49,6 @@
 	return s.Stop(bounded, rack, job, attempt)
 }
 
-func wait(pause time.Duration) {
-	timer := time.NewTimer(pause)
-	<-timer.C
-}
-
 func inParallel(racks []string, act func(rack string)) {
 	var all sync.WaitGroup
 	for _, rack := range racks {
--- a/coordination/membership/members.go
+++ b/coordination/membership/members.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 )
 
@@ -61,12 +62,8 @@
 
 // Run takes a step in each period until the context is done.
 func (m *Members) Run(ctx context.Context) {
-	first := time.NewTimer(m.dice.duration(tickPeriod))
-	defer first.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, m.dice.duration(tickPeriod)) {
 		return
-	case <-first.C:
 	}
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
--- a/coordination/rollout/await.go
+++ b/coordination/rollout/await.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 )
 
@@ -39,7 +40,7 @@
 		if progress.Complete() || ctx.Err() != nil {
 			return progress
 		}
-		pause(ctx, awaitInterval)
+		pause.For(ctx, awaitInterval)
 	}
 }
 
--- a/coordination/rollout/run.go
+++ b/coordination/rollout/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/coordination/storage"
 	"comfreystream/state"
 )
@@ -86,7 +87,7 @@
 	for attempt := 0; ctx.Err() == nil; {
 		if !isRelay() {
 			after = 0
-			pause(ctx, roleCheck)
+			pause.For(ctx, roleCheck)
 			continue
 		}
 		latest, err := r.watchOnce(ctx, after)
@@ -168,7 +169,7 @@
 			return
 		case <-r.heard:
 		}
-		pause(ctx, pullDelay+time.Duration(r.Storage.Random()*float64(pullDelay)))
+		pause.For(ctx, pullDelay+time.Duration(r.Storage.Random()*float64(pullDelay)))
 		for peer, have := range r.takeBehind() {
 			if !r.Behind(have.Generation, have.Digest) {
 				continue
@@ -212,12 +213,3 @@
 	r.behind = make(map[netip.AddrPort]Have)
 	return behind
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/storage/backoff.go
+++ b/coordination/storage/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"comfreystream/coordination/pause"
 )
 
 const (
@@ -19,14 +21,7 @@
 		delay = min(firstDelay<<attempt, maxDelay)
 	}
 	delay -= time.Duration(s.Random() * float64(delay) / 2)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
+	return pause.For(ctx, delay)
 }
 
 func randomPart() float64 { return rand.Float64() }
