Report each 2 s while an ended gang is not forgotten

A rack on which a gang had ended counted as quiet, so its workers kept the record for up to 30 s. The rows count the reports of a minute: 25 to 40 while a gang is unsettled, 1 to 3 once all are whole, one full report when a planner announces itself.

--- a/coordination/lease/keeper_test.go
+++ b/coordination/lease/keeper_test.go
@@ -30,6 +30,7 @@
 	// loseReplies takes that many reports in and loses the replies.
 	loseReplies int
 	full        int
+	reports     int
 	tasks       map[state.JobAttempt]state.TaskPhase
 	listed      bool
 }
@@ -37,6 +38,7 @@
 func (p *planner) report(_ context.Context, report state.RackReport) (reply state.ReportReply, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.reports++
 	if report.Full {
 		p.full++
 	}
@@ -126,6 +128,11 @@
 		{"whole gang is renewed beyond its first lease", planner{whole: true}, "1h", nil, time.Minute, state.TaskRunning, false},
 		{"task's end is reported at once", planner{whole: true}, "2s", nil, 2*time.Second + 50*time.Millisecond, state.TaskDone, false},
 		{"forgotten once the planner says so", planner{whole: true, forget: true}, "1s", nil, 10 * time.Second, state.TaskDone, true},
+		{"told later, forgotten with the next report", planner{whole: true}, "1s", func(_ *lease.Keeper, _ *standin.Worker, p *planner) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.forget = true
+		}, 7 * time.Second, state.TaskDone, true},
 		{"lost replies are made up for by a full report", planner{whole: true, loseReplies: 3}, "1h", nil, time.Minute, state.TaskRunning, false},
 		{"worker silent for good stops by expiry", planner{whole: true}, "1h", func(_ *lease.Keeper, w *standin.Worker, _ *planner) {
 			w.Set(standin.Faults{Silent: true})
@@ -187,3 +194,48 @@
 		_ = w.Close()
 	})
 }
+
+// TestReports counts the reports of a minute on a rack with one running gang.
+func TestReports(t *testing.T) {
+	tests := []struct {
+		name     string
+		whole    bool
+		announce bool
+		least    int
+		most     int
+		full     int
+	}{
+		{"gang is not settled", false, false, 25, 40, 0},
+		{"every gang is whole", true, false, 1, 3, 0},
+		{"a planner begins anew", true, true, 2, 4, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := standin.New(state.Worker{Address: workerAddress, Rack: rackOne, Capacity: capacity})
+				p := &planner{tasks: map[state.JobAttempt]state.TaskPhase{}, whole: true}
+				k := newKeeper(w, p, "127.0.0.1:1")
+				<-time.After(time.Second)
+				startJob(t, k, "1h")
+				<-time.After(10 * time.Second)
+				p.mu.Lock()
+				p.whole, p.reports, p.full = tt.whole, 0, 0
+				p.mu.Unlock()
+				if tt.announce {
+					k.Announce()
+				}
+				if !tt.whole {
+					k.Announce()
+				}
+				<-time.After(time.Minute)
+				p.mu.Lock()
+				if p.reports < tt.least || p.reports > tt.most || tt.whole && p.full != tt.full {
+					t.Errorf("%d reports, %d of them full; want %d to %d, %d full", p.reports, p.full, tt.least, tt.most, tt.full)
+				}
+				p.mu.Unlock()
+				_ = k.Close()
+				_ = w.Close()
+			})
+		})
+	}
+}
--- a/coordination/lease/report.go
+++ b/coordination/lease/report.go
@@ -29,14 +29,14 @@
 	}
 }
 
-// interval returns the time to the next report: a rack on which the planner has
-// called every gang whole has nothing to hear.
+// interval returns the time to the next report: a rack on which every gang runs
+// and was called whole by the planner has nothing to hear.
 func (r *rack) interval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range r.workers {
-		for attempt := range w.tasks {
-			if !r.settled[attempt] {
+		for attempt, t := range w.tasks {
+			if !r.settled[attempt] || t.Phase >= state.TaskDone {
 				return reportInterval
 			}
 		}
