Refuse empty addresses and port 0 in settings, found by a fuzz target

The new target found within a second that an empty address passed the check and gave an entry without a store.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,12 +101,12 @@
 // addressOf reads an IP number and a port; a name would need a resolver, which
 // an instance must not depend on.
 func addressOf(n document.Node) netip.AddrPort {
-	text := n.Text()
-	if text == "" {
+	if !n.Exists() {
 		return netip.AddrPort{}
 	}
+	text := n.Text()
 	address, err := netip.ParseAddrPort(text)
-	if err != nil {
+	if err != nil || address.Port() == 0 {
 		n.Refuse(fmt.Sprintf("%q is not an address", text), `write an IP number and a port, as in "10.2.0.7:7070"`)
 	}
 	return address
