Keep the words for urgency and adjacency in one place

The manifest, the callers' interface and the submit verb each had their own copy of the same words in the same order. They stand beside the types now.

--- a/cmd_submit.go
+++ b/cmd_submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,8 +67,10 @@
 func (a *submitArguments) job() *state.Job {
 	job := &state.Job{
 		Organisation: a.Organisation, Kind: a.Kind, Members: a.Members,
-		Shape:     state.Resources{Slots: a.Slots, Accelerators: a.Accelerators, Cores: a.Cores, MemoryBytes: a.MemoryBytes},
-		Adjacency: adjacencies[a.Adjacency], Urgency: urgencies[a.Urgency],
+		Shape: state.Resources{Slots: a.Slots, Accelerators: a.Accelerators, Cores: a.Cores, MemoryBytes: a.MemoryBytes},
+		// The flags' enums allow these words alone.
+		Adjacency:  state.Adjacency(slices.Index(state.AdjacencyWords, a.Adjacency)),
+		Urgency:    state.Urgency(slices.Index(state.UrgencyWords, a.Urgency)),
 		Idempotent: a.Key == "", Key: a.Key, Checkpointable: a.Checkpointable,
 		DeclaredRunTime: a.RunTime, Payload: []byte(a.Payload),
 	}
@@ -80,15 +83,6 @@
 	return job
 }
 
-var (
-	adjacencies = map[string]state.Adjacency{
-		"anyRack": state.AnyRack, "adjacentRacks": state.AdjacentRacks, "sameRack": state.SameRack,
-	}
-	urgencies = map[string]state.Urgency{
-		"overnight": state.Overnight, "normal": state.Normal, "urgent": state.Urgent,
-	}
-)
-
 // printOutcome prints the answer of a job that ran; anything else is an error.
 func printOutcome(out output, progress state.Progress) error {
 	outcome := progress.Outcome
--- a/protocol/caller/client.go
+++ b/protocol/caller/client.go
@@ -212,7 +212,7 @@
 	body := submissionBody{
 		Organisation: job.Organisation, Kind: job.Kind, AvailabilityZone: job.ID.AvailabilityZone(),
 		Members: job.Members, Shape: resourcesBody(job.Shape),
-		Adjacency: adjacencyWords[job.Adjacency], Urgency: urgencyWords[job.Urgency],
+		Adjacency: state.AdjacencyWords[job.Adjacency], Urgency: state.UrgencyWords[job.Urgency],
 		DeclaredRunTime: duration(job.DeclaredRunTime), Idempotent: job.Idempotent, Key: job.Key,
 		Checkpointable: job.Checkpointable, Payload: job.Payload, Wait: &wait,
 	}
--- a/protocol/caller/submission.go
+++ b/protocol/caller/submission.go
@@ -10,12 +10,6 @@
 	"comfreystream/state"
 )
 
-// The words for the ordered classes, by their values.
-var (
-	urgencyWords   = []string{"overnight", "normal", "urgent"}
-	adjacencyWords = []string{"anyRack", "adjacentRacks", "sameRack"}
-)
-
 // Bounds of one submission.
 const (
 	maxMembers   = 4096
@@ -56,11 +50,11 @@
 func (b *submissionBody) waits() bool { return b.Wait == nil || *b.Wait }
 
 func (b *submissionBody) job(now time.Time) (state.Job, error) {
-	adjacency, err := indexOf("adjacency", adjacencyWords, b.Adjacency, int(state.AnyRack))
+	adjacency, err := indexOf("adjacency", state.AdjacencyWords, b.Adjacency, int(state.AnyRack))
 	if err != nil {
 		return state.Job{}, err
 	}
-	urgency, err := indexOf("urgency", urgencyWords, b.Urgency, int(state.Normal))
+	urgency, err := indexOf("urgency", state.UrgencyWords, b.Urgency, int(state.Normal))
 	if err != nil {
 		return state.Job{}, err
 	}
--- a/protocol/manifest/decode.go
+++ b/protocol/manifest/decode.go
@@ -20,8 +20,6 @@
 	weightTolerance = 1e-9
 )
 
-var adjacencyWords = []string{"anyRack", "adjacentRacks", "sameRack"}
-
 // Decode reads a manifest; name is the file's name for messages. A refused
 // file is a *document.Error with the place and remedy of each problem.
 // Whether the guarantees fit the zones is not checked here.
@@ -103,7 +101,7 @@
 		AvailabilityZone: o.Require("availabilityZone").Name(),
 		Members:          int(o.Require("members").Integer(1, maxCount)),
 		Shape:            decodeResources(shape),
-		Adjacency:        state.Adjacency(o.Get("adjacency").Choice(adjacencyWords...)),
+		Adjacency:        state.Adjacency(o.Get("adjacency").Choice(state.AdjacencyWords...)),
 	}
 	if guarantee.Shape == (state.Resources{}) {
 		shape.Refuse("asks for nothing", "give slots, accelerators, cores or memoryBytes")
--- a/protocol/manifest/encode.go
+++ b/protocol/manifest/encode.go
@@ -72,7 +72,7 @@
 			AvailabilityZone: g.AvailabilityZone,
 			Members:          g.Members,
 			Shape:            resourcesFile(g.Shape),
-			Adjacency:        adjacencyWords[g.Adjacency],
+			Adjacency:        state.AdjacencyWords[g.Adjacency],
 		})
 	}
 	return file
--- a/state/job.go
+++ b/state/job.go
@@ -36,6 +36,9 @@
 	Urgent
 )
 
+// UrgencyWords are the classes' names in files and messages, by their values.
+var UrgencyWords = []string{"overnight", "normal", "urgent"}
+
 // Adjacency says how close together the members of a gang must run.
 type Adjacency uint8
 
@@ -46,6 +49,9 @@
 	SameRack
 )
 
+// AdjacencyWords are the rules' names in files and messages, by their values.
+var AdjacencyWords = []string{"anyRack", "adjacentRacks", "sameRack"}
+
 // Job is one request to run a gang of equal members; a small job has one member.
 type Job struct {
 	ID           JobID
