--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -68,7 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.verdict = &outcome
-	return state.NewStepError("claim "+r.job.Key, r.none(), outcome.Reason, nil)
+	return stepError("claim "+r.job.Key, outcome.Reason)
 }
 
 // release gives a claim free, also one whose write is in doubt, if its job was
--- a/coordination/dispatch/find.go
+++ b/coordination/dispatch/find.go
@@ -32,7 +32,7 @@
 }
 
 func (d *Dispatcher) notFound(step string, job state.JobID, reason state.Reason) error {
-	return state.NewStepError(step+" "+string(job), d.noPeer(), reason, nil)
+	return stepError(step+" "+string(job), reason)
 }
 
 // reloadSince returns once the saved jobs were read in a read that began after
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -76,11 +76,9 @@
 }
 
 func (d *Dispatcher) moved(step string) error {
-	return state.NewStepError(step, d.noPeer(), state.HomeMoved, nil)
+	return stepError(step, state.HomeMoved)
 }
 
-func (d *Dispatcher) noPeer() netip.AddrPort { return netip.AddrPort{} }
-
 func (r *record) markCancelled() (attempt state.Attempt, first bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,14 +99,6 @@
 	return state.Progress{Done: !r.ended.IsZero(), Phase: r.lifecycle.Phase(), Outcome: r.outcome}
 }
 
-// JobIDs lists the jobs that the planner knows, ended ones included.
-func (d *Dispatcher) JobIDs() (ids []state.JobID) {
-	for _, r := range d.records.Values() {
-		ids = append(ids, r.job.ID)
-	}
-	return ids
-}
-
 // Members lists the workers of the rack on which the attempt was placed; it is
 // empty for an attempt that this planner did not place, which may be on any.
 func (d *Dispatcher) Members(attempt state.JobAttempt, rack string) (workers []netip.AddrPort) {
--- a/coordination/dispatch/record.go
+++ b/coordination/dispatch/record.go
@@ -47,11 +47,9 @@
 	saved bool
 	// settled is set once the outcome is recorded where it must last.
 	settled bool
-	// anomalies counts events that the lifecycle rejected.
-	anomalies int
-	ended     time.Time
-	outcome   state.Outcome
-	done      chan struct{}
+	ended   time.Time
+	outcome state.Outcome
+	done    chan struct{}
 }
 
 func newRecord(job *state.Job) *record {
@@ -70,7 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cancelled || !r.ended.IsZero() {
-		return state.NewStepError("begin "+string(r.job.ID), r.none(), state.Cancelled, nil)
+		return stepError("begin "+string(r.job.ID), state.Cancelled)
 	}
 	if err := r.lifecycle.Apply(state.HoldSent); err != nil {
 		return err
@@ -91,8 +89,6 @@
 	return r.job
 }
 
-func (r *record) none() netip.AddrPort { return netip.AddrPort{} }
-
 // take notes a worker's part of the current attempt and says what follows from it.
 func (r *record) take(t state.Task) partEffect {
 	r.mu.Lock()
--- a/coordination/dispatch/seat.go
+++ b/coordination/dispatch/seat.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"net/netip"
 	"sync"
 
 	"comfreystream/state"
@@ -41,7 +40,7 @@
 func (s *Seat) Current() (*Dispatcher, error) {
 	d := s.peek()
 	if d == nil {
-		return nil, state.NewStepError("find planner", netip.AddrPort{}, state.HomeMoved, nil)
+		return nil, stepError("find planner", state.HomeMoved)
 	}
 	return d, nil
 }
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -111,10 +111,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cancelled {
-		return state.NewStepError("commit "+string(r.job.ID), r.none(), state.Cancelled, nil)
+		return stepError("commit "+string(r.job.ID), state.Cancelled)
 	}
 	if r.stopReason != "" || r.attempt != attempt {
-		return state.NewStepError("commit "+string(r.job.ID), r.none(), r.stopReason, nil)
+		return stepError("commit "+string(r.job.ID), r.stopReason)
 	}
 	r.resumed, r.frozen = r.frozen, false
 	r.refused = nil
--- a/coordination/dispatch/submit.go
+++ b/coordination/dispatch/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"comfreystream/coordination/admission"
@@ -28,7 +29,7 @@
 	}
 	if d.records.Len() >= maxRecords {
 		d.Count(state.QueueFull)
-		return state.NewStepError("submit", d.noPeer(), state.QueueFull, nil)
+		return stepError("submit", state.QueueFull)
 	}
 	r := newRecord(&job)
 	if again {
@@ -60,7 +61,7 @@
 		return nil
 	}
 	if reason := d.admit(&job); reason != "" {
-		return state.NewStepError("accept", d.noPeer(), reason, nil)
+		return stepError("accept", reason)
 	}
 	if err := d.Ledger.Save(ctx, &job); err != nil {
 		d.Count(state.NotDurable)
@@ -159,7 +160,7 @@
 	case <-d.ctx.Done():
 		return d.moved("load")
 	case <-ctx.Done():
-		return state.NewStepError("load", d.noPeer(), state.NotDurable, ctx.Err())
+		return state.NewStepError("load", netip.AddrPort{}, state.NotDurable, ctx.Err())
 	}
 }
 
--- a/coordination/dispatch/sweep.go
+++ b/coordination/dispatch/sweep.go
@@ -50,9 +50,7 @@
 // apply moves the lifecycle on; the caller has the lock. An event that cannot
 // happen leaves it as it is, which keeps "not run" from being said.
 func (r *record) apply(event state.LifecycleEvent) {
-	if err := r.lifecycle.Apply(event); err != nil {
-		r.anomalies++
-	}
+	_ = r.lifecycle.Apply(event)
 }
 
 func (r *record) name(attempt state.Attempt) state.JobAttempt {
--- a/coordination/ownership/role.go
+++ b/coordination/ownership/role.go
@@ -19,9 +19,3 @@
 func Relay(availabilityZone string, members []state.Member) (state.Member, bool) {
 	return Home("relay:"+availabilityZone, members)
 }
-
-// RankPlanners sorts the live members of the zone in place by their turn as
-// the zone's planner and returns them.
-func RankPlanners(availabilityZone string, members []state.Member) []state.Member {
-	return Rank("zone:"+availabilityZone, members)
-}
--- a/instance/manifest.go
+++ b/instance/manifest.go
@@ -75,18 +75,18 @@
 }
 
 // zonePeers returns the other live entries of the zone.
-func (i *Instance) zonePeers() (peers []netip.AddrPort) {
-	for _, m := range i.members.LiveIn(i.settings.AvailabilityZone) {
-		if m.Address != i.Address() {
-			peers = append(peers, m.Address)
-		}
-	}
-	return peers
+func (i *Instance) zonePeers() []netip.AddrPort {
+	return i.othersOf(i.members.LiveIn(i.settings.AvailabilityZone))
 }
 
 // otherMembers returns all the live entries but this one.
-func (i *Instance) otherMembers() (others []netip.AddrPort) {
-	for _, m := range i.members.Live() {
+func (i *Instance) otherMembers() []netip.AddrPort {
+	return i.othersOf(i.members.Live())
+}
+
+// othersOf returns the addresses of the members but for this entry's own.
+func (i *Instance) othersOf(members []state.Member) (others []netip.AddrPort) {
+	for _, m := range members {
 		if m.Address != i.Address() {
 			others = append(others, m.Address)
 		}
