Let no part fall between a whole gang and its record

Cause: while one report made an adopted gang whole, another one's part of it went into the adoption that was already taken over, or began a second one; an end that was told so was lost, and the job counted as running for good. Change: parts are added, and the record is made known, under one lock; a part that comes later goes to the record, and the flag that had dropped it is gone.

--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -19,28 +19,47 @@
 	job   state.Job
 	parts map[netip.AddrPort]state.Task
 	racks map[netip.AddrPort]string
-	// taken is set once the gang was found whole.
-	taken bool
+	// record is the job's, once the gang is whole; it is registered unless the
+	// job was queued meanwhile.
+	record     *record
+	registered bool
 }
 
 // adopt notes a part of an unknown job; once all its parts are there and none
-// has failed, the job is taken over as running or ended.
-func (d *Dispatcher) adopt(rack string, t state.Task) {
+// has failed, the job is taken over as running or ended. It returns the job's
+// record if it was taken over meanwhile, by the report of another rack: the task
+// is a part of that one then.
+func (d *Dispatcher) adopt(rack string, t state.Task) (known *record) {
 	attempt := state.JobAttempt{Job: t.Lease.Job, Attempt: t.Lease.Attempt}
-	var a *adoption
-	d.adopting.Update(attempt, func(known *adoption, found bool) (*adoption, bool) {
-		if !found {
-			known = newAdoption(attempt, t.Job, d.Now())
-		}
-		a = known
-		return known, true
-	})
-	if !a.add(rack, t) {
-		return
+	known, a := d.collect(rack, t, attempt)
+	if a == nil {
+		return known
 	}
 	d.takeOver(a, attempt)
-	// Only now may the recovery end: whoever asks for the job then finds it.
+	return nil
+}
+
+// collect adds a part under the lock of all adoptions, so that no part falls
+// between a gang that has just been found whole and its record. It returns the
+// record that is known, or the adoption that this part made whole.
+func (d *Dispatcher) collect(rack string, t state.Task, attempt state.JobAttempt) (known *record, whole *adoption) {
+	d.adoptions.Lock()
+	defer d.adoptions.Unlock()
+	if known, found := d.records.Get(attempt.Job); found {
+		return known, nil
+	}
+	a, found := d.adopting.Get(attempt)
+	if !found {
+		a = newAdoption(attempt, t.Job, d.Now())
+		d.adopting.Put(attempt, a)
+	}
+	if !a.add(rack, t) {
+		return nil, nil
+	}
+	a.record = newAdopted(a, attempt, d.Now())
+	a.registered = d.records.PutNew(attempt.Job, a.record)
 	d.adopting.Delete(attempt)
+	return nil, a
 }
 
 func newAdoption(name state.JobAttempt, job state.Job, now time.Time) *adoption {
@@ -63,9 +82,7 @@
 		}
 		members += part.Lease.Members
 	}
-	whole := members == a.job.Members && !a.taken
-	a.taken = a.taken || whole
-	return whole
+	return members == a.job.Members
 }
 
 // copyParts returns the parts apart from the adoption, which a report that is
@@ -85,27 +102,33 @@
 	return placements
 }
 
-// takeOver makes an adopted gang a running job of this planner.
-func (d *Dispatcher) takeOver(a *adoption, attempt state.JobAttempt) {
-	placements := a.placements()
+// newAdopted returns the record of an adopted gang; it counts as whole only
+// once the planner knows of its places.
+func newAdopted(a *adoption, attempt state.JobAttempt, now time.Time) *record {
 	r := newRecord(&a.job)
 	r.attempt = attempt.Attempt
 	r.base = attempt.Attempt - 1
 	r.claimed = !a.job.Idempotent
-	r.placements = placements
+	r.placements = a.placements()
 	r.parts = a.copyParts()
-	r.begun = d.Now()
+	r.begun = now
 	r.adopted = true
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
-	if !d.records.PutNew(a.job.ID, r) {
+	return r
+}
+
+// takeOver makes an adopted gang a running job of this planner.
+func (d *Dispatcher) takeOver(a *adoption, attempt state.JobAttempt) {
+	r := a.record
+	if !a.registered {
 		// The job was queued meanwhile: it is not to run beside itself.
-		d.tellRacks(placements, func(o *outbox) { o.stop = append(o.stop, attempt) })
+		d.tellRacks(r.placements, func(o *outbox) { o.stop = append(o.stop, attempt) })
 		return
 	}
 	d.Event("jobAdopted", a.job.ID, "")
-	d.Planner.Restore(a.job, attempt.Attempt, placements, r.begun)
-	d.tellRacks(placements, func(o *outbox) { o.whole = append(o.whole, attempt) })
+	d.Planner.Restore(a.job, attempt.Attempt, r.placements, r.begun)
+	d.tellRacks(r.placements, func(o *outbox) { o.whole = append(o.whole, attempt) })
 	d.followAdopted(r, attempt.Attempt)
 }
 
@@ -129,7 +152,10 @@
 		if d.Now().Sub(a.since) < adoptionGrace {
 			continue
 		}
-		if _, dropped := d.adopting.Delete(a.name); !dropped {
+		d.adoptions.Lock()
+		_, dropped := d.adopting.Delete(a.name)
+		d.adoptions.Unlock()
+		if !dropped {
 			continue
 		}
 		d.Event("gangIncomplete", a.name.Job, state.WorkerLost)
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -68,6 +68,8 @@
 	racks    *state.Table[string, *outbox]
 	workers  *state.Table[netip.AddrPort, bool]
 	adopting *state.Table[state.JobAttempt, *adoption]
+	// adoptions is held while a part is added to an adoption.
+	adoptions sync.Mutex
 
 	waits waits
 	began time.Time
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -85,8 +85,9 @@
 			reply.Resend = true
 			return
 		}
-		d.adopt(rack, t)
-		return
+		if r = d.adopt(rack, t); r == nil {
+			return
+		}
 	}
 	effect := r.take(t)
 	if effect == partStale {
