Run the whole path on the platform, thin

Cause: the product spoke its own protocols only. platform/ decodes the platform's settings, store, workers, configuration and callers' jobs; a new model of a job with steps (state/workflow) is accepted into the store (archive), planned by the holder of the seat (seat, scheduling), and answered by every entry (intake, policy). The host verb wires them.

--- /dev/null
+++ b/cmd_host.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"comfreystream/instance/hosted"
+	"comfreystream/logs"
+	"comfreystream/platform"
+)
+
+// logLines bounds the lines that wait for a slow reader; further ones are
+// dropped and counted on the log itself.
+const logLines = 4096
+
+var hostCommand = command{
+	name:    "host",
+	help:    "Run one entry instance on the hosting platform until it is told to stop.",
+	grammar: func(out output) any { return &hostArguments{out: out} },
+}
+
+type hostArguments struct {
+	out      output
+	Settings string `help:"Settings file of the platform." placeholder:"FILE" type:"path"`
+	LogLevel string `help:"Least level that is logged: debug, info, warn or error." default:"info"`
+}
+
+// Run starts the entry, takes over changed settings on SIGHUP, and drains it
+// on SIGTERM.
+func (a *hostArguments) Run() error {
+	level, err := logs.ParseLevel(a.LogLevel)
+	if err != nil {
+		return &usageError{err}
+	}
+	file := a.Settings
+	if file == "" {
+		file = platform.SettingsFile()
+	}
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		return &usageError{err}
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	out := diode.NewWriter(a.out.results, logLines, 0, nil)
+	defer func() { _ = out.Close() }()
+	log := logs.New(out, level)
+	i, err := hosted.Start(s, log)
+	if err != nil {
+		return err
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		reload(i, file, log)
+	}
+	return errors.Wrap(i.Close(), "stop")
+}
+
+// reload keeps the settings in force if the file can't be read.
+func reload(i *hosted.Instance, file string, log zerolog.Logger) {
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		log.Error().Str("event", "settingsNotReloaded").Err(err).Send()
+		return
+	}
+	i.Reload(s)
+}
--- a/commands.go
+++ b/commands.go
@@ -23,6 +23,7 @@
 // commands lists the verbs in the order of --help.
 var commands = []command{
 	serveCommand,
+	hostCommand,
 	tryCommand,
 	checkCommand,
 	applyCommand,
--- /dev/null
+++ b/coordination/archive/archive.go
@@ -0,0 +1,46 @@
+package archive
+
+import (
+	"strings"
+
+	"comfreystream/coordination/keyvalue"
+	"comfreystream/state/workflow"
+)
+
+// The keys of what is kept. Accepted jobs and cancellations lie under one
+// prefix, which the planner follows; progress lies apart, as only it changes.
+const (
+	intakePrefix   = "in/"
+	jobSuffix      = "/job"
+	cancelSuffix   = "/cancel"
+	progressPrefix = "run/"
+	pendingKey     = "pending"
+)
+
+// Archive reads and writes what is kept; every field must be set.
+type Archive struct {
+	Store          *keyvalue.Store
+	EncodeJob      func(job *workflow.Job) ([]byte, error)
+	DecodeJob      func(id workflow.ID, text []byte) (*workflow.Job, error)
+	EncodeProgress func(progress workflow.Progress) ([]byte, error)
+	DecodeProgress func(text []byte) (workflow.Progress, error)
+	DecodeStatus   func(text []byte) (workflow.Status, error)
+	EncodePending  func(pending map[string]int) ([]byte, error)
+	DecodePending  func(text []byte) (map[string]int, error)
+}
+
+func jobKey(id workflow.ID) string      { return intakePrefix + string(id) + jobSuffix }
+func cancelKey(id workflow.ID) string   { return intakePrefix + string(id) + cancelSuffix }
+func progressKey(id workflow.ID) string { return progressPrefix + string(id) }
+
+// intakeOf tells what an item below the intake's prefix is about.
+func intakeOf(key string) (id workflow.ID, isCancel, known bool) {
+	name := strings.TrimPrefix(key, intakePrefix)
+	if job, found := strings.CutSuffix(name, jobSuffix); found {
+		return workflow.ID(job), false, true
+	}
+	if job, found := strings.CutSuffix(name, cancelSuffix); found {
+		return workflow.ID(job), true, true
+	}
+	return "", false, false
+}
--- /dev/null
+++ b/coordination/archive/intake.go
@@ -0,0 +1,129 @@
+package archive
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreystream/coordination/keyvalue"
+	"comfreystream/state"
+	"comfreystream/state/workflow"
+)
+
+const (
+	// tryTimeout bounds one call for a caller.
+	tryTimeout = 700 * time.Millisecond
+	// tryPause is the time between tries.
+	tryPause = 60 * time.Millisecond
+	// refusalLimit is how long a call that surely did nothing is tried again;
+	// callers do better to ask another instance then.
+	refusalLimit = 400 * time.Millisecond
+)
+
+// Accept puts the job on record; the same identity again is the same job. Its
+// error is ambiguous if the job may be on record or still come there.
+func (a *Archive) Accept(ctx context.Context, job *workflow.Job) error {
+	text, err := a.EncodeJob(job)
+	if err != nil {
+		return err
+	}
+	return a.create(ctx, keyvalue.Change{
+		Conditions: []keyvalue.Condition{{Key: jobKey(job.ID)}},
+		Puts:       []keyvalue.Put{{Key: jobKey(job.ID), Value: text}},
+	})
+}
+
+// Cancel puts the wish on record; known is false if there is no such job.
+func (a *Archive) Cancel(ctx context.Context, id workflow.ID) (known bool, err error) {
+	err = a.retry(ctx, func(ctx context.Context) error {
+		_, known, err = a.Store.Get(ctx, jobKey(id))
+		return err
+	})
+	if err != nil || !known {
+		return known, err
+	}
+	return true, a.create(ctx, keyvalue.Change{
+		Conditions: []keyvalue.Condition{{Key: cancelKey(id)}},
+		Puts:       []keyvalue.Put{{Key: cancelKey(id), Value: []byte{1}}},
+	})
+}
+
+// Status returns how far a job is; known is false if there is none.
+func (a *Archive) Status(ctx context.Context, id workflow.ID) (status workflow.Status, known bool, err error) {
+	var item keyvalue.Item
+	err = a.retry(ctx, func(ctx context.Context) error {
+		item, known, err = a.Store.Get(ctx, progressKey(id))
+		return err
+	})
+	if err != nil {
+		return "", false, err
+	}
+	if known {
+		status, err := a.DecodeStatus(item.Value)
+		return status, true, err
+	}
+	err = a.retry(ctx, func(ctx context.Context) error {
+		_, known, err = a.Store.Get(ctx, jobKey(id))
+		return err
+	})
+	return workflow.Queued, known, err
+}
+
+// Pending returns the jobs without a started task, by queue.
+func (a *Archive) Pending(ctx context.Context) (pending map[string]int, err error) {
+	var item keyvalue.Item
+	var known bool
+	err = a.retry(ctx, func(ctx context.Context) error {
+		item, known, err = a.Store.Get(ctx, pendingKey)
+		return err
+	})
+	if err != nil || !known {
+		return nil, err
+	}
+	return a.DecodePending(item.Value)
+}
+
+// create writes keys that may exist already; then there is nothing to do. It
+// is repeated until it is settled, which is harmless.
+func (a *Archive) create(ctx context.Context, change keyvalue.Change) error {
+	return a.retry(ctx, func(ctx context.Context) error {
+		_, err := a.Store.Commit(ctx, change)
+		var conflict *keyvalue.ConflictError
+		if errors.As(err, &conflict) {
+			return nil
+		}
+		return err
+	})
+}
+
+// retry repeats a call until it succeeds, the context ends, or it surely did
+// nothing for a while. Its error is ambiguous if any try was.
+func (a *Archive) retry(ctx context.Context, call func(ctx context.Context) error) error {
+	began := time.Now()
+	var ambiguous error
+	for {
+		trying, cancel := context.WithTimeout(ctx, tryTimeout)
+		err := call(trying)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if state.IsAmbiguous(err) {
+			ambiguous = err
+		}
+		if ambiguous == nil && time.Since(began) >= refusalLimit {
+			return err
+		}
+		timer := time.NewTimer(tryPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			if ambiguous != nil {
+				return ambiguous
+			}
+			return err
+		case <-timer.C:
+		}
+	}
+}
--- /dev/null
+++ b/coordination/scheduling/place.go
@@ -0,0 +1,180 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreystream/state/workflow"
+)
+
+// placement is a worker for each member of a group, and the groups that must
+// be stopped for it.
+type placement struct {
+	workers []*worker
+	victims []*group
+}
+
+// place finds room for a group, or nil.
+func (p *pool) place(g *group, now time.Time) *placement {
+	candidates := p.suitable(g, now)
+	if len(candidates) == 0 {
+		return nil
+	}
+	if g.step.PreferredRack != "" {
+		near := onRack(candidates, g.step.PreferredRack)
+		if choice := g.fill(near, freeRoom); choice != nil {
+			return choice
+		}
+		if !p.mayRunFar(g, now) {
+			return nil
+		}
+	}
+	if !g.step.SameRack || g.size() == 1 {
+		return g.fill(candidates, freeRoom)
+	}
+	if choice := p.bestRack(g, candidates); choice != nil {
+		return choice
+	}
+	if !p.mayRunFar(g, now) {
+		return nil
+	}
+	return g.fill(candidates, freeRoom)
+}
+
+func (g *group) size() int {
+	if g.step.Gang {
+		return g.step.Tasks
+	}
+	return 1
+}
+
+// suitable returns the workers that may run the group, without those that it
+// failed on unless there are no others.
+func (p *pool) suitable(g *group, now time.Time) (list []*worker) {
+	var avoided []*worker
+	for _, w := range p.workers {
+		if !w.takesWork(now) || !w.info.HasLabel(g.step.Label) {
+			continue
+		}
+		if g.avoid[w.info.ID] {
+			avoided = append(avoided, w)
+			continue
+		}
+		list = append(list, w)
+	}
+	if len(list) == 0 {
+		list = avoided
+	}
+	return list
+}
+
+// bestRack returns the placement that leaves the least room on its rack.
+func (p *pool) bestRack(g *group, candidates []*worker) (best *placement) {
+	leastLeft := 0
+	for _, workers := range byRack(candidates) {
+		choice := g.fill(workers, freeRoom)
+		if choice == nil {
+			continue
+		}
+		left := 0
+		for _, w := range workers {
+			left += w.free().Accelerators
+		}
+		if best == nil || left < leastLeft {
+			best, leastLeft = choice, left
+		}
+	}
+	return best
+}
+
+// mayRunFar reports whether the group should run away from its rack or data,
+// where it is slower: it waits as long as it can still be in time near by.
+func (p *pool) mayRunFar(g *group, now time.Time) bool {
+	near := p.expected(g)
+	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(near))
+	if now.Add(near).After(g.job.due()) {
+		return true
+	}
+	return !now.Add(far).After(g.job.due()) && p.idleShare() > idleForFar
+}
+
+// idleForFar is the part of the accelerators that must be idle before work
+// takes them for several times as long as it would near its rack or data.
+const idleForFar = 0.4
+
+func (p *pool) idleShare() float64 {
+	free, all := 0, 0
+	for _, w := range p.workers {
+		if w.info.listed {
+			free += max(w.free().Accelerators, 0)
+			all += w.info.Capacity.Accelerators
+		}
+	}
+	return float64(free) / float64(max(all, 1))
+}
+
+func freeRoom(w *worker) workflow.Capacity { return w.free() }
+
+// fill puts the members on the workers, the fullest first, or returns nil.
+func (g *group) fill(workers []*worker, room func(w *worker) workflow.Capacity) *placement {
+	wanted := g.size()
+	needs := g.step.Needs()
+	ordered := slices.Clone(workers)
+	slices.SortFunc(ordered, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(room(a).Accelerators, room(b).Accelerators), cmp.Compare(a.info.ID, b.info.ID))
+	})
+	choice := &placement{}
+	for _, w := range ordered {
+		for range g.countOn(w, needs.CountIn(room(w), wanted-len(choice.workers))) {
+			choice.workers = append(choice.workers, w)
+		}
+		if len(choice.workers) == wanted {
+			return choice
+		}
+	}
+	return nil
+}
+
+// countOn bounds a number of tasks on a worker by the step's spread limit,
+// less what already runs there of the same occurrence.
+func (g *group) countOn(w *worker, count int) int {
+	if g.step.SpreadLimit == 0 {
+		return count
+	}
+	return max(0, min(count, g.step.SpreadLimit-g.stepMembersOn(w)))
+}
+
+func (g *group) stepMembersOn(w *worker) (count int) {
+	for _, m := range w.members {
+		if m.group.job == g.job && m.group.id.Step == g.id.Step && m.group.id.Occurrence == g.id.Occurrence {
+			count++
+		}
+	}
+	return count
+}
+
+// rack is what joins workers: the label that the preferred rack names, too.
+func (w *worker) rack() string {
+	if len(w.info.Labels) < 2 {
+		return ""
+	}
+	return w.info.Labels[len(w.info.Labels)-1]
+}
+
+func onRack(workers []*worker, rack string) (list []*worker) {
+	for _, w := range workers {
+		if w.rack() == rack {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+func byRack(workers []*worker) map[string][]*worker {
+	racks := make(map[string][]*worker)
+	for _, w := range workers {
+		racks[w.rack()] = append(racks[w.rack()], w)
+	}
+	return racks
+}
--- /dev/null
+++ b/coordination/scheduling/plan.go
@@ -0,0 +1,149 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"comfreystream/state/workflow"
+)
+
+const (
+	// planTick is the pause between rounds in which only time has passed.
+	planTick = 200 * time.Millisecond
+	// planPause gathers the news of a moment into one round.
+	planPause = 5 * time.Millisecond
+)
+
+// planLoop plans when something has changed, and at each tick.
+func (p *pool) planLoop() {
+	ticker := time.NewTicker(planTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.scheduler.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-p.planDue:
+			select {
+			case <-p.scheduler.ctx.Done():
+				return
+			case <-time.After(planPause):
+			}
+		}
+		if p.scheduler.Authorised() {
+			p.round()
+		}
+	}
+}
+
+// round looks at time, places what waits and sends what is due.
+func (p *pool) round() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.scheduler.Now()
+	p.expireLeases(now)
+	p.stopStalled(now)
+	var candidates []*group
+	for _, j := range p.jobs {
+		if j.status.Final() {
+			continue
+		}
+		if j.Occurrences > 0 {
+			p.openSteps(j)
+		}
+		for _, g := range j.groups {
+			if g.phase == waiting && !now.Before(g.notBefore) {
+				candidates = append(candidates, g)
+			}
+			if g.phase == placed && !g.ordered {
+				p.startOrGiveUp(g, now)
+			}
+		}
+	}
+	p.order(candidates, now)
+	for _, g := range candidates {
+		p.placeOrReclaim(g, now)
+	}
+	p.sendStops(now)
+}
+
+// order sorts the groups: those within a guarantee first, then by priority
+// and the time at which the job is due.
+func (p *pool) order(candidates []*group, now time.Time) {
+	entitled := p.entitled()
+	rank := func(g *group) int {
+		if entitled[g.job] {
+			return -1
+		}
+		return g.job.Priority
+	}
+	slices.SortFunc(candidates, func(a, b *group) int {
+		return cmp.Or(
+			cmp.Compare(rank(a), rank(b)),
+			a.job.due().Compare(b.job.due()),
+			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(a.id.Occurrence, b.id.Occurrence),
+			cmp.Compare(a.id.Step, b.id.Step),
+			cmp.Compare(a.id.Index, b.id.Index))
+	})
+}
+
+// entitled returns the most urgent jobs that fit into their organisation's
+// guarantee, the oldest first.
+func (p *pool) entitled() map[*job]bool {
+	var urgent []*job
+	for _, j := range p.jobs {
+		if j.Priority == 0 && !j.status.Final() {
+			urgent = append(urgent, j)
+		}
+	}
+	slices.SortFunc(urgent, func(a, b *job) int {
+		return cmp.Or(a.received.Compare(b.received), cmp.Compare(a.ID, b.ID))
+	})
+	used := make(map[string]int)
+	entitled := make(map[*job]bool)
+	for _, j := range urgent {
+		needs := j.PeakAccelerators()
+		if used[j.Organisation]+needs <= p.scheduler.Guarantee(j.Organisation) {
+			used[j.Organisation] += needs
+			entitled[j] = true
+		}
+	}
+	return entitled
+}
+
+func (p *pool) placeOrReclaim(g *group, now time.Time) {
+	choice := p.place(g, now)
+	if choice == nil && p.entitled()[g.job] {
+		choice = p.reclaim(g, now)
+	}
+	if choice == nil {
+		return
+	}
+	p.begin(g, choice)
+}
+
+// begin plans the next attempt on the workers and has it put on record.
+func (p *pool) begin(g *group, choice *placement) {
+	g.attempt++
+	g.phase, g.ordered, g.placedAt, g.members = saving, false, p.scheduler.Now(), nil
+	g.victims = nil
+	for _, v := range choice.victims {
+		g.victims = append(g.victims, victim{v, v.attempt})
+	}
+	for i, task := range g.job.Members(g.id) {
+		p.assign(g, task, choice.workers[i], choice.workers[i].life)
+	}
+	for _, v := range choice.victims {
+		p.stopGroup(v, reasonReclaimed)
+	}
+	if g.job.status == workflow.Queued {
+		g.job.status = workflow.Running
+	}
+	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
+		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
+		Int("members", len(g.members)).Int("victims", len(g.victims)).
+		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
+	p.markDirty(g.job)
+}
--- /dev/null
+++ b/coordination/scheduling/tend.go
@@ -0,0 +1,207 @@
+package scheduling
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreystream/state/workflow"
+)
+
+const (
+	// renewWait is how long a renewal waits for an end; the lease is renewed
+	// that often, so that a cut of nearly its length does not end it.
+	renewWait = 500 * time.Millisecond
+	// renewTimeout adds what a slow link may take.
+	renewTimeout = renewWait + 900*time.Millisecond
+	// renewPause is the time between failed renewals.
+	renewPause = 150 * time.Millisecond
+)
+
+// tend renews the worker's lease and takes its reports until the term ends.
+func (p *pool) tend(w *worker) {
+	silent := false
+	for p.scheduler.ctx.Err() == nil {
+		err := p.renew(w)
+		if err == nil {
+			if silent {
+				p.scheduler.Log.Info().Str("event", "workerRegained").Str("worker", string(w.info.ID)).Send()
+			}
+			silent = false
+			continue
+		}
+		if errors.Is(err, ErrTermEnded) {
+			p.scheduler.end(err)
+			return
+		}
+		if !silent && p.scheduler.ctx.Err() == nil {
+			silent = true
+			p.scheduler.Count(workerSilent)
+			p.scheduler.Log.Warn().Str("event", "workerLost").Str("worker", string(w.info.ID)).Err(err).Send()
+		}
+		select {
+		case <-p.scheduler.ctx.Done():
+		case <-time.After(renewPause):
+		}
+	}
+}
+
+// renew makes one call; it asks for no wait when something awaits its answer.
+func (p *pool) renew(w *worker) error {
+	if !p.scheduler.Authorised() {
+		return errors.New("the term is not sure to go on")
+	}
+	p.mu.Lock()
+	now := p.scheduler.Now()
+	order := RenewOrder{Term: p.scheduler.Term, Acknowledged: w.acknowledged, Wait: renewWait}
+	if w.awaitsAnswer() {
+		order.Wait = 0
+	}
+	if now.Sub(w.heard) <= heardWithin {
+		// A silent worker's lease is left to run out, so that its end is known.
+		order.Until = w.clockAt(now) + p.scheduler.Bounds.LeaseLimit
+		w.leaseEnds = p.leaseEnd(now)
+	} else {
+		order.Wait = 0
+	}
+	at := w.info.Worker
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(p.scheduler.ctx, renewTimeout)
+	defer cancel()
+	report, err := p.scheduler.Workers.Renew(ctx, at, order)
+	if err != nil {
+		return err
+	}
+	p.take(w, report, now)
+	return nil
+}
+
+// awaitsAnswer reports whether a stop was answered whose end is not listed.
+func (w *worker) awaitsAnswer() bool {
+	for _, m := range w.members {
+		if !m.stopHeard.IsZero() && m.phase == ordered {
+			return true
+		}
+	}
+	return false
+}
+
+// take applies a report whose call was sent at the time.
+func (p *pool) take(w *worker, report workflow.Report, sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.scheduler.Now()
+	first := w.heard.IsZero()
+	if report.Life != w.life {
+		p.newLife(w, report.Life)
+		first = true
+	}
+	w.heard, w.clock = now, report.Clock
+	for _, end := range report.Ends {
+		p.takeEnd(w, end)
+	}
+	listed := make(map[attemptKey]bool, len(report.Running))
+	w.strangers = false
+	for _, task := range report.Running {
+		key := attemptKey{task.Task, task.Attempt}
+		listed[key] = true
+		m, known := w.members[key]
+		if !known {
+			p.stopStranger(w, task, now)
+			continue
+		}
+		p.takeRunning(m, task, now)
+	}
+	for key, m := range w.members {
+		if !listed[key] && m.gone(report.Clock, sent) {
+			p.resolve(m, workflow.Void, "")
+		}
+	}
+	if first {
+		signal(p.planDue)
+		signal(p.saveDue)
+	}
+}
+
+// newLife ends all that ran in the worker's earlier life.
+func (p *pool) newLife(w *worker, life workflow.Incarnation) {
+	w.life, w.applied, w.acknowledged = life, 0, 0
+	w.failures, w.failedJob, w.avoidUntil = 0, "", time.Time{}
+	for _, m := range w.members {
+		if m.life != life {
+			p.resolve(m, workflow.Lost, "")
+		}
+	}
+}
+
+func (p *pool) takeEnd(w *worker, end workflow.End) {
+	if end.Number <= w.applied {
+		return
+	}
+	w.applied = end.Number
+	signal(p.saveDue)
+	m, known := w.members[attemptKey{end.Task, end.Attempt}]
+	if !known {
+		return
+	}
+	p.scheduler.Log.Info().Str("event", "taskEnded").Str("request", string(m.task.Job)).
+		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(w.info.ID)).
+		Int64("number", end.Number).Str("outcome", string(end.Outcome)).Send()
+	p.noteHealth(w, m, end.Outcome)
+	p.resolve(m, end.Outcome, end.Checkpoint)
+}
+
+func (p *pool) takeRunning(m *member, task workflow.RunningTask, now time.Time) {
+	if m.phase != running {
+		m.phase, m.confirmed, m.percentAt = running, now, now
+	}
+	if task.Percent != m.percent {
+		m.percent, m.percentAt = task.Percent, now
+	}
+	g := m.group
+	if task.Checkpoint != "" && task.Checkpoint != g.checkpoint && g.attempt == m.attempt {
+		g.checkpoint, g.checkpointAt = task.Checkpoint, now
+	}
+}
+
+// gone reports whether a member that a report does not list can be neither
+// running nor about to start: the report was made after the last chance.
+func (m *member) gone(clock time.Duration, sent time.Time) bool {
+	switch m.phase {
+	case recovering:
+		return true // the report carried this term, so older orders are refused
+	case ordered:
+		return clock > m.startUntil || !m.stopHeard.IsZero() && m.stopHeard.Before(sent)
+	case running:
+		return m.confirmed.Before(sent)
+	default:
+		return false
+	}
+}
+
+// stopStranger stops an attempt that no group of this term has.
+func (p *pool) stopStranger(w *worker, task workflow.RunningTask, now time.Time) {
+	w.strangers = true
+	stranger := &member{task: task.Task, attempt: task.Attempt, worker: w}
+	if now.Sub(w.reportSent) < stopRetry {
+		return
+	}
+	w.reportSent = now
+	p.scheduler.Count(strangerStopped)
+	p.scheduler.Log.Warn().Str("event", "strangerStopped").Stringer("task", task.Task).
+		Int("attempt", task.Attempt).Str("worker", string(w.info.ID)).Send()
+	p.scheduler.loops.Go(func() { p.stopMember(stranger, w.info.Worker) })
+}
+
+// expireLeases ends what ran on workers that were not heard for a whole lease.
+func (p *pool) expireLeases(now time.Time) {
+	for _, w := range p.workers {
+		if len(w.members) == 0 || now.Before(w.leaseEnds) {
+			continue
+		}
+		for _, m := range w.members {
+			p.resolve(m, workflow.Lost, "")
+		}
+	}
+}
--- /dev/null
+++ b/coordination/seat/clock.go
@@ -0,0 +1,18 @@
+package seat
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// BootTime returns the time since the machine started; unlike Go's steady
+// clock it counts the time in which the machine was suspended.
+func BootTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// Linux has this clock since 2.6.39; without it no lease is ever sure.
+		return time.Duration(1<<63 - 1)
+	}
+	return time.Duration(now.Nano())
+}
--- /dev/null
+++ b/instance/hosted/instance.go
@@ -0,0 +1,140 @@
+package hosted
+
+import (
+	"context"
+	"crypto/rand"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"comfreystream/coordination/archive"
+	"comfreystream/coordination/intake"
+	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/policy"
+	"comfreystream/coordination/seat"
+	"comfreystream/metrics"
+	"comfreystream/platform"
+	"comfreystream/protocol/record"
+	"comfreystream/transport"
+)
+
+// idleTimeout is how long connections to the store and to workers are kept;
+// the platform keeps its ends open for longer.
+const idleTimeout = 10 * time.Second
+
+// noSilenceLimit is for servers that send no heartbeats.
+const noSilenceLimit = -1
+
+// Instance is one running entry.
+type Instance struct {
+	settings atomic.Pointer[platform.Settings]
+	log      zerolog.Logger
+	metrics  *metrics.Metrics
+
+	toStore   *transport.Client
+	toWorkers *transport.Client
+	store     keyvalue.Store
+	workers   *platform.Workers
+	book      *policy.Book
+	archive   *archive.Archive
+	candidate *seat.Candidate
+	term      term
+
+	callers   *transport.Server
+	readiness *transport.Server
+	operators *transport.Server
+	leaving   atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+// Start runs an entry; its error names the address that could not be opened.
+func Start(s *platform.Settings, log zerolog.Logger) (*Instance, error) {
+	i := &Instance{log: log, metrics: metrics.New()}
+	i.settings.Store(s)
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	limits := transport.ClientLimits{IdleTimeout: idleTimeout, SilenceTimeout: noSilenceLimit}
+	i.toStore, i.toWorkers = transport.NewClient(limits), transport.NewClient(limits)
+	store := &platform.Store{Connections: i.toStore, Address: func() netip.AddrPort { return i.settings.Load().Store }}
+	i.store = store.Calls()
+	i.workers = &platform.Workers{Connections: i.toWorkers}
+	i.book = &policy.Book{Store: &i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
+	i.archive = newArchive(&i.store)
+	i.candidate = &seat.Candidate{
+		Store: &i.store, Identity: identity(s.Instance), Now: seat.BootTime,
+		Began: i.beginTerm, Over: i.endTerm, Log: log,
+	}
+	if err := i.listen(s); err != nil {
+		i.cancel()
+		_ = i.metrics.Close()
+		return nil, err
+	}
+	i.loops.Go(func() { i.book.Run(i.ctx) })
+	i.loops.Go(func() { i.candidate.Run(i.ctx) })
+	log.Info().Str("event", "entryStarted").Str("instance", s.Instance).Stringer("address", s.Callers).
+		Str("availabilityZone", s.AvailabilityZone).Send()
+	return i, nil
+}
+
+// identity is unique for the process, so that no seat is taken for its own.
+func identity(instance string) []byte { return []byte(instance + " " + rand.Text()) }
+
+func newArchive(store *keyvalue.Store) *archive.Archive {
+	return &archive.Archive{
+		Store:     store,
+		EncodeJob: record.EncodeSubmission, DecodeJob: record.DecodeSubmission,
+		EncodeProgress: record.EncodeProgress, DecodeProgress: record.DecodeProgress,
+		DecodeStatus:  record.DecodeStatus,
+		EncodePending: record.EncodePending, DecodePending: record.DecodePending,
+	}
+}
+
+func (i *Instance) listen(s *platform.Settings) (err error) {
+	front := &platform.Front{
+		Intake:  &intake.Intake{Policy: i.book, Archive: i.archive, Now: time.Now, Count: i.metrics.CountRefusal, Log: i.log},
+		Log:     i.log,
+		Observe: i.metrics.ObserveRequest,
+	}
+	limits := transport.Limits{Count: i.metrics.CountConnection, Panicked: i.logPanic}
+	if i.callers, err = transport.Listen(s.Callers, front.Handle, limits); err != nil {
+		return errors.Wrap(err, "listen for callers: free the port")
+	}
+	if i.readiness, err = transport.Listen(s.Readiness, platform.Ready(i.ready), limits); err != nil {
+		_ = i.callers.Close()
+		return errors.Wrap(err, "listen for readiness: free the port")
+	}
+	if i.operators, err = transport.Listen(s.Entry, i.page, limits); err != nil {
+		_ = i.callers.Close()
+		_ = i.readiness.Close()
+		return errors.Wrap(err, "listen for metrics: free the port")
+	}
+	return nil
+}
+
+func (i *Instance) page(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != "/metrics" {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	i.metrics.Page(ctx)
+}
+
+// ready reports whether new callers may come.
+func (i *Instance) ready() bool { return !i.leaving.Load() && i.book.Current() != nil }
+
+func (i *Instance) logPanic(err error) {
+	i.log.Error().Str("event", "handlerPanicked").Err(err).Send()
+}
+
+// Reload takes over settings that changed while the process runs.
+func (i *Instance) Reload(s *platform.Settings) {
+	i.settings.Store(s)
+	i.log.Info().Str("event", "settingsReloaded").Stringer("store", s.Store).Send()
+}
--- /dev/null
+++ b/instance/hosted/term.go
@@ -0,0 +1,165 @@
+package hosted
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/scheduling"
+	"comfreystream/coordination/seat"
+	"comfreystream/platform"
+	"comfreystream/state/workflow"
+
+	"comfreystream/coordination/archive"
+)
+
+const (
+	// loadRetry is the time between tries to read what is on record.
+	loadRetry = 100 * time.Millisecond
+	// registryInterval is how often the workers' registry is read; a leaving
+	// worker is known within it.
+	registryInterval = 500 * time.Millisecond
+	// registryTimeout bounds one read.
+	registryTimeout = 1200 * time.Millisecond
+	// pendingInterval is how often the number of waiting jobs is recorded.
+	pendingInterval = time.Second
+)
+
+// term is the planner's work while this instance has the seat.
+type term struct {
+	ctx       context.Context
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+	scheduler *scheduling.Scheduler
+	seat      keyvalue.Condition
+	progress  map[workflow.ID]archive.Loaded
+	loaded    sync.Once
+}
+
+// beginTerm starts to plan; the candidate calls it and endTerm in turn.
+func (i *Instance) beginTerm(revision keyvalue.Revision) {
+	s := i.settings.Load()
+	t := &i.term
+	*t = term{seat: keyvalue.Condition{Key: seat.Key, Revision: revision}}
+	t.ctx, t.cancel = context.WithCancel(i.ctx)
+	t.scheduler = &scheduling.Scheduler{
+		Term: scheduling.Term(revision),
+		Bounds: scheduling.Bounds{
+			LeaseLimit: s.LeaseLimit, StopLimit: s.StopLimit, GangTimeout: s.GangTimeout,
+			ReclaimLimit: s.ReclaimLimit, FarFactor: s.FarFactor,
+		},
+		Now: time.Now, Wall: time.Now, Workers: i.workers.Calls(),
+		Authorised: func() bool { return i.candidate.Valid(revision) },
+		Save: func(ctx context.Context, saves []scheduling.Save) ([]keyvalue.Revision, error) {
+			return i.archive.Save(ctx, t.seat, saves)
+		},
+		Guarantee: i.guarantee,
+		Ended:     func() { i.candidate.GiveUp(revision) },
+		Count:     i.metrics.CountPlanner,
+		Log:       i.log,
+	}
+	t.scheduler.Open()
+	t.loops.Go(i.plan)
+}
+
+func (i *Instance) endTerm() {
+	i.term.cancel()
+	i.term.loops.Wait()
+	_ = i.term.scheduler.Close()
+}
+
+// guarantee returns what an organisation can always have.
+func (i *Instance) guarantee(organisation string) int {
+	p := i.book.Current()
+	if p == nil {
+		return 0
+	}
+	return p.Organisations[organisation].Accelerators
+}
+
+// plan loads what is on record, then follows jobs and workers.
+func (i *Instance) plan() {
+	t := &i.term
+	for t.ctx.Err() == nil {
+		var err error
+		if t.progress, err = i.archive.Load(t.ctx); err == nil {
+			break
+		}
+		i.log.Warn().Str("event", "progressNotLoaded").Err(err).Send()
+		wait(t.ctx, loadRetry)
+	}
+	i.archive.FollowIntake(t.ctx, archive.Listener{
+		Accepted: func(job *workflow.Job) {
+			loaded := t.progress[job.ID]
+			t.scheduler.Load(job, loaded.Progress, loaded.Revision)
+		},
+		Cancelled: t.scheduler.Cancel,
+		Complete: func() {
+			t.loaded.Do(func() {
+				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Send()
+				t.loops.Go(i.followWorkers)
+				t.loops.Go(i.recordPending)
+			})
+		},
+		Failed: func(err error) { i.log.Warn().Str("event", "intakeUnwatched").Err(err).Send() },
+	})
+}
+
+// followWorkers reads the registry until the term ends.
+func (i *Instance) followWorkers() {
+	t := &i.term
+	for t.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(t.ctx, registryTimeout)
+		items, _, err := i.store.List(ctx, platform.WorkersPrefix)
+		cancel()
+		if err != nil {
+			if t.ctx.Err() == nil {
+				i.log.Warn().Str("event", "registryUnread").Err(err).Send()
+			}
+		} else {
+			t.scheduler.SetWorkers(i.decodeWorkers(items))
+		}
+		wait(t.ctx, registryInterval)
+	}
+}
+
+func (i *Instance) decodeWorkers(items []keyvalue.Item) []workflow.Worker {
+	workers := make([]workflow.Worker, 0, len(items))
+	for _, item := range items {
+		w, err := platform.DecodeWorker(item.Key, item.Value)
+		if err != nil {
+			i.log.Debug().Str("event", "registryEntryIgnored").Str("key", item.Key).Err(err).Send()
+			continue
+		}
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+// recordPending puts the number of waiting jobs on record when it has changed.
+func (i *Instance) recordPending() {
+	t := &i.term
+	var last map[string]int
+	for t.ctx.Err() == nil {
+		pending := t.scheduler.Pending()
+		if !maps.Equal(pending, last) && i.candidate.Valid(t.seat.Revision) {
+			if err := i.archive.SavePending(t.ctx, t.seat, pending); err == nil {
+				last = pending
+			} else if t.ctx.Err() == nil {
+				i.log.Warn().Str("event", "pendingNotRecorded").Err(err).Send()
+			}
+		}
+		wait(t.ctx, pendingInterval)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"comfreystream/coordination/rollout"
+	"comfreystream/coordination/scheduling"
 	"comfreystream/coordination/storage"
 	"comfreystream/protocol/gossip"
 	"comfreystream/state"
@@ -35,6 +37,8 @@
 	datagrams   family[string]
 	storeCalls  family[storeCall]
 	rollouts    family[rollout.Event]
+	planner     family[string]
+	requests    tally.Scope
 	page        fasthttp.RequestHandler
 	closer      io.Closer
 }
@@ -58,6 +62,8 @@
 		datagrams:   reasonFamily(root, "datagram_refusals_total", gossip.Reasons),
 		storeCalls:  storeFamily(root),
 		rollouts:    reasonFamily(root, "rollout_events_total", rollout.Events),
+		planner:     reasonFamily(root, "planner_events_total", scheduling.Events),
+		requests:    root,
 		page:        transport.Adapt(reporter.HTTPHandler()),
 		closer:      closer,
 	}
@@ -86,6 +92,18 @@
 // CountRollout counts an event of the manifest's rollout.
 func (m *Metrics) CountRollout(event rollout.Event) { m.rollouts.count(event) }
 
+// CountPlanner counts an event of the planner of a term.
+func (m *Metrics) CountPlanner(event string) { m.planner.count(event) }
+
+// ObserveRequest records how long a caller's request took, by method and status.
+func (m *Metrics) ObserveRequest(method string, status int, took time.Duration) {
+	tags := map[string]string{"method": method, "status": strconv.Itoa(status)}
+	m.requests.Tagged(tags).Histogram("request_seconds", requestBuckets).RecordDuration(took)
+}
+
+// requestBuckets are the upper bounds of the latency histogram, from 1 ms to 4 s.
+var requestBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+
 // Refusals returns the reasons for which jobs were refused or failed so far.
 func (m *Metrics) Refusals() []Total { return totals(m.refusals) }
 
--- /dev/null
+++ b/protocol/record/workflow.go
@@ -0,0 +1,159 @@
+package record
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"comfreystream/state/workflow"
+)
+
+// submissionRecord is an accepted job with steps as it is kept.
+type submissionRecord struct {
+	Queue          string        `cbor:"1,keyasint"`
+	Service        string        `cbor:"2,keyasint"`
+	Organisation   string        `cbor:"3,keyasint,omitempty"`
+	Priority       int           `cbor:"4,keyasint,omitempty"`
+	MaxAttempts    int           `cbor:"5,keyasint"`
+	Stretch        float64       `cbor:"6,keyasint"`
+	StartAllowance time.Duration `cbor:"7,keyasint"`
+	Spec           string        `cbor:"8,keyasint"`
+	Steps          []stepRecord  `cbor:"9,keyasint"`
+	Occurrences    int           `cbor:"10,keyasint,omitempty"`
+	FirstStart     int64         `cbor:"11,keyasint,omitempty"`
+	Interval       time.Duration `cbor:"12,keyasint,omitempty"`
+	Accepted       int64         `cbor:"13,keyasint"`
+}
+
+type stepRecord struct {
+	Tasks          int           `cbor:"1,keyasint"`
+	Cores          int           `cbor:"2,keyasint,omitempty"`
+	MemoryMiB      int           `cbor:"3,keyasint,omitempty"`
+	Accelerators   int           `cbor:"4,keyasint,omitempty"`
+	Estimate       time.Duration `cbor:"5,keyasint,omitempty"`
+	After          []int         `cbor:"6,keyasint,omitempty"`
+	Checkpointable bool          `cbor:"7,keyasint,omitempty"`
+	Gang           bool          `cbor:"8,keyasint,omitempty"`
+	SameRack       bool          `cbor:"9,keyasint,omitempty"`
+	PreferredRack  string        `cbor:"10,keyasint,omitempty"`
+	Label          string        `cbor:"11,keyasint,omitempty"`
+	SpreadLimit    int           `cbor:"12,keyasint,omitempty"`
+	Speculative    bool          `cbor:"13,keyasint,omitempty"`
+	LongRunning    bool          `cbor:"14,keyasint,omitempty"`
+}
+
+// EncodeSubmission returns the record of an accepted job.
+func EncodeSubmission(job *workflow.Job) ([]byte, error) {
+	r := submissionRecord{
+		Queue: job.Queue, Service: job.Service, Organisation: job.Organisation, Priority: job.Priority,
+		MaxAttempts: job.MaxAttempts, Stretch: job.Stretch, StartAllowance: job.StartAllowance,
+		Spec: job.Spec, Occurrences: job.Occurrences, Interval: job.Interval, Accepted: job.Accepted.UnixMilli(),
+	}
+	if job.Occurrences > 0 {
+		r.FirstStart = job.FirstStart.UnixMilli()
+	}
+	for _, s := range job.Steps {
+		r.Steps = append(r.Steps, stepRecord(s))
+	}
+	text, err := cbor.Marshal(r)
+	return text, errors.Wrapf(err, "encode job %s", job.ID)
+}
+
+// DecodeSubmission reads the record of the job.
+func DecodeSubmission(id workflow.ID, text []byte) (*workflow.Job, error) {
+	var r submissionRecord
+	if err := cbor.Unmarshal(text, &r); err != nil {
+		return nil, errors.Wrapf(err, "decode job %s", id)
+	}
+	job := &workflow.Job{
+		ID: id, Queue: r.Queue, Service: r.Service, Organisation: r.Organisation, Priority: r.Priority,
+		MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, StartAllowance: r.StartAllowance,
+		Spec: r.Spec, Occurrences: r.Occurrences, Interval: r.Interval, Accepted: time.UnixMilli(r.Accepted),
+	}
+	if r.Occurrences > 0 {
+		job.FirstStart = time.UnixMilli(r.FirstStart)
+	}
+	for _, s := range r.Steps {
+		job.Steps = append(job.Steps, workflow.Step(s))
+	}
+	return job, nil
+}
+
+// progressRecord is a job's progress as it is kept.
+type progressRecord struct {
+	Status workflow.Status `cbor:"1,keyasint"`
+	Groups []groupRecord   `cbor:"2,keyasint,omitempty"`
+}
+
+type groupRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Attempt    int
+	Failures   int
+	Done       bool
+	Checkpoint string
+	Workers    []string
+	Lives      []int64
+}
+
+// EncodeProgress returns the record of a job's progress.
+func EncodeProgress(progress workflow.Progress) ([]byte, error) {
+	r := progressRecord{Status: progress.Status, Groups: make([]groupRecord, 0, len(progress.Groups))}
+	for id, g := range progress.Groups {
+		row := groupRecord{
+			Occurrence: id.Occurrence, Step: id.Step, Index: id.Index,
+			Attempt: g.Attempt, Failures: g.Failures, Done: g.Done, Checkpoint: g.Checkpoint,
+		}
+		for _, at := range g.Placed {
+			row.Workers = append(row.Workers, string(at.Worker))
+			row.Lives = append(row.Lives, int64(at.Life))
+		}
+		r.Groups = append(r.Groups, row)
+	}
+	text, err := cbor.Marshal(r)
+	return text, errors.Wrap(err, "encode progress")
+}
+
+// DecodeProgress reads the record of a job's progress.
+func DecodeProgress(text []byte) (workflow.Progress, error) {
+	var r progressRecord
+	if err := cbor.Unmarshal(text, &r); err != nil {
+		return workflow.Progress{}, errors.Wrap(err, "decode progress")
+	}
+	progress := workflow.Progress{Status: r.Status, Groups: make(map[workflow.GroupID]workflow.Group, len(r.Groups))}
+	for _, row := range r.Groups {
+		g := workflow.Group{Attempt: row.Attempt, Failures: row.Failures, Done: row.Done, Checkpoint: row.Checkpoint}
+		if len(row.Workers) != len(row.Lives) {
+			return workflow.Progress{}, errors.New("decode progress: workers and lives differ in number")
+		}
+		for i, worker := range row.Workers {
+			g.Placed = append(g.Placed, workflow.WorkerLife{Worker: workflow.WorkerID(worker), Life: workflow.Incarnation(row.Lives[i])})
+		}
+		progress.Groups[workflow.GroupID{Occurrence: row.Occurrence, Step: row.Step, Index: row.Index}] = g
+	}
+	return progress, nil
+}
+
+// DecodeStatus reads only the state from the record of a job's progress.
+func DecodeStatus(text []byte) (workflow.Status, error) {
+	var r struct {
+		Status workflow.Status `cbor:"1,keyasint"`
+	}
+	err := cbor.Unmarshal(text, &r)
+	return r.Status, errors.Wrap(err, "decode progress")
+}
+
+// EncodePending returns the record of waiting jobs by queue.
+func EncodePending(pending map[string]int) ([]byte, error) {
+	text, err := cbor.Marshal(pending)
+	return text, errors.Wrap(err, "encode waiting jobs")
+}
+
+// DecodePending reads the record of waiting jobs by queue.
+func DecodePending(text []byte) (pending map[string]int, err error) {
+	err = cbor.Unmarshal(text, &pending)
+	return pending, errors.Wrap(err, "decode waiting jobs")
+}
--- a/state/reason.go
+++ b/state/reason.go
@@ -10,6 +10,8 @@
 	UnknownOrganisation Reason = "unknownOrganisation"
 	UnknownJob          Reason = "unknownJob"
 	UnknownZone         Reason = "unknownZone"
+	UnknownQueue        Reason = "unknownQueue"
+	Unsupported         Reason = "unsupported"
 	NeverFits           Reason = "neverFits"
 	OverQuota           Reason = "overQuota"
 	OverBurst           Reason = "overBurst"
@@ -50,7 +52,8 @@
 
 // Reasons lists every reason, so that each has its counter from the start.
 var Reasons = []Reason{
-	BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone, NeverFits,
+	BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone,
+	UnknownQueue, Unsupported, NeverFits,
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
 	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
@@ -62,7 +65,7 @@
 func (r Reason) MayRetry() bool {
 	switch r {
 	case BadRequest, BodyTooLarge, UnknownOrganisation, UnknownJob, UnknownZone,
-		NeverFits, DuplicateKey, Cancelled, DeadlinePassed, OlderGeneration,
+		UnknownQueue, Unsupported, NeverFits, DuplicateKey, Cancelled, DeadlinePassed, OlderGeneration,
 		TaskFailed, AmbiguousStart:
 		return false
 	default:
--- /dev/null
+++ b/state/workflow/policy.go
@@ -0,0 +1,78 @@
+package workflow
+
+import (
+	"strings"
+	"time"
+)
+
+// Policy is the operator's configuration of one version.
+type Policy struct {
+	Version  int64
+	Queues   []Queue
+	Services []Service
+	Limits   Limits
+	// Organisations is keyed by name, Keys names the organisation of a caller's key.
+	Organisations map[string]Organisation
+	Keys          map[string]string
+}
+
+// Queue takes jobs at a path of a host for one service.
+type Queue struct {
+	Name           string
+	Host           string
+	Prefix         string
+	Service        string
+	Timeout        time.Duration
+	StartAllowance time.Duration
+	Priority       int
+	MaxAttempts    int
+	Stretch        float64
+	// Anonymous queues take calls without a key.
+	Anonymous bool
+	// Advised queues run only where an outside service allows it.
+	Advised bool
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name string
+	// EnforcesCapacity is set if the workers refuse what does not fit.
+	EnforcesCapacity bool
+}
+
+// Organisation is a customer with its guarantee.
+type Organisation struct {
+	Name string
+	// Accelerators is the number that it can always have for its most urgent jobs.
+	Accelerators int
+}
+
+// Limits bounds callers' requests.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Match returns the queue with the longest prefix of the path on the host.
+func (p *Policy) Match(host, path string) (*Queue, bool) {
+	var best *Queue
+	for i := range p.Queues {
+		q := &p.Queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	return best, best != nil
+}
+
+// Service returns the named pool.
+func (p *Policy) Service(name string) (Service, bool) {
+	for _, s := range p.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
--- /dev/null
+++ b/state/workflow/progress.go
@@ -0,0 +1,86 @@
+package workflow
+
+// Status is a job's state as callers see it.
+type Status string
+
+// The states of a job.
+const (
+	Queued    Status = "queued"
+	Running   Status = "running"
+	Completed Status = "completed"
+	Failed    Status = "failed"
+	Cancelled Status = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s Status) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Progress is how far a job has come, as it is kept.
+type Progress struct {
+	Status Status
+	// Groups holds every group that was started at least once.
+	Groups map[GroupID]Group
+}
+
+// GroupID names what starts and ends together: a gang or a single task.
+type GroupID struct {
+	Occurrence int
+	Step       int
+	// Index is the task's, or 0 for a gang.
+	Index int
+}
+
+// Group is the record of a gang or a single task.
+type Group struct {
+	// Attempt is the number of the newest start, from 1 on.
+	Attempt int
+	// Placed holds a life of a worker for each member of that attempt.
+	Placed   []WorkerLife
+	Failures int
+	Done     bool
+	// Checkpoint is the newest one; empty is none.
+	Checkpoint string
+}
+
+// WorkerLife names a worker from one start of it to the next.
+type WorkerLife struct {
+	Worker WorkerID
+	Life   Incarnation
+}
+
+// GroupsOf returns the groups of one occurrence of a step.
+func (j *Job) GroupsOf(occurrence, step int) []GroupID {
+	if j.Steps[step].Gang {
+		return []GroupID{{Occurrence: occurrence, Step: step}}
+	}
+	ids := make([]GroupID, j.Steps[step].Tasks)
+	for i := range ids {
+		ids[i] = GroupID{Occurrence: occurrence, Step: step, Index: i}
+	}
+	return ids
+}
+
+// Members returns the tasks of a group.
+func (j *Job) Members(id GroupID) []Task {
+	if !j.Steps[id.Step].Gang {
+		return []Task{{Job: j.ID, Occurrence: id.Occurrence, Step: id.Step, Index: id.Index}}
+	}
+	tasks := make([]Task, j.Steps[id.Step].Tasks)
+	for i := range tasks {
+		tasks[i] = Task{Job: j.ID, Occurrence: id.Occurrence, Step: id.Step, Index: i}
+	}
+	return tasks
+}
+
+// GroupOf returns the group that a task belongs to; it reports false for a
+// task that the job does not have.
+func (j *Job) GroupOf(t Task) (GroupID, bool) {
+	if t.Step < 0 || t.Step >= len(j.Steps) || t.Index < 0 || t.Index >= j.Steps[t.Step].Tasks ||
+		t.Occurrence < 0 || t.Occurrence >= j.Runs() {
+		return GroupID{}, false
+	}
+	if j.Steps[t.Step].Gang {
+		return GroupID{Occurrence: t.Occurrence, Step: t.Step}, true
+	}
+	return GroupID{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index}, true
+}
--- a/transport/link.go
+++ b/transport/link.go
@@ -63,7 +63,9 @@
 }
 
 func (l *link) exchange(request *fasthttp.Request, response *fasthttp.Response, limit int) error {
-	askForHeartbeat(request)
+	if l.silence > 0 {
+		askForHeartbeat(request)
+	}
 	if err := l.send(request); err != nil {
 		return errors.Wrap(err, "write the request")
 	}
