--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -18,8 +18,8 @@
 	Policy  *policy.Book
 	Archive *archive.Archive
 	Now     func() time.Time
-	Count func(reason state.Reason)
-	Log   zerolog.Logger
+	Count   func(reason state.Reason)
+	Log     zerolog.Logger
 }
 
 // Call says where a request was sent and with which key.
