--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -152,6 +152,7 @@
 		Int("failures", g.failures).Str("outcomes", outcomes).Send()
 	if g.job.status.Final() {
 		g.phase = finished
+		p.markDirty(g.job) // the record should no longer name its workers
 		return
 	}
 	if g.failures >= g.job.MaxAttempts && !g.step.LongRunning {
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -89,14 +89,36 @@
 }
 
 // mayRunFar reports whether the group should run away from its rack or data,
-// where it is slower: it waits as long as it can still be in time near by.
+// where it is slower: if there is room in plenty and it is in time all the
+// same, or if no rack could ever hold it.
 func (p *pool) mayRunFar(g *group, now time.Time) bool {
-	near := p.expected(g)
-	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(near))
-	if now.Add(near).After(g.job.due()) {
+	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(p.expected(g)))
+	if !now.Add(far).After(g.job.due()) && p.idleShare() > idleForFar {
 		return true
 	}
-	return !now.Add(far).After(g.job.due()) && p.idleShare() > idleForFar
+	return !p.fitsOneRack(g)
+}
+
+// fitsOneRack reports whether some rack could hold the group if it were empty.
+func (p *pool) fitsOneRack(g *group) bool {
+	for rack, workers := range byRack(p.listed()) {
+		if g.step.PreferredRack != "" && rack != g.step.PreferredRack {
+			continue
+		}
+		if g.fill(workers, func(w *worker) workflow.Capacity { return w.info.Capacity }) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pool) listed() (list []*worker) {
+	for _, w := range p.workers {
+		if w.info.listed && !w.info.Draining {
+			list = append(list, w)
+		}
+	}
+	return list
 }
 
 // idleForFar is the part of the accelerators that must be idle before work
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -61,26 +61,24 @@
 			}
 		}
 	}
-	p.order(candidates, now)
+	entitled := p.entitled()
+	p.order(candidates, now, entitled)
 	for _, g := range candidates {
-		p.placeOrReclaim(g, now)
+		p.placeOrReclaim(g, now, entitled)
 	}
 	p.sendStops(now)
 }
 
-// order sorts the groups: those within a guarantee first, then by priority
-// and the time at which the job is due.
-func (p *pool) order(candidates []*group, now time.Time) {
-	entitled := p.entitled()
-	rank := func(g *group) int {
-		if entitled[g.job] {
-			return -1
-		}
-		return g.job.Priority
+// order sorts the groups: those within a guarantee first, then what can
+// still be in time by priority, urgent work that is late before the rest.
+func (p *pool) order(candidates []*group, now time.Time, entitled map[*job]bool) {
+	ranks := make(map[*group]int, len(candidates))
+	for _, g := range candidates {
+		ranks[g] = p.rank(g, now, entitled)
 	}
 	slices.SortFunc(candidates, func(a, b *group) int {
 		return cmp.Or(
-			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(ranks[a], ranks[b]),
 			a.job.due().Compare(b.job.due()),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.id.Occurrence, b.id.Occurrence),
@@ -89,6 +87,36 @@
 	})
 }
 
+// The ranks of groups in the queue; each priority has one for work in time
+// and one for late work.
+const (
+	rankEntitled = iota
+	rankUrgent
+	rankUrgentLate
+	rankInTime
+	rankLate = rankInTime + lowestPriority + 1
+)
+
+// lowestPriority bounds the priorities that are told apart.
+const lowestPriority = 8
+
+func (p *pool) rank(g *group, now time.Time, entitled map[*job]bool) int {
+	priority := min(g.job.Priority, lowestPriority)
+	inTime := !now.Add(p.expected(g)).After(g.job.due())
+	switch {
+	case entitled[g.job]:
+		return rankEntitled
+	case priority == 0 && inTime:
+		return rankUrgent
+	case priority == 0:
+		return rankUrgentLate
+	case inTime:
+		return rankInTime + priority
+	default:
+		return rankLate + priority
+	}
+}
+
 // entitled returns the most urgent jobs that fit into their organisation's
 // guarantee, the oldest first.
 func (p *pool) entitled() map[*job]bool {
@@ -113,15 +141,15 @@
 	return entitled
 }
 
-func (p *pool) placeOrReclaim(g *group, now time.Time) {
+// placeOrReclaim begins an attempt if there is room, or room worth making.
+func (p *pool) placeOrReclaim(g *group, now time.Time, entitled map[*job]bool) {
 	choice := p.place(g, now)
-	if choice == nil && p.entitled()[g.job] {
-		choice = p.reclaim(g, now)
+	if choice == nil && (entitled[g.job] || p.rank(g, now, entitled) == rankUrgent) {
+		choice = p.reclaim(g, now, entitled)
 	}
-	if choice == nil {
-		return
+	if choice != nil {
+		p.begin(g, choice)
 	}
-	p.begin(g, choice)
 }
 
 // begin plans the next attempt on the workers and has it put on record.
@@ -144,6 +172,7 @@
 	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("members", len(g.members)).Int("victims", len(g.victims)).
+		Int("priority", g.job.Priority).Dur("slack", g.job.due().Sub(g.placedAt)-p.expected(g)).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.markDirty(g.job)
 }
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -127,6 +127,7 @@
 func (p *pool) startGivenUp(m *member, ambiguous bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	m.worker.avoidUntil = p.scheduler.Now().Add(unansweredPause)
 	if m.phase != ordered || ambiguous {
 		return
 	}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -13,6 +13,8 @@
 	leaseSlack = 250 * time.Millisecond
 	// refusedPause keeps new work from a worker that has refused some.
 	refusedPause = 300 * time.Millisecond
+	// unansweredPause keeps new work from a worker that did not answer a start.
+	unansweredPause = time.Second
 	// unhealthyPause keeps new work from a worker that fails what it runs.
 	unhealthyPause = 5 * time.Second
 	// suspectFailures in a row, without a success, make a worker unhealthy.
