Count a failed attempt before its end is acknowledged

Cause: a gang's failure was counted once all its members had ended, but the failed member's end was acknowledged as soon as the next save was through. Ruled out: lapsed leases (the run was not lost), a second count on takeover (the record now names the attempt that is counted).

--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -70,11 +70,26 @@
 	if checkpoint != "" && m.group.attempt == m.attempt {
 		m.group.checkpoint = checkpoint
 	}
-	p.learn(m)
+	if outcome == workflow.Faulted {
+		p.countFailure(m)
+	}
 	p.advance(m.group)
 	signal(p.planDue)
 }
 
+// countFailure counts an attempt once, and before its end is acknowledged: the
+// rest of a gang may still be ending then.
+func (p *pool) countFailure(m *member) {
+	g := m.group
+	g.avoidWorker(m.worker.info.ID)
+	if g.failedAttempt >= m.attempt {
+		return
+	}
+	g.failedAttempt = m.attempt
+	g.failures++
+	p.markDirty(g.job)
+}
+
 // advance moves a group on after a member has ended.
 func (p *pool) advance(g *group) {
 	if g.hasDone() {
@@ -133,20 +148,9 @@
 // retryGroup makes the group wait for its next attempt, or fails the job.
 func (p *pool) retryGroup(g *group) {
 	now := p.scheduler.Now()
-	failed := false
-	for _, m := range g.members {
-		if m.outcome == workflow.Faulted {
-			failed = true
-			g.avoidWorker(m.worker.info.ID)
-		}
-	}
 	outcomes := g.outcomes()
 	g.phase, g.waitingSince, g.notBefore = waiting, now, now
 	g.members, g.victims, g.recovered, g.ordered = nil, nil, false, false
-	if failed {
-		g.failures++
-		p.markDirty(g.job)
-	}
 	p.scheduler.Log.Info().Str("event", "attemptEnded").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("failures", g.failures).Str("outcomes", outcomes).Send()
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -92,8 +92,9 @@
 // where it is slower: if there is room in plenty and it is in time all the
 // same, or if no rack could ever hold it.
 func (p *pool) mayRunFar(g *group, now time.Time) bool {
-	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(p.expected(g)))
-	if !now.Add(far).After(g.job.due()) && p.idleShare() > idleForFar {
+	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(g.step.Estimate))
+	inTime := !now.Add(far).After(g.job.due())
+	if (inTime || now.Sub(g.waitingSince) > farPatience) && p.idleShare() > idleForFar {
 		return true
 	}
 	return !p.fitsOneRack(g)
@@ -125,6 +126,10 @@
 // takes them for several times as long as it would near its rack or data.
 const idleForFar = 0.4
 
+// farPatience is how long a group waits for its rack beside idle ones; the
+// platform calls a job lost that waits for 3 s beside room.
+const farPatience = 1500 * time.Millisecond
+
 func (p *pool) idleShare() float64 {
 	free, all := 0, 0
 	for _, w := range p.workers {
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -102,7 +102,7 @@
 
 func (p *pool) rank(g *group, now time.Time, entitled map[*job]bool) int {
 	priority := min(g.job.Priority, lowestPriority)
-	inTime := !now.Add(p.expected(g)).After(g.job.due())
+	inTime := !now.Add(g.step.Estimate).After(g.job.due())
 	switch {
 	case entitled[g.job]:
 		return rankEntitled
@@ -172,7 +172,7 @@
 	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("members", len(g.members)).Int("victims", len(g.victims)).
-		Int("priority", g.job.Priority).Dur("slack", g.job.due().Sub(g.placedAt)-p.expected(g)).
+		Int("priority", g.job.Priority).Dur("slack", g.job.due().Sub(g.placedAt)-g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.markDirty(g.job)
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -20,7 +20,6 @@
 	jobs    map[workflow.ID]*job
 	workers map[workflow.WorkerID]*worker
 	dirty   map[*job]struct{}
-	history estimates
 }
 
 // job is a job with its progress; the pool's lock guards it.
@@ -56,14 +55,16 @@
 
 // group is a gang or a single task.
 type group struct {
-	id         workflow.GroupID
-	job        *job
-	step       *workflow.Step
-	phase      phase
-	attempt    int
-	members    []*member
-	failures   int
-	checkpoint string
+	id       workflow.GroupID
+	job      *job
+	step     *workflow.Step
+	phase    phase
+	attempt  int
+	members  []*member
+	failures int
+	// failedAttempt is the newest attempt that is counted in failures.
+	failedAttempt int
+	checkpoint    string
 	// waitingSince and notBefore belong to the phase waiting.
 	waitingSince time.Time
 	notBefore    time.Time
@@ -88,7 +89,6 @@
 		jobs:    make(map[workflow.ID]*job),
 		workers: make(map[workflow.WorkerID]*worker),
 		dirty:   make(map[*job]struct{}),
-		history: newEstimates(),
 	}
 }
 
@@ -99,7 +99,7 @@
 		return
 	}
 	j := &job{
-		Job: w, received: p.scheduler.Now(), status: workflow.Queued, revision: revision,
+		Job: w, received: p.receivedAt(w.Accepted), status: workflow.Queued, revision: revision,
 		groups:     make(map[workflow.GroupID]*group),
 		doneGroups: make(map[[2]int]int),
 		opened:     make(map[[2]int]bool),
@@ -116,11 +116,22 @@
 	signal(p.planDue)
 }
 
+// longestWait bounds what a jump of the time of day can add to a job's age.
+const longestWait = 10 * time.Minute
+
+// receivedAt turns the time of day of an acceptance, perhaps by another
+// instance in another term, into a time of the steady clock.
+func (p *pool) receivedAt(accepted time.Time) time.Time {
+	age := p.scheduler.Wall().Sub(accepted)
+	return p.scheduler.Now().Add(-min(max(age, 0), longestWait))
+}
+
 // restore takes a group from the record; its members count as running until
 // their workers have been heard or their leases have surely run out.
 func (p *pool) restore(j *job, id workflow.GroupID, record workflow.Group) {
 	g := p.addGroup(j, id)
-	g.attempt, g.failures, g.checkpoint = record.Attempt, record.Failures, record.Checkpoint
+	g.attempt, g.checkpoint = record.Attempt, record.Checkpoint
+	g.failures, g.failedAttempt = record.Failures, record.FailedAttempt
 	if record.Done {
 		g.phase, g.done = finished, true
 		j.doneGroups[[2]int{id.Occurrence, id.Step}]++
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		record := workflow.Group{
-			Attempt: g.attempt, Failures: g.failures, Done: g.done,
+			Attempt: g.attempt, Failures: g.failures, FailedAttempt: g.failedAttempt, Done: g.done,
 			Checkpoint: g.checkpoint,
 		}
 		if !record.Done {
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -12,9 +12,10 @@
 	// startValidity is how long an order to start stays valid at the worker;
 	// a gang's members must all come within the shortest gang timeout, 3 s.
 	startValidity = 1500 * time.Millisecond
-	// startTimeout bounds one try, so that two fit into the validity.
-	startTimeout = 500 * time.Millisecond
-	startTries   = 3
+	// firstStartTimeout bounds the first try, each further one has twice the
+	// time: several round trips and a lost packet, all within the validity.
+	firstStartTimeout = 200 * time.Millisecond
+	startTries        = 3
 )
 
 // startGroup orders the members of a group whose attempt is on record and
@@ -69,11 +70,12 @@
 // repeated order is harmless, as the worker knows the attempt's number.
 func (p *pool) startMember(m *member, at workflow.Worker, order StartOrder) {
 	ambiguous := false
+	timeout := firstStartTimeout
 	for range startTries {
 		if !p.mayStart(m) {
 			break
 		}
-		ctx, cancel := context.WithTimeout(p.scheduler.ctx, startTimeout)
+		ctx, cancel := context.WithTimeout(p.scheduler.ctx, timeout)
 		result, err := p.scheduler.Workers.Start(ctx, at, order)
 		cancel()
 		if err == nil {
@@ -81,6 +83,7 @@
 			return
 		}
 		ambiguous = ambiguous || state.IsAmbiguous(err)
+		timeout *= 2
 		p.scheduler.Count(retryStart)
 		p.scheduler.Log.Warn().Str("event", "startUnanswered").Str("request", string(m.task.Job)).
 			Stringer("task", m.task).Int("attempt", m.attempt).Err(err).Send()
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -19,9 +19,9 @@
 
 const (
 	// stopRetry is the time after which an unanswered stop is sent again.
-	stopRetry = 500 * time.Millisecond
+	stopRetry = 300 * time.Millisecond
 	// stopTimeout bounds one stop.
-	stopTimeout = 700 * time.Millisecond
+	stopTimeout = 400 * time.Millisecond
 )
 
 // stopGroup ends the present attempt of a group.
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -14,7 +14,7 @@
 	// that often, so that a cut of nearly its length does not end it.
 	renewWait = 500 * time.Millisecond
 	// renewTimeout adds what a slow link may take.
-	renewTimeout = renewWait + 900*time.Millisecond
+	renewTimeout = renewWait + 300*time.Millisecond
 	// renewPause is the time between failed renewals.
 	renewPause = 150 * time.Millisecond
 )
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -97,6 +97,8 @@
 	Checkpoint string
 	Workers    []string
 	Lives      []int64
+	// FailedAttempt is the newest attempt that is counted as a failure.
+	FailedAttempt int
 }
 
 // EncodeProgress returns the record of a job's progress.
@@ -106,6 +108,7 @@
 		row := groupRecord{
 			Occurrence: id.Occurrence, Step: id.Step, Index: id.Index,
 			Attempt: g.Attempt, Failures: g.Failures, Done: g.Done, Checkpoint: g.Checkpoint,
+			FailedAttempt: g.FailedAttempt,
 		}
 		for _, at := range g.Placed {
 			row.Workers = append(row.Workers, string(at.Worker))
@@ -125,7 +128,10 @@
 	}
 	progress := workflow.Progress{Status: r.Status, Groups: make(map[workflow.GroupID]workflow.Group, len(r.Groups))}
 	for _, row := range r.Groups {
-		g := workflow.Group{Attempt: row.Attempt, Failures: row.Failures, Done: row.Done, Checkpoint: row.Checkpoint}
+		g := workflow.Group{
+			Attempt: row.Attempt, Failures: row.Failures, FailedAttempt: row.FailedAttempt,
+			Done: row.Done, Checkpoint: row.Checkpoint,
+		}
 		if len(row.Workers) != len(row.Lives) {
 			return workflow.Progress{}, errors.New("decode progress: workers and lives differ in number")
 		}
--- a/state/workflow/progress.go
+++ b/state/workflow/progress.go
@@ -37,7 +37,9 @@
 	// Placed holds a life of a worker for each member of that attempt.
 	Placed   []WorkerLife
 	Failures int
-	Done     bool
+	// FailedAttempt is the newest attempt that is counted in Failures.
+	FailedAttempt int
+	Done          bool
 	// Checkpoint is the newest one; empty is none.
 	Checkpoint string
 }
