--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -144,14 +144,43 @@
 // placeOrReclaim begins an attempt if there is room, or room worth making.
 func (p *pool) placeOrReclaim(g *group, now time.Time, entitled map[*job]bool) {
 	choice := p.place(g, now)
-	if choice == nil && (entitled[g.job] || p.rank(g, now, entitled) == rankUrgent) {
-		choice = p.reclaim(g, now, entitled)
+	if choice == nil {
+		choice = p.reclaimInTime(g, now, entitled)
 	}
 	if choice != nil {
 		p.begin(g, choice)
 	}
 }
 
+// reclaimInTime makes room for urgent work once waiting longer would make it
+// late, if it is worth more than what is lost; a guarantee is met at any price
+// before its limit.
+func (p *pool) reclaimInTime(g *group, now time.Time, entitled map[*job]bool) *placement {
+	if g.job.Priority != 0 {
+		return nil
+	}
+	limit := p.scheduler.Bounds.ReclaimLimit - p.scheduler.Bounds.StopLimit - reclaimMargin
+	mustStart := entitled[g.job] && now.Sub(g.job.received) >= limit
+	slack := g.job.due().Sub(now) - g.step.Estimate
+	if !mustStart && (slack < minReclaimSlack || slack > maxReclaimSlack) {
+		return nil
+	}
+	choice, cost := p.reclaim(g, now, entitled)
+	if choice == nil || !mustStart && cost > (1-lateValue)*p.value(g.job) {
+		return nil
+	}
+	return choice
+}
+
+const (
+	// reclaimMargin is left of the limit for the record, the orders and a round.
+	reclaimMargin = 700 * time.Millisecond
+	// maxReclaimSlack is when a stop, a record and a start just fit.
+	maxReclaimSlack = 1300 * time.Millisecond
+	// minReclaimSlack is below the fastest stop: the work would be late anyway.
+	minReclaimSlack = 200 * time.Millisecond
+)
+
 // begin plans the next attempt on the workers and has it put on record.
 func (p *pool) begin(g *group, choice *placement) {
 	g.attempt++
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -20,6 +20,8 @@
 	jobs    map[workflow.ID]*job
 	workers map[workflow.WorkerID]*worker
 	dirty   map[*job]struct{}
+	// meanWork is the mean core-seconds of a job, by queue.
+	meanWork map[string]float64
 }
 
 // job is a job with its progress; the pool's lock guards it.
@@ -86,9 +88,10 @@
 	return &pool{
 		scheduler: s, service: service,
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
-		jobs:    make(map[workflow.ID]*job),
-		workers: make(map[workflow.WorkerID]*worker),
-		dirty:   make(map[*job]struct{}),
+		jobs:     make(map[workflow.ID]*job),
+		workers:  make(map[workflow.WorkerID]*worker),
+		dirty:    make(map[*job]struct{}),
+		meanWork: make(map[string]float64),
 	}
 }
 
@@ -109,6 +112,7 @@
 		j.status = progress.Status
 	}
 	p.jobs[w.ID] = j
+	p.noteWork(j)
 	for id, record := range progress.Groups {
 		p.restore(j, id, record)
 	}
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -10,8 +10,8 @@
 
 // reclaim finds the cheapest attempts to stop so that a group can start, near
 // its rack if that is possible at all. Groups without a guarantee stop only
-// work of lower urgency.
-func (p *pool) reclaim(g *group, now time.Time, entitled map[*job]bool) *placement {
+// work of lower urgency. It returns what is lost by that, too.
+func (p *pool) reclaim(g *group, now time.Time, entitled map[*job]bool) (*placement, float64) {
 	candidates := p.suitable(g, now)
 	var best *clearing
 	consider := func(workers []*worker) {
@@ -32,9 +32,9 @@
 		consider(candidates)
 	}
 	if best == nil {
-		return nil
+		return nil, 0
 	}
-	return &placement{workers: best.chosen, victims: best.victims}
+	return &placement{workers: best.chosen, victims: best.victims}, best.cost
 }
 
 // preemptible returns the groups on each worker that may be stopped for g.
--- a/coordination/scheduling/value.go
+++ b/coordination/scheduling/value.go
@@ -11,8 +11,12 @@
 	// wastePrice is what a lost core-second costs, in units of the value of a
 	// core-second of ordinary work that is done in time.
 	wastePrice = 2.0
-	// lateLoss is the part of its value that work loses when it is late.
-	lateLoss = 0.7
+	// lateValue is the part of its value that late work still has at best.
+	lateValue = 0.25
+	// baseValue is the part of a job's value that does not grow with its work,
+	// and largestValue bounds the rest in units of the mean of its queue.
+	baseValue    = 0.3
+	largestValue = 4
 )
 
 // urgencyValue is the value of a core-second of work that is done in time, by
@@ -42,7 +46,7 @@
 		left -= min(ran, left)
 	}
 	if slack := g.job.due().Sub(now) - left; slack < 0 && g.job.due().After(now) {
-		cost += lateLoss * g.job.valueRate() * g.coreSeconds()
+		cost += (1 - lateValue) * g.job.valueRate() * g.coreSeconds()
 	}
 	return cost
 }
@@ -51,3 +55,30 @@
 func (g *group) slowsAway() bool {
 	return g.step.SameRack && g.size() > 1 || g.step.PreferredRack != ""
 }
+
+// value is what the job is worth if it is done in time.
+func (p *pool) value(j *job) float64 {
+	mean := p.meanWork[j.Queue]
+	return j.valueRate() * (baseValue*mean + (1-baseValue)*min(j.work(), largestValue*mean))
+}
+
+// work is the core-seconds of one occurrence of the job.
+func (j *job) work() (total float64) {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		total += s.Estimate.Seconds() * s.Needs().CoreEquivalents() * float64(s.Tasks)
+	}
+	return total
+}
+
+// meanRate is the weight of one more job in the mean work of its queue.
+const meanRate = 0.1
+
+// noteWork keeps the mean work of each queue.
+func (p *pool) noteWork(j *job) {
+	mean, known := p.meanWork[j.Queue]
+	if !known {
+		mean = j.work()
+	}
+	p.meanWork[j.Queue] = mean + meanRate*(j.work()-mean)
+}
