Shorten the time without a planner, and tell it of jobs directly

Change: a term pauses while its lease is unsure and goes on when a renewal succeeds; the others ask the planner over connect-go and end its lease when it says that it is cut off or its port refuses; entries announce accepted and cancelled jobs to the planner.

--- a/coordination/archive/intake.go
+++ b/coordination/archive/intake.go
@@ -37,7 +37,7 @@
 // Cancel puts the wish on record; known is false if there is no such job.
 func (a *Archive) Cancel(ctx context.Context, id workflow.ID) (known bool, err error) {
 	err = a.retry(ctx, func(ctx context.Context) error {
-		_, known, err = a.Store.Get(ctx, jobKey(id))
+		_, known, _, err = a.Store.Get(ctx, jobKey(id))
 		return err
 	})
 	if err != nil || !known {
@@ -53,7 +53,7 @@
 func (a *Archive) Status(ctx context.Context, id workflow.ID) (status workflow.Status, known bool, err error) {
 	var item keyvalue.Item
 	err = a.retry(ctx, func(ctx context.Context) error {
-		item, known, err = a.Store.Get(ctx, progressKey(id))
+		item, known, _, err = a.Store.Get(ctx, progressKey(id))
 		return err
 	})
 	if err != nil {
@@ -64,7 +64,7 @@
 		return status, true, err
 	}
 	err = a.retry(ctx, func(ctx context.Context) error {
-		_, known, err = a.Store.Get(ctx, jobKey(id))
+		_, known, _, err = a.Store.Get(ctx, jobKey(id))
 		return err
 	})
 	return workflow.Queued, known, err
@@ -75,7 +75,7 @@
 	var item keyvalue.Item
 	var known bool
 	err = a.retry(ctx, func(ctx context.Context) error {
-		item, known, err = a.Store.Get(ctx, pendingKey)
+		item, known, _, err = a.Store.Get(ctx, pendingKey)
 		return err
 	})
 	if err != nil || !known {
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -18,8 +18,12 @@
 	Policy  *policy.Book
 	Archive *archive.Archive
 	Now     func() time.Time
-	Count   func(reason state.Reason)
-	Log     zerolog.Logger
+	// Accepted and Cancelled hear what is on record, so that the planner need
+	// not wait for the store to tell it; they must not block.
+	Accepted  func(job *workflow.Job)
+	Cancelled func(id workflow.ID)
+	Count     func(reason state.Reason)
+	Log       zerolog.Logger
 }
 
 // Call says where a request was sent and with which key.
@@ -87,6 +91,9 @@
 	}
 	err := i.Archive.Accept(ctx, job)
 	i.logCall("jobSubmitted", job.ID, err)
+	if err == nil {
+		i.Accepted(job)
+	}
 	return i.typed("submit a job", err)
 }
 
@@ -98,6 +105,9 @@
 	if err == nil && !known {
 		return i.refuse("cancel a job", state.UnknownJob, nil)
 	}
+	if err == nil {
+		i.Cancelled(id)
+	}
 	return i.typed("cancel a job", err)
 }
 
--- a/coordination/keyvalue/store.go
+++ b/coordination/keyvalue/store.go
@@ -18,7 +18,9 @@
 	Key      string
 	Value    []byte
 	Revision Revision
-	Deleted  bool
+	// Lease is the one that the key goes with; 0 is none.
+	Lease   LeaseID
+	Deleted bool
 }
 
 // Condition holds if the key's last change is the revision.
@@ -45,8 +47,9 @@
 // *state.StepError, which say whether a change may have been carried out,
 // or wrap one of this package's.
 type Store struct {
-	// Get returns an item; found is false if there is none.
-	Get func(ctx context.Context, key string) (item Item, found bool, err error)
+	// Get returns an item; found is false if there is none. A watch for its
+	// next change begins at asOf, as its own revision may be history.
+	Get func(ctx context.Context, key string) (item Item, found bool, asOf Revision, err error)
 	// List returns all items below the prefix and a revision from which to watch.
 	List func(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// Watch returns the changes after a revision as soon as there are any, and
--- a/coordination/policy/book.go
+++ b/coordination/policy/book.go
@@ -47,7 +47,7 @@
 	done := b.reads.DoChan("", func() (any, error) {
 		reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 		defer cancel()
-		item, found, err := b.Store.Get(reading, b.Key)
+		item, found, _, err := b.Store.Get(reading, b.Key)
 		if err == nil && found {
 			b.take(item)
 		}
--- a/coordination/scheduling/calls.go
+++ b/coordination/scheduling/calls.go
@@ -83,4 +83,7 @@
 	GangTimeout  time.Duration
 	ReclaimLimit time.Duration
 	FarFactor    float64
+	// Overlap is how long an earlier planner may still give orders after this
+	// term began.
+	Overlap time.Duration
 }
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -66,7 +66,7 @@
 	if !known {
 		w = &worker{
 			info: workerInfo{Worker: workflow.Worker{ID: id}}, members: make(map[attemptKey]*member),
-			leaseEnds: p.leaseEnd(p.scheduler.began), look: make(chan struct{}, 1),
+			leaseEnds: p.leaseEnd(p.scheduler.began.Add(p.scheduler.Bounds.Overlap)), look: make(chan struct{}, 1),
 		}
 		p.workers[id] = w
 	}
--- a/coordination/seat/seat.go
+++ b/coordination/seat/seat.go
@@ -14,14 +14,15 @@
 const (
 	// Key is where the planner's seat lies in the store.
 	Key = "seat"
-	// leaseTTL bounds the time without a planner after its silent death.
-	leaseTTL = 2 * time.Second
+	// LeaseTTL bounds the time without a planner after its silent death, and
+	// how long a planner that was deposed may still give orders.
+	LeaseTTL = 2 * time.Second
 	// renewInterval leaves room for three lost renewals.
 	renewInterval = 400 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 600 * time.Millisecond
 	// driftMargin is what the store's clock may run ahead of ours in a lease.
-	driftMargin = leaseTTL/20 + 50*time.Millisecond
+	driftMargin = LeaseTTL/20 + 50*time.Millisecond
 	// watchWait is how long one watch on another's seat waits.
 	watchWait = 1500 * time.Millisecond
 	// retryPause is the time between failed calls.
@@ -35,6 +36,9 @@
 	Identity []byte
 	// Now counts time also while the machine is suspended.
 	Now func() time.Duration
+	// Ask asks the planner that the identity names how it stands to the term,
+	// and waits for a change; see Standing.
+	Ask func(ctx context.Context, identity []byte, term keyvalue.Revision, wait time.Duration) (Standing, error)
 	// Began starts the work of a term; Over ends it and waits.
 	Began func(term keyvalue.Revision)
 	Over  func()
@@ -43,30 +47,46 @@
 	mu    sync.Mutex
 	lease keyvalue.LeaseID
 	term  keyvalue.Revision
-	until time.Duration
-	// resigned ends the candidacy; given up ends only the present term.
+	// renewed is when the newest renewal that succeeded was sent.
+	renewed time.Duration
+	// resigned ends the candidacy; givenUp is closed with the present term.
 	resigned bool
 	givenUp  chan struct{}
+	// planner is the seat as it was last seen with somebody else.
+	planner keyvalue.Item
+	// deposed is when this candidate last ended another's term.
+	deposed time.Duration
 }
 
 // Valid reports whether the term surely goes on.
 func (c *Candidate) Valid(term keyvalue.Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.term == term && term != 0 && c.Now() < c.until
+	return c.validFor(term, LeaseTTL-driftMargin)
 }
 
-// GiveUp ends the present term, if it is this one.
-func (c *Candidate) GiveUp(term keyvalue.Revision) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.term != term || c.givenUp == nil {
-		return
+// validFor reports whether the term is held and was renewed within the time.
+func (c *Candidate) validFor(term keyvalue.Revision, age time.Duration) bool {
+	return c.term == term && c.holds() && c.Now()-c.renewed < age
+}
+
+func (c *Candidate) holds() bool {
+	if c.term == 0 {
+		return false
 	}
-	c.until = 0
 	select {
 	case <-c.givenUp:
+		return false
 	default:
+		return true
+	}
+}
+
+// GiveUp ends the present term, if it is this one.
+func (c *Candidate) GiveUp(term keyvalue.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == term && c.holds() {
 		close(c.givenUp)
 	}
 }
@@ -91,7 +111,9 @@
 	for ctx.Err() == nil && !c.hasResigned() {
 		taken, err := c.take(ctx)
 		if err != nil {
-			c.Log.Warn().Str("event", "seatUnknown").Err(err).Send()
+			if ctx.Err() == nil {
+				c.Log.Warn().Str("event", "seatUnknown").Err(err).Send()
+			}
 			pause(ctx, retryPause)
 			continue
 		}
@@ -103,17 +125,20 @@
 
 // take waits for the seat to be free and tries to get it.
 func (c *Candidate) take(ctx context.Context) (bool, error) {
-	item, found, err := c.read(ctx)
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	item, found, asOf, err := c.Store.Get(calling, Key)
+	cancel()
 	if err != nil {
 		return false, err
 	}
 	if found {
-		return false, c.waitFree(ctx, item)
+		c.see(item)
+		return false, c.waitFree(ctx, item, asOf)
 	}
 	sent := c.Now()
-	calling, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	lease, err := c.Store.Grant(calling, leaseTTL)
+	calling, cancel = context.WithTimeout(ctx, callTimeout)
+	lease, err := c.Store.Grant(calling, LeaseTTL)
+	cancel()
 	if err != nil {
 		return false, err
 	}
@@ -124,11 +149,28 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease, c.term, c.until = lease, term, sent+leaseTTL-driftMargin
+	c.lease, c.term, c.renewed = lease, term, sent
 	c.givenUp = make(chan struct{})
 	return true, nil
 }
 
+func (c *Candidate) see(item keyvalue.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.planner = item
+}
+
+// Planner returns the identity of the planner that was last seen, and whether
+// this candidate is the planner itself.
+func (c *Candidate) Planner() (identity []byte, self bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holds() {
+		return c.Identity, true
+	}
+	return c.planner.Value, false
+}
+
 // create writes the seat's key; term 0 says that another was faster. A write
 // without an answer can take no effect once its lease is revoked.
 func (c *Candidate) create(ctx context.Context, lease keyvalue.LeaseID) (keyvalue.Revision, error) {
@@ -145,27 +187,26 @@
 	return revision, err
 }
 
-func (c *Candidate) read(ctx context.Context) (keyvalue.Item, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return c.Store.Get(ctx, Key)
-}
-
 // waitFree returns when the seat may have become free.
-func (c *Candidate) waitFree(ctx context.Context, held keyvalue.Item) error {
-	after := held.Revision
+func (c *Candidate) waitFree(ctx context.Context, held keyvalue.Item, after keyvalue.Revision) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var suspecting sync.WaitGroup
+	defer suspecting.Wait()
+	defer cancel()
+	suspecting.Go(func() { c.suspect(ctx, held) })
 	for ctx.Err() == nil && !c.hasResigned() {
 		watching, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 		items, next, err := c.Store.Watch(watching, Key, after, watchWait)
 		cancel()
 		if errors.Is(err, keyvalue.ErrHistoryLost) {
+			pause(ctx, retryPause)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		for _, item := range items {
-			if item.Key == Key && item.Deleted {
+			if item.Key == Key && item.Revision > held.Revision {
 				return nil
 			}
 		}
@@ -188,7 +229,9 @@
 	c.free(lease)
 }
 
-// keep renews the lease until the term ends, and says why it did.
+// keep renews the lease until the term ends, and says why it did. A term whose
+// lease is not sure to hold only pauses: as long as nobody has taken the seat,
+// a renewal that succeeds shows that it was held all the while.
 func (c *Candidate) keep(ctx context.Context, term keyvalue.Revision, lease keyvalue.LeaseID, givenUp chan struct{}) string {
 	for {
 		select {
@@ -207,21 +250,18 @@
 			c.extend(term, sent)
 		case errors.Is(err, keyvalue.ErrLeaseEnded):
 			return "leaseEnded"
-		default:
-			c.Log.Warn().Str("event", "seatRenewalFailed").Int64("term", int64(term)).Err(err).Send()
-		}
-		if !c.Valid(term) {
-			return "leaseUnsure"
+		case ctx.Err() == nil:
+			c.Log.Warn().Str("event", "seatRenewalFailed").Int64("term", int64(term)).
+				Bool("sure", c.Valid(term)).Err(err).Send()
 		}
 	}
 }
 
-// extend moves the end of the term, unless it has been passed already.
 func (c *Candidate) extend(term keyvalue.Revision, sent time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.term == term && c.Now() < c.until {
-		c.until = sent + leaseTTL - driftMargin
+	if c.term == term {
+		c.renewed = max(c.renewed, sent)
 	}
 }
 
--- a/instance/hosted/close.go
+++ b/instance/hosted/close.go
@@ -38,7 +38,7 @@
 }
 
 func (i *Instance) release() error {
-	for _, c := range []interface{ Close() error }{i.callers, i.readiness, i.operators, i.toStore, i.toWorkers, i.metrics} {
+	for _, c := range []interface{ Close() error }{i.callers, i.readiness, i.entries, i.toPeers, i.toStore, i.toWorkers, i.metrics} {
 		if err := c.Close(); err != nil {
 			return errors.Wrap(err, "close entry")
 		}
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +19,7 @@
 	"comfreystream/coordination/seat"
 	"comfreystream/metrics"
 	"comfreystream/platform"
+	"comfreystream/protocol/peer"
 	"comfreystream/protocol/record"
 	"comfreystream/transport"
 )
@@ -43,11 +44,13 @@
 	book      *policy.Book
 	archive   *archive.Archive
 	candidate *seat.Candidate
-	term      term
+	term      atomic.Pointer[term]
+	peers     *peer.PlannerClient
+	toPeers   *transport.Client
 
 	callers   *transport.Server
 	readiness *transport.Server
-	operators *transport.Server
+	entries   *transport.Server
 	leaving   atomic.Bool
 
 	ctx    context.Context
@@ -62,13 +65,15 @@
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	limits := transport.ClientLimits{IdleTimeout: idleTimeout, SilenceTimeout: noSilenceLimit}
 	i.toStore, i.toWorkers = transport.NewClient(limits), transport.NewClient(limits)
+	i.toPeers = transport.NewClient(transport.ClientLimits{})
+	i.peers = peer.NewPlannerClient(i.toPeers)
 	store := &platform.Store{Connections: i.toStore, Address: func() netip.AddrPort { return i.settings.Load().Store }}
 	i.store = store.Calls()
 	i.workers = &platform.Workers{Connections: i.toWorkers}
 	i.book = &policy.Book{Store: &i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
 	i.archive = newArchive(&i.store)
 	i.candidate = &seat.Candidate{
-		Store: &i.store, Identity: identity(s.Instance), Now: seat.BootTime,
+		Store: &i.store, Identity: newIdentity(s.Entry), Now: seat.BootTime, Ask: i.askPlanner,
 		Began: i.beginTerm, Over: i.endTerm, Log: log,
 	}
 	if err := i.listen(s); err != nil {
@@ -83,9 +88,6 @@
 	return i, nil
 }
 
-// identity is unique for the process, so that no seat is taken for its own.
-func identity(instance string) []byte { return []byte(instance + " " + rand.Text()) }
-
 func newArchive(store *keyvalue.Store) *archive.Archive {
 	return &archive.Archive{
 		Store:     store,
@@ -98,7 +100,10 @@
 
 func (i *Instance) listen(s *platform.Settings) (err error) {
 	front := &platform.Front{
-		Intake:  &intake.Intake{Policy: i.book, Archive: i.archive, Now: time.Now, Count: i.metrics.CountRefusal, Log: i.log},
+		Intake: &intake.Intake{
+			Policy: i.book, Archive: i.archive, Now: time.Now, Accepted: i.announce, Cancelled: i.announceCancel,
+			Count: i.metrics.CountRefusal, Log: i.log,
+		},
 		Log:     i.log,
 		Observe: i.metrics.ObserveRequest,
 	}
@@ -110,20 +115,27 @@
 		_ = i.callers.Close()
 		return errors.Wrap(err, "listen for readiness: free the port")
 	}
-	if i.operators, err = transport.Listen(s.Entry, i.page, limits); err != nil {
+	if i.entries, err = transport.Listen(s.Entry, i.entryHandler(), limits); err != nil {
 		_ = i.callers.Close()
 		_ = i.readiness.Close()
-		return errors.Wrap(err, "listen for metrics: free the port")
+		return errors.Wrap(err, "listen for entries and metrics: free the port")
 	}
 	return nil
 }
 
-func (i *Instance) page(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != "/metrics" {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
+// entryHandler serves other entries and the operators' metrics.
+func (i *Instance) entryHandler() fasthttp.RequestHandler {
+	forPeers := (&peer.PlannerService{Stand: i.candidate.Stand, Accepted: i.heardAccepted, Cancelled: i.heardCancelled}).Handler()
+	return func(ctx *fasthttp.RequestCtx) {
+		switch {
+		case strings.HasPrefix(string(ctx.Path()), peer.PathPrefix):
+			forPeers(ctx)
+		case string(ctx.Path()) == "/metrics":
+			i.metrics.Page(ctx)
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
 	}
-	i.metrics.Page(ctx)
 }
 
 // ready reports whether new callers may come.
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -6,13 +6,12 @@
 	"sync"
 	"time"
 
+	"comfreystream/coordination/archive"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/coordination/seat"
 	"comfreystream/platform"
 	"comfreystream/state/workflow"
-
-	"comfreystream/coordination/archive"
 )
 
 const (
@@ -29,26 +28,29 @@
 
 // term is the planner's work while this instance has the seat.
 type term struct {
+	instance  *Instance
 	ctx       context.Context
 	cancel    context.CancelFunc
 	loops     sync.WaitGroup
 	scheduler *scheduling.Scheduler
 	seat      keyvalue.Condition
-	progress  map[workflow.ID]archive.Loaded
-	loaded    sync.Once
+	// progress is what was on record when the term began; it is set once loaded
+	// is closed.
+	progress map[workflow.ID]archive.Loaded
+	loaded   chan struct{}
+	complete sync.Once
 }
 
 // beginTerm starts to plan; the candidate calls it and endTerm in turn.
 func (i *Instance) beginTerm(revision keyvalue.Revision) {
 	s := i.settings.Load()
-	t := &i.term
-	*t = term{seat: keyvalue.Condition{Key: seat.Key, Revision: revision}}
+	t := &term{instance: i, seat: keyvalue.Condition{Key: seat.Key, Revision: revision}, loaded: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(i.ctx)
 	t.scheduler = &scheduling.Scheduler{
 		Term: scheduling.Term(revision),
 		Bounds: scheduling.Bounds{
 			LeaseLimit: s.LeaseLimit, StopLimit: s.StopLimit, GangTimeout: s.GangTimeout,
-			ReclaimLimit: s.ReclaimLimit, FarFactor: s.FarFactor,
+			ReclaimLimit: s.ReclaimLimit, FarFactor: s.FarFactor, Overlap: seat.LeaseTTL,
 		},
 		Now: time.Now, Wall: time.Now, Workers: i.workers.Calls(),
 		Authorised: func() bool { return i.candidate.Valid(revision) },
@@ -61,13 +63,15 @@
 		Log:       i.log,
 	}
 	t.scheduler.Open()
-	t.loops.Go(i.plan)
+	i.term.Store(t)
+	t.loops.Go(t.plan)
 }
 
 func (i *Instance) endTerm() {
-	i.term.cancel()
-	i.term.loops.Wait()
-	_ = i.term.scheduler.Close()
+	t := i.term.Swap(nil)
+	t.cancel()
+	t.loops.Wait()
+	_ = t.scheduler.Close()
 }
 
 // guarantee returns what an organisation can always have.
@@ -80,36 +84,47 @@
 }
 
 // plan loads what is on record, then follows jobs and workers.
-func (i *Instance) plan() {
-	t := &i.term
+func (t *term) plan() {
+	i := t.instance
 	for t.ctx.Err() == nil {
 		var err error
 		if t.progress, err = i.archive.Load(t.ctx); err == nil {
+			close(t.loaded)
 			break
 		}
 		i.log.Warn().Str("event", "progressNotLoaded").Err(err).Send()
 		wait(t.ctx, loadRetry)
 	}
 	i.archive.FollowIntake(t.ctx, archive.Listener{
-		Accepted: func(job *workflow.Job) {
-			loaded := t.progress[job.ID]
-			t.scheduler.Load(job, loaded.Progress, loaded.Revision)
-		},
-		Cancelled: t.scheduler.Cancel,
+		Accepted:  t.accepted,
+		Cancelled: t.cancelled,
 		Complete: func() {
-			t.loaded.Do(func() {
+			t.complete.Do(func() {
 				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Send()
-				t.loops.Go(i.followWorkers)
-				t.loops.Go(i.recordPending)
+				t.loops.Go(t.followWorkers)
+				t.loops.Go(t.recordPending)
 			})
 		},
 		Failed: func(err error) { i.log.Warn().Str("event", "intakeUnwatched").Err(err).Send() },
 	})
 }
 
+// accepted takes a job, perhaps again; before the record is loaded it is left
+// to the listing that follows.
+func (t *term) accepted(job *workflow.Job) {
+	select {
+	case <-t.loaded:
+		loaded := t.progress[job.ID]
+		t.scheduler.Load(job, loaded.Progress, loaded.Revision)
+	default:
+	}
+}
+
+func (t *term) cancelled(id workflow.ID) { t.scheduler.Cancel(id) }
+
 // followWorkers reads the registry until the term ends.
-func (i *Instance) followWorkers() {
-	t := &i.term
+func (t *term) followWorkers() {
+	i := t.instance
 	for t.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(t.ctx, registryTimeout)
 		items, _, err := i.store.List(ctx, platform.WorkersPrefix)
@@ -139,8 +154,8 @@
 }
 
 // recordPending puts the number of waiting jobs on record when it has changed.
-func (i *Instance) recordPending() {
-	t := &i.term
+func (t *term) recordPending() {
+	i := t.instance
 	var last map[string]int
 	for t.ctx.Err() == nil {
 		pending := t.scheduler.Pending()
