--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -21,17 +21,17 @@
 		}
 		w.failedJob = m.task.Job
 		if w.failures >= suspectFailures {
-			p.quarantine(w, "failures")
+			p.quarantine(w, "failures", unhealthyPause)
 		}
 	}
 }
 
 // quarantine keeps new work from the worker for a while.
-func (p *pool) quarantine(w *worker, cause string) {
-	w.avoidUntil = p.scheduler.Now().Add(unhealthyPause)
+func (p *pool) quarantine(w *worker, cause string, pause time.Duration) {
+	w.avoidUntil = p.scheduler.Now().Add(pause)
 	p.scheduler.Count(workerQuarantined)
 	p.scheduler.Log.Warn().Str("event", "workerQuarantined").Str("worker", string(w.info.ID)).
-		Str("cause", cause).Int("failures", w.failures).Dur("pause", unhealthyPause).Send()
+		Str("cause", cause).Int("failures", w.failures).Dur("pause", pause).Send()
 }
 
 // stopStalled stops groups of which a task has stood still, and keeps new
@@ -65,7 +65,7 @@
 	for _, m := range g.members {
 		if now.Sub(m.percentAt) > stallTimeout {
 			g.avoidWorker(m.worker.info.ID)
-			p.quarantine(m.worker, "stalled")
+			p.quarantine(m.worker, "stalled", unhealthyPause)
 		}
 	}
 	p.stopGroup(g, reasonStalled)
