--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,7 +73,9 @@
 // bestRack returns the placement that leaves the least room on its rack.
 func (p *pool) bestRack(g *group, candidates []*worker) (best *placement) {
 	leastLeft := 0
-	for _, workers := range byRack(candidates) {
+	racks := byRack(candidates)
+	for _, rack := range slices.Sorted(maps.Keys(racks)) {
+		workers := racks[rack]
 		choice := g.fill(workers, freeRoom)
 		if choice == nil {
 			continue
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,8 +23,9 @@
 	}
 	switch {
 	case g.step.SameRack && g.size() > 1:
-		for _, workers := range byRack(candidates) {
-			consider(workers)
+		racks := byRack(candidates)
+		for _, rack := range slices.Sorted(maps.Keys(racks)) {
+			consider(racks[rack])
 		}
 	case g.step.PreferredRack != "":
 		consider(onRack(candidates, g.step.PreferredRack))
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -101,6 +101,7 @@
 	for w, applied := range b.applied {
 		if w.life == b.lives[w] {
 			w.acknowledged = applied
+			signal(w.look)
 		}
 	}
 	for i, j := range b.jobs {
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -98,7 +98,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return m.phase == ordered && m.group.phase == placed && m.worker.clockAt(p.scheduler.Now()) < m.startUntil
+	return m.phase == ordered && !m.stopWanted && m.group.phase == placed && m.worker.clockAt(p.scheduler.Now()) < m.startUntil
 }
 
 func (p *pool) startAnswered(m *member, result StartResult, ambiguous bool) {
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -15,6 +15,8 @@
 	renewWait = 500 * time.Millisecond
 	// renewTimeout adds what a slow link may take.
 	renewTimeout = renewWait + 300*time.Millisecond
+	// recordWait bounds the wait for the record between renewals.
+	recordWait = 250 * time.Millisecond
 	// renewPause is the time between failed renewals.
 	renewPause = 150 * time.Millisecond
 )
@@ -29,6 +31,7 @@
 				p.scheduler.Log.Info().Str("event", "workerRegained").Str("worker", string(w.info.ID)).Send()
 			}
 			silent = false
+			p.awaitRecord(w)
 			continue
 		}
 		if errors.Is(err, ErrTermEnded) {
@@ -47,6 +50,24 @@
 	}
 }
 
+// awaitRecord waits until the ends that were listed are on record, as the
+// worker would list them again at once, but no longer than leases allow.
+func (p *pool) awaitRecord(w *worker) {
+	p.mu.Lock()
+	recorded := w.acknowledged >= w.applied
+	p.mu.Unlock()
+	if recorded {
+		return
+	}
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	select {
+	case <-p.scheduler.ctx.Done():
+	case <-w.look:
+	case <-timer.C:
+	}
+}
+
 // renew makes one call; it asks for no wait when something awaits its answer.
 func (p *pool) renew(w *worker) error {
 	if !p.scheduler.Authorised() {
@@ -94,7 +115,7 @@
 	now := p.scheduler.Now()
 	first := w.heard.IsZero()
 	if report.Life != w.life {
-		p.newLife(w, report.Life)
+		p.newLife(w, report)
 		first = true
 	}
 	w.heard, w.clock = now, report.Clock
@@ -124,17 +145,36 @@
 	}
 }
 
-// newLife ends all that ran in the worker's earlier life.
-func (p *pool) newLife(w *worker, life workflow.Incarnation) {
-	w.life, w.applied, w.acknowledged = life, 0, 0
+// newLife ends all that ran in the worker's earlier life. An order to start
+// may reach the new life all the same, whose clock begins anew: what is listed
+// there goes on, and what may still come is stopped before it does.
+func (p *pool) newLife(w *worker, report workflow.Report) {
+	w.life, w.applied, w.acknowledged = report.Life, 0, 0
 	w.failures, w.failedJob, w.avoidUntil = 0, "", time.Time{}
-	for _, m := range w.members {
-		if m.life != life {
+	listed := make(map[attemptKey]bool)
+	for _, task := range report.Running {
+		listed[attemptKey{task.Task, task.Attempt}] = true
+	}
+	for _, end := range report.Ends {
+		listed[attemptKey{end.Task, end.Attempt}] = true
+	}
+	for key, m := range w.members {
+		switch {
+		case m.life == report.Life || m.phase == planned:
+		case listed[key]:
+		case m.phase == ordered:
+			m.stopWanted, m.startUntil = true, never
+			m.stopHeard, m.stopSent = time.Time{}, time.Time{}
+		default:
 			p.resolve(m, workflow.Lost, "")
 		}
+		m.life = report.Life
 	}
 }
 
+// never is a time of a worker's clock that does not come.
+const never = time.Duration(1<<63 - 1)
+
 func (p *pool) takeEnd(w *worker, end workflow.End) {
 	if end.Number <= w.applied {
 		return
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -41,7 +41,7 @@
 	// strangers is set while it runs what this term does not know.
 	strangers bool
 	tended    bool
-	// look has the tender ask at once.
+	// look wakes the tender when ends are on record or a stop was answered.
 	look chan struct{}
 	// avoidUntil, failures in a row and the job that failed last tell its health.
 	avoidUntil time.Time
