--- a/standin/keyvalue/store.go
+++ b/standin/keyvalue/store.go
@@ -161,6 +161,9 @@
 			return events, asOf, nil
 		}
 		s.await(ctx, changed, deadline)
+		if ctx.Err() != nil {
+			return nil, 0, state.AmbiguousStep("Watch", netip.AddrPort{}, state.ConnectionLost, ctx.Err())
+		}
 	}
 }
 
