--- /dev/null
+++ b/coordination/archive/archive_test.go
@@ -0,0 +1,164 @@
+package archive_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"comfreystream/coordination/archive"
+	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/scheduling"
+	"comfreystream/protocol/record"
+	standin "comfreystream/standin/keyvalue"
+	"comfreystream/state/workflow"
+)
+
+func newArchive(store *keyvalue.Store) *archive.Archive {
+	return &archive.Archive{
+		Store:     store,
+		EncodeJob: record.EncodeSubmission, DecodeJob: record.DecodeSubmission,
+		EncodeProgress: record.EncodeProgress, DecodeProgress: record.DecodeProgress,
+		DecodeStatus:  record.DecodeStatus,
+		EncodePending: record.EncodePending, DecodePending: record.DecodePending,
+	}
+}
+
+var progress = workflow.Progress{
+	Status: workflow.Running,
+	Groups: map[workflow.GroupID]workflow.Group{
+		{Step: 1, Index: 2}: {
+			Attempt: 3, Failures: 1, FailedAttempt: 2, Checkpoint: "c",
+			Placed: []workflow.WorkerLife{{Worker: "w", Life: 9}},
+		},
+	},
+}
+
+// TestSave tells an own write without an answer from the loss of the seat.
+func TestSave(t *testing.T) {
+	tests := []struct {
+		name string
+		// fault is that of the first save; between happens after it.
+		fault   standin.Fault
+		between func(store *keyvalue.Store)
+		want    error
+	}{
+		{"answered", standin.None, func(*keyvalue.Store) {}, nil},
+		{"refused, then saved", standin.Refused, func(*keyvalue.Store) {}, nil},
+		{"silent, then saved", standin.Silent, func(*keyvalue.Store) {}, nil},
+		{"carried out without an answer", standin.Unanswered, func(*keyvalue.Store) {}, archive.ErrOvertaken},
+		{"the seat is another's", standin.Refused, func(store *keyvalue.Store) {
+			_, _ = store.Commit(context.Background(), keyvalue.Change{Puts: []keyvalue.Put{{Key: "seat"}}})
+		}, scheduling.ErrTermEnded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := standin.New()
+				calls := store.Calls()
+				a := newArchive(&calls)
+				revision, err := calls.Commit(t.Context(), keyvalue.Change{Puts: []keyvalue.Put{{Key: "seat"}}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				seat := keyvalue.Condition{Key: "seat", Revision: revision}
+				saves := []scheduling.Save{{Job: "a", Progress: progress}}
+				store.Fault = func(string) standin.Fault { return test.fault }
+				_, err = a.Save(t.Context(), seat, saves)
+				if (err != nil) != (test.fault != standin.None) {
+					t.Fatalf("the first save: %v", err)
+				}
+				store.Fault = nil
+				if test.fault == standin.None {
+					return
+				}
+				test.between(&calls)
+				revisions, err := a.Save(t.Context(), seat, saves)
+				if !errors.Is(err, test.want) {
+					t.Fatalf("the second save: %v, want %v", err, test.want)
+				}
+				if errors.Is(err, archive.ErrOvertaken) {
+					saves[0].Revision = revisions[0]
+					if _, err = a.Save(t.Context(), seat, saves); err != nil {
+						t.Errorf("over the revision returned: %v", err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestLoad reads back what was saved, over several changes.
+func TestLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		calls := store.Calls()
+		a := newArchive(&calls)
+		var saves []scheduling.Save
+		for i := range 40 {
+			saves = append(saves, scheduling.Save{Job: workflow.ID(rune('A' + i)), Progress: progress})
+		}
+		if revisions, err := a.Save(t.Context(), keyvalue.Condition{Key: "seat"}, saves); err != nil || len(revisions) != len(saves) {
+			t.Fatalf("%d revisions, %v", len(revisions), err)
+		}
+		all, err := a.Load(t.Context())
+		if err != nil || len(all) != len(saves) {
+			t.Fatalf("%d loaded, %v", len(all), err)
+		}
+		got := all["A"].Progress.Groups[workflow.GroupID{Step: 1, Index: 2}]
+		if got.Attempt != 3 || got.Failures != 1 || got.FailedAttempt != 2 || got.Checkpoint != "c" || got.Placed[0].Life != 9 {
+			t.Errorf("loaded %+v", got)
+		}
+	})
+}
+
+// TestFollowIntake tells what comes in, also after the history was dropped.
+func TestFollowIntake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		calls := store.Calls()
+		a := newArchive(&calls)
+		ctx, stop := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		heard := make(map[workflow.ID]bool)
+		var following sync.WaitGroup
+		following.Go(func() {
+			a.FollowIntake(ctx, archive.Listener{
+				Accepted: func(job *workflow.Job) {
+					mu.Lock()
+					defer mu.Unlock()
+					heard[job.ID] = false
+				},
+				Cancelled: func(id workflow.ID) {
+					mu.Lock()
+					defer mu.Unlock()
+					heard[id] = true
+				},
+				Complete: func() {},
+				Failed:   func(error) {},
+			})
+		})
+		for _, id := range []workflow.ID{"a", "b", "c"} {
+			if err := a.Accept(ctx, &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+			store.Forget()
+		}
+		if known, err := a.Cancel(ctx, "b"); !known || err != nil {
+			t.Fatalf("cancel: known %v, %v", known, err)
+		}
+		if known, err := a.Cancel(ctx, "z"); known || err != nil {
+			t.Fatalf("cancel of no job: known %v, %v", known, err)
+		}
+		time.Sleep(5 * time.Second)
+		stop()
+		following.Wait()
+		if len(heard) != 3 || !heard["b"] || heard["a"] {
+			t.Errorf("heard %v", heard)
+		}
+	})
+}
