--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -51,7 +51,9 @@
 	callers   *transport.Server
 	readiness *transport.Server
 	entries   *transport.Server
-	leaving   atomic.Bool
+	// wired is set once requests can be handled.
+	wired   atomic.Bool
+	leaving atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -72,22 +74,26 @@
 	i.workers = &platform.Workers{Connections: i.toWorkers}
 	i.book = &policy.Book{Store: &i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
 	i.archive = newArchive(&i.store)
-	i.candidate = &seat.Candidate{
-		Store: &i.store, Identity: newIdentity(s.Entry), Now: seat.BootTime, Ask: i.askPlanner,
-		Began: i.beginTerm, Over: i.endTerm, Log: log,
-	}
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
 		return nil, err
 	}
+	i.candidate = &seat.Candidate{
+		Store: &i.store, Identity: newIdentity(i.entries.Address()), Now: seat.BootTime, Ask: i.askPlanner,
+		Began: i.beginTerm, Over: i.endTerm, Log: log,
+	}
+	i.wired.Store(true)
 	i.loops.Go(func() { i.book.Run(i.ctx) })
 	i.loops.Go(func() { i.candidate.Run(i.ctx) })
-	log.Info().Str("event", "entryStarted").Str("instance", s.Instance).Stringer("address", s.Callers).
+	log.Info().Str("event", "entryStarted").Str("instance", s.Instance).Stringer("address", i.Callers()).
 		Str("availabilityZone", s.AvailabilityZone).Send()
 	return i, nil
 }
 
+// Callers returns the address that callers reach.
+func (i *Instance) Callers() netip.AddrPort { return i.callers.Address() }
+
 func newArchive(store *keyvalue.Store) *archive.Archive {
 	return &archive.Archive{
 		Store:     store,
@@ -108,14 +114,14 @@
 		Observe: i.metrics.ObserveRequest,
 	}
 	limits := transport.Limits{Count: i.metrics.CountConnection, Panicked: i.logPanic}
-	if i.callers, err = transport.Listen(s.Callers, front.Handle, limits); err != nil {
+	if i.callers, err = transport.Listen(s.Callers, i.whenWired(front.Handle), limits); err != nil {
 		return errors.Wrap(err, "listen for callers: free the port")
 	}
 	if i.readiness, err = transport.Listen(s.Readiness, platform.Ready(i.ready), limits); err != nil {
 		_ = i.callers.Close()
 		return errors.Wrap(err, "listen for readiness: free the port")
 	}
-	if i.entries, err = transport.Listen(s.Entry, i.entryHandler(), limits); err != nil {
+	if i.entries, err = transport.Listen(s.Entry, i.whenWired(i.entryHandler()), limits); err != nil {
 		_ = i.callers.Close()
 		_ = i.readiness.Close()
 		return errors.Wrap(err, "listen for entries and metrics: free the port")
@@ -123,9 +129,23 @@
 	return nil
 }
 
+// whenWired refuses requests that come while the instance starts.
+func (i *Instance) whenWired(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if !i.wired.Load() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		handler(ctx)
+	}
+}
+
 // entryHandler serves other entries and the operators' metrics.
 func (i *Instance) entryHandler() fasthttp.RequestHandler {
-	forPeers := (&peer.PlannerService{Stand: i.candidate.Stand, Accepted: i.heardAccepted, Cancelled: i.heardCancelled}).Handler()
+	stand := func(ctx context.Context, term keyvalue.Revision, wait time.Duration) seat.Standing {
+		return i.candidate.Stand(ctx, term, wait)
+	}
+	forPeers := (&peer.PlannerService{Stand: stand, Accepted: i.heardAccepted, Cancelled: i.heardCancelled}).Handler()
 	return func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case strings.HasPrefix(string(ctx.Path()), peer.PathPrefix):
