--- a/coordination/archive/archive_test.go
+++ b/coordination/archive/archive_test.go
@@ -115,6 +115,42 @@
 	})
 }
 
+// TestDelete removes all keys of ended jobs, and none of another term.
+func TestDelete(t *testing.T) {
+	tests := []struct {
+		name string
+		seat keyvalue.Revision
+		gone int
+	}{
+		{"the planner's", 0, 12},
+		{"another's", 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := standin.New()
+			calls := store.Calls()
+			a := newArchive(&calls)
+			var ids []workflow.ID
+			for i := range 12 {
+				id := workflow.ID(rune('A' + i))
+				ids = append(ids, id)
+				if err := a.Accept(t.Context(), &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			gone, err := a.Delete(t.Context(), keyvalue.Condition{Key: "seat", Revision: test.seat}, ids)
+			if len(gone) != test.gone || (err != nil) != (test.gone == 0) {
+				t.Fatalf("%d gone, %v", len(gone), err)
+			}
+			for _, id := range ids {
+				if _, known, err := a.Status(t.Context(), id); err != nil || known == (test.gone > 0) {
+					t.Errorf("job %s: known %v, %v", id, known, err)
+				}
+			}
+		})
+	}
+}
+
 // TestFollowIntake tells what comes in, also after the history was dropped.
 func TestFollowIntake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/coordination/archive/intake.go
+++ b/coordination/archive/intake.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
@@ -115,15 +116,12 @@
 		if ambiguous == nil && time.Since(began) >= refusalLimit {
 			return err
 		}
-		timer := time.NewTimer(tryPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			if ambiguous != nil {
-				return ambiguous
-			}
-			return err
-		case <-timer.C:
+		if pause.For(ctx, tryPause) {
+			continue
+		}
+		if ambiguous != nil {
+			return ambiguous
 		}
+		return err
 	}
 }
--- a/coordination/archive/progress.go
+++ b/coordination/archive/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,6 +112,29 @@
 	return revisions, ErrOvertaken
 }
 
+// jobsPerDeletion is bounded by the store's 32 entries a change: three keys a
+// job, and the seat's condition.
+const jobsPerDeletion = 10
+
+// Delete removes all that is on record of jobs; it returns those that are gone.
+func (a *Archive) Delete(ctx context.Context, seat keyvalue.Condition, ids []workflow.ID) ([]workflow.ID, error) {
+	var gone []workflow.ID
+	for part := range slices.Chunk(ids, jobsPerDeletion) {
+		change := keyvalue.Change{Conditions: []keyvalue.Condition{seat}}
+		for _, id := range part {
+			change.Deletes = append(change.Deletes, jobKey(id), cancelKey(id), progressKey(id))
+		}
+		deleting, cancel := context.WithTimeout(ctx, saveTimeout)
+		_, err := a.Store.Commit(deleting, change)
+		cancel()
+		if err != nil {
+			return gone, err
+		}
+		gone = append(gone, part...)
+	}
+	return gone, nil
+}
+
 // SavePending puts the number of waiting jobs on record.
 func (a *Archive) SavePending(ctx context.Context, seat keyvalue.Condition, pending map[string]int) error {
 	text, err := a.EncodePending(pending)
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -39,6 +39,8 @@
 	Organisation string
 	// Rest is the path behind the queue's prefix.
 	Rest string
+	// Version is that of the configuration which decided.
+	Version int64
 }
 
 // Resolve finds the queue and the organisation of a call. It refuses only on
@@ -71,7 +73,7 @@
 	if !found {
 		return Target{}, state.UnknownQueue
 	}
-	target := Target{Queue: queue, Rest: call.Path[len(queue.Prefix):]}
+	target := Target{Queue: queue, Rest: call.Path[len(queue.Prefix):], Version: p.Version}
 	organisation, known := p.Keys[call.Key]
 	if !known && !queue.Anonymous {
 		return Target{}, state.UnknownOrganisation
@@ -90,7 +92,9 @@
 		return i.refuse("submit a job", state.Unsupported, nil)
 	}
 	err := i.Archive.Accept(ctx, job)
-	i.logCall("jobSubmitted", job.ID, err)
+	i.logCall("jobSubmitted", job.ID, err, func(line *zerolog.Event) {
+		line.Str("queue", q.Name).Str("organisation", target.Organisation).Int64("version", target.Version)
+	})
 	if err == nil {
 		i.Accepted(job)
 	}
@@ -101,7 +105,7 @@
 // there is no such job.
 func (i *Intake) Cancel(ctx context.Context, id workflow.ID) error {
 	known, err := i.Archive.Cancel(ctx, id)
-	i.logCall("jobCancelled", id, err)
+	i.logCall("jobCancelled", id, err, nil)
 	if err == nil && !known {
 		return i.refuse("cancel a job", state.UnknownJob, nil)
 	}
@@ -115,7 +119,7 @@
 func (i *Intake) Status(ctx context.Context, id workflow.ID) (workflow.Status, error) {
 	status, known, err := i.Archive.Status(ctx, id)
 	if err != nil {
-		i.logCall("statusUnread", id, err)
+		i.logCall("statusUnread", id, err, nil)
 		return "", i.typed("read a job's state", err)
 	}
 	if !known {
@@ -133,12 +137,18 @@
 	return pending[target.Queue.Name], nil
 }
 
-func (i *Intake) logCall(event string, id workflow.ID, err error) {
+// logCall writes one line for a call that touched a job; inputs adds what
+// decided it, if that is not nil.
+func (i *Intake) logCall(event string, id workflow.ID, err error, inputs func(line *zerolog.Event)) {
 	line := i.Log.Info()
 	if err != nil {
 		line = i.Log.Warn().Bool("mayTakeEffect", state.IsAmbiguous(err)).Err(err)
 	}
-	line.Str("event", event).Str("request", string(id)).Send()
+	line.Str("event", event).Str("request", string(id))
+	if inputs != nil {
+		inputs(line)
+	}
+	line.Send()
 }
 
 // typed keeps what an error of the store says about a lost answer.
--- a/coordination/keyvalue/follow.go
+++ b/coordination/keyvalue/follow.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/pause"
 )
 
 const (
@@ -49,7 +51,7 @@
 			lost = true
 			f.Lost(err)
 		}
-		pause(ctx, followPause)
+		pause.For(ctx, followPause)
 	}
 }
 
@@ -76,12 +78,3 @@
 		f.Apply(items, sent)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -37,6 +37,8 @@
 	opened map[[2]int]bool
 	// objective is the time from acceptance in which it should complete.
 	objective time.Duration
+	// ended is when the job came to its last state.
+	ended time.Time
 	// dirtied counts the changes that are to be put on record.
 	dirtied int
 }
@@ -109,7 +111,7 @@
 		objective:  w.Objective(),
 	}
 	if progress.Status != "" {
-		j.status = progress.Status
+		j.status, j.ended = progress.Status, p.scheduler.Now()
 	}
 	p.jobs[w.ID] = j
 	p.noteWork(j)
@@ -229,7 +231,7 @@
 
 // endJob gives the job its last state and stops what still runs of it.
 func (p *pool) endJob(j *job, status workflow.Status) {
-	j.status = status
+	j.status, j.ended = status, p.scheduler.Now()
 	p.markDirty(j)
 	p.scheduler.Log.Info().Str("event", "jobEnded").Str("request", string(j.ID)).
 		Str("status", string(status)).Dur("age", p.scheduler.Now().Sub(j.received)).Send()
@@ -250,6 +252,36 @@
 	}
 }
 
+// addSettled adds the jobs that ended before the time and of which nothing
+// runs or is still to be put on record.
+func (p *pool) addSettled(ids []workflow.ID, before time.Time) []workflow.ID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range p.jobs {
+		if _, dirty := p.dirty[j]; j.status.Final() && !dirty && j.ended.Before(before) && j.idle() {
+			ids = append(ids, j.ID)
+		}
+	}
+	return ids
+}
+
+func (j *job) idle() bool {
+	for _, g := range j.groups {
+		if !g.allEnded() {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *pool) forget(ids []workflow.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		delete(p.jobs, id)
+	}
+}
+
 func (p *pool) markDirty(j *job) {
 	j.dirtied++
 	p.dirty[j] = struct{}{}
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -91,6 +91,22 @@
 	return pending
 }
 
+// Settled returns the jobs that ended longer ago than the duration.
+func (s *Scheduler) Settled(ago time.Duration) (ids []workflow.ID) {
+	before := s.Now().Add(-ago)
+	for _, p := range s.all() {
+		ids = p.addSettled(ids, before)
+	}
+	return ids
+}
+
+// Forget drops jobs whose record was deleted.
+func (s *Scheduler) Forget(ids []workflow.ID) {
+	for _, p := range s.all() {
+		p.forget(ids)
+	}
+}
+
 // pool returns the shard of a service and starts its loops with it.
 func (s *Scheduler) pool(service string) *pool {
 	s.mu.Lock()
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state/workflow"
 )
 
@@ -43,10 +44,7 @@
 			p.scheduler.Count(workerSilent)
 			p.scheduler.Log.Warn().Str("event", "workerLost").Str("worker", string(w.info.ID)).Err(err).Send()
 		}
-		select {
-		case <-p.scheduler.ctx.Done():
-		case <-time.After(renewPause):
-		}
+		pause.For(p.scheduler.ctx, renewPause)
 	}
 }
 
--- a/coordination/seat/seat.go
+++ b/coordination/seat/seat.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/pause"
 )
 
 const (
@@ -114,7 +115,7 @@
 			if ctx.Err() == nil {
 				c.Log.Warn().Str("event", "seatUnknown").Err(err).Send()
 			}
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if taken {
@@ -199,7 +200,7 @@
 		items, next, err := c.Store.Watch(watching, Key, after, watchWait)
 		cancel()
 		if errors.Is(err, keyvalue.ErrHistoryLost) {
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			return nil
 		}
 		if err != nil {
@@ -273,12 +274,3 @@
 		c.Log.Warn().Str("event", "seatNotFreed").Err(err).Send()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/seat/suspect.go
+++ b/coordination/seat/suspect.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/pause"
 )
 
 // Standing is how an instance stands to a term.
@@ -51,7 +52,7 @@
 		if standing != Leading || ctx.Err() != nil {
 			return standing
 		}
-		pause(ctx, renewInterval)
+		pause.For(ctx, renewInterval)
 	}
 }
 
@@ -85,13 +86,13 @@
 				c.depose(ctx, held, "refused")
 				refused = 0
 			}
-			pause(ctx, refusalPause)
+			pause.For(ctx, refusalPause)
 		case err != nil:
 			refused = 0
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		case standing != Leading:
 			c.depose(ctx, held, string(standing))
-			pause(ctx, renewInterval)
+			pause.For(ctx, renewInterval)
 		default:
 			refused = 0
 		}
--- a/instance/hosted/close.go
+++ b/instance/hosted/close.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/pause"
 )
 
 const (
@@ -22,9 +24,7 @@
 	i.log.Info().Str("event", "drainBegun").Send()
 	i.leaving.Store(true)
 	i.candidate.Resign()
-	rotation := time.NewTimer(rotationTime)
-	defer rotation.Stop()
-	<-rotation.C
+	pause.For(i.ctx, rotationTime)
 	left := i.settings.Load().Grace - drainMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -8,6 +8,7 @@
 
 	"comfreystream/coordination/archive"
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/pause"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/coordination/seat"
 	"comfreystream/platform"
@@ -24,6 +25,10 @@
 	registryTimeout = 1200 * time.Millisecond
 	// pendingInterval is how often the number of waiting jobs is recorded.
 	pendingInterval = time.Second
+	// deleteInterval is how often ended jobs are looked for, deleteMargin what
+	// they are kept for beyond the platform's bound.
+	deleteInterval = 15 * time.Second
+	deleteMargin   = time.Minute
 )
 
 // term is the planner's work while this instance has the seat.
@@ -93,7 +98,7 @@
 			break
 		}
 		i.log.Warn().Str("event", "progressNotLoaded").Err(err).Send()
-		wait(t.ctx, loadRetry)
+		pause.For(t.ctx, loadRetry)
 	}
 	i.archive.FollowIntake(t.ctx, archive.Listener{
 		Accepted:  t.accepted,
@@ -103,6 +108,7 @@
 				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Send()
 				t.loops.Go(t.followWorkers)
 				t.loops.Go(t.recordPending)
+				t.loops.Go(t.deleteSettled)
 			})
 		},
 		Failed: func(err error) { i.log.Warn().Str("event", "intakeUnwatched").Err(err).Send() },
@@ -136,7 +142,7 @@
 		} else {
 			t.scheduler.SetWorkers(i.decodeWorkers(items))
 		}
-		wait(t.ctx, registryInterval)
+		pause.For(t.ctx, registryInterval)
 	}
 }
 
@@ -166,15 +172,24 @@
 				i.log.Warn().Str("event", "pendingNotRecorded").Err(err).Send()
 			}
 		}
-		wait(t.ctx, pendingInterval)
+		pause.For(t.ctx, pendingInterval)
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+// deleteSettled removes the record of jobs that ended long ago.
+func (t *term) deleteSettled() {
+	i := t.instance
+	for pause.For(t.ctx, deleteInterval) {
+		ids := t.scheduler.Settled(i.settings.Load().StatusRetention + deleteMargin)
+		if len(ids) == 0 || !i.candidate.Valid(t.seat.Revision) {
+			continue
+		}
+		gone, err := i.archive.Delete(t.ctx, t.seat, ids)
+		t.scheduler.Forget(gone)
+		line := i.log.Info()
+		if err != nil {
+			line = i.log.Warn().Err(err)
+		}
+		line.Str("event", "recordDeleted").Int("jobs", len(gone)).Send()
 	}
 }
