--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -92,7 +92,7 @@
 
 // advance moves a group on after a member has ended.
 func (p *pool) advance(g *group) {
-	if g.hasDone() {
+	if g.hasDone() && !g.step.LongRunning {
 		p.finishGroup(g)
 	}
 	if !g.allEnded() {
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -96,7 +96,7 @@
 // same, or if no rack could ever hold it.
 func (p *pool) mayRunFar(g *group, now time.Time) bool {
 	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(g.step.Estimate))
-	inTime := !now.Add(far).After(g.job.due())
+	inTime := !now.Add(far).After(g.due())
 	if (inTime || now.Sub(g.waitingSince) > farPatience) && p.idleShare() > idleForFar {
 		return true
 	}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -79,7 +79,7 @@
 	slices.SortFunc(candidates, func(a, b *group) int {
 		return cmp.Or(
 			cmp.Compare(ranks[a], ranks[b]),
-			a.job.due().Compare(b.job.due()),
+			a.due().Compare(b.due()),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.id.Occurrence, b.id.Occurrence),
 			cmp.Compare(a.id.Step, b.id.Step),
@@ -102,7 +102,7 @@
 
 func (p *pool) rank(g *group, now time.Time, entitled map[*job]bool) int {
 	priority := min(g.job.Priority, lowestPriority)
-	inTime := !now.Add(g.step.Estimate).After(g.job.due())
+	inTime := !now.Add(g.step.Estimate).After(g.due())
 	switch {
 	case entitled[g.job]:
 		return rankEntitled
@@ -161,7 +161,7 @@
 	}
 	limit := p.scheduler.Bounds.ReclaimLimit - p.scheduler.Bounds.StopLimit - reclaimMargin
 	mustStart := entitled[g.job] && now.Sub(g.job.received) >= limit
-	slack := g.job.due().Sub(now) - g.step.Estimate
+	slack := g.due().Sub(now) - g.step.Estimate
 	if !mustStart && (slack < minReclaimSlack || slack > maxReclaimSlack) {
 		return nil
 	}
@@ -201,7 +201,7 @@
 	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("members", len(g.members)).Int("victims", len(g.victims)).
-		Int("priority", g.job.Priority).Dur("slack", g.job.due().Sub(g.placedAt)-g.step.Estimate).
+		Int("priority", g.job.Priority).Dur("slack", g.due().Sub(g.placedAt)-g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.markDirty(g.job)
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -215,8 +215,15 @@
 	return true
 }
 
-// due is when the job should be completed, by the steady clock.
-func (j *job) due() time.Time { return j.received.Add(j.objective) }
+// due is when the group's occurrence should be completed, by the steady clock.
+func (g *group) due() time.Time {
+	j := g.job
+	due := j.received.Add(j.objective)
+	if j.Occurrences > 0 {
+		due = due.Add(max(j.Due(g.id.Occurrence).Sub(j.Accepted), 0))
+	}
+	return due
+}
 
 func (p *pool) cancelJob(id workflow.ID) {
 	p.mu.Lock()
--- a/coordination/scheduling/value.go
+++ b/coordination/scheduling/value.go
@@ -45,7 +45,7 @@
 	if g.step.Checkpointable {
 		left -= min(ran, left)
 	}
-	if slack := g.job.due().Sub(now) - left; slack < 0 && g.job.due().After(now) {
+	if slack := g.due().Sub(now) - left; slack < 0 && g.due().After(now) {
 		cost += (1 - lateValue) * g.job.valueRate() * g.coreSeconds()
 	}
 	return cost
