--- a/coordination/scheduling/load_test.go
+++ b/coordination/scheduling/load_test.go
@@ -114,34 +114,43 @@
 		holds func(last []runner.Run) bool
 	}{
 		{
-			"a gang stays on one rack", []wave{{0, 1, 1, workflow.Step{Tasks: 3, Accelerators: 8, Gang: true, SameRack: true}}},
+			"a gang stays on one rack",
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 3, Accelerators: 8, Gang: true, SameRack: true}}},
 			func(last []runner.Run) bool { return racks(last) == 1 && len(last) == 3 },
 		},
 		{
-			"a gang that no rack holds is spread at once", []wave{{0, 1, 1, workflow.Step{Tasks: 5, Accelerators: 8, Gang: true, SameRack: true}}},
+			"a gang that no rack holds is spread at once",
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 5, Accelerators: 8, Gang: true, SameRack: true}}},
 			func(last []runner.Run) bool { return racks(last) == 2 && len(last) == 5 },
 		},
 		{
-			"a gang goes where it leaves the least room", []wave{
+			"a gang goes where it leaves the least room",
+			[]wave{
 				{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 8, Gang: true, Estimate: 30 * time.Second}},
 				{time.Second, 1, 1, workflow.Step{Tasks: 2, Accelerators: 8, Gang: true, SameRack: true}},
 			},
 			func(last []runner.Run) bool { return racks(last) == 1 && last[0].Worker < "w3" },
 		},
 		{
-			"data near by", []wave{{0, 1, 1, workflow.Step{Tasks: 2, Accelerators: 2, PreferredRack: "rack-1"}}},
-			func(last []runner.Run) bool { return len(last) == 2 && last[0].Worker >= "w3" && last[1].Worker >= "w3" },
+			"data near by",
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 2, Accelerators: 2, PreferredRack: "rack-1"}}},
+			func(last []runner.Run) bool {
+				return len(last) == 2 && last[0].Worker >= "w3" && last[1].Worker >= "w3"
+			},
 		},
 		{
-			"a spread limit", []wave{{0, 1, 1, workflow.Step{Tasks: 6, Accelerators: 1, SpreadLimit: 1}}},
+			"a spread limit",
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 6, Accelerators: 1, SpreadLimit: 1}}},
 			func(last []runner.Run) bool { return len(workers(last)) == 6 },
 		},
 		{
-			"long-running work begins again however it ends", []wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, LongRunning: true}}},
+			"long-running work begins again however it ends",
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, LongRunning: true}}},
 			func(last []runner.Run) bool { return len(last) >= 3 },
 		},
 		{
-			"a label that nobody has", []wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, Label: "b"}}},
+			"a label that nobody has",
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, Label: "b"}}},
 			func(last []runner.Run) bool { return len(last) == 0 },
 		},
 	}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -88,7 +88,7 @@
 		listed[info.ID] = true
 		w := p.workerNamed(info.ID)
 		changed = changed || !w.info.listed || w.info.Draining != info.Draining
-		if w.info.listed != true || w.info.Draining != info.Draining {
+		if !w.info.listed || w.info.Draining != info.Draining {
 			p.logWorker(&info, "workerListed")
 		}
 		w.info = workerInfo{info, true}
