--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -16,6 +16,10 @@
 	renewWait = 500 * time.Millisecond
 	// renewTimeout adds what a slow link may take.
 	renewTimeout = renewWait + 300*time.Millisecond
+	// acknowledgeWithin is how old a report may be whose ends are acknowledged:
+	// the worker may have started anew since, and its numbers with it. It is
+	// below the time in which a new life could start and end a task.
+	acknowledgeWithin = 600 * time.Millisecond
 	// recordWait bounds the wait for the record between renewals.
 	recordWait = 250 * time.Millisecond
 	// renewPause is the time between failed renewals.
@@ -73,7 +77,10 @@
 	}
 	p.mu.Lock()
 	now := p.scheduler.Now()
-	order := RenewOrder{Term: p.scheduler.Term, Acknowledged: w.acknowledged, Wait: renewWait}
+	order := RenewOrder{Term: p.scheduler.Term, Wait: renewWait}
+	if now.Sub(w.heard) <= acknowledgeWithin {
+		order.Acknowledged = w.acknowledged
+	}
 	if w.awaitsAnswer() {
 		order.Wait = 0
 	}
