--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -143,6 +143,9 @@
 
 // placeOrReclaim begins an attempt if there is room, or room worth making.
 func (p *pool) placeOrReclaim(g *group, now time.Time, entitled map[*job]bool) {
+	if p.shouldWait(g, now) {
+		return
+	}
 	choice := p.place(g, now)
 	if choice == nil {
 		choice = p.reclaimInTime(g, now, entitled)
