--- a/coordination/scheduling/headroom.go
+++ b/coordination/scheduling/headroom.go
@@ -5,9 +5,9 @@
 const (
 	// headroom is the part of the accelerators that work which can wait leaves
 	// to urgent work, so that less of it has to be stopped soon after its start.
-	headroom = 0.25
+	headroom = 0.35
 	// waitShare is the part of its time after which work waits no longer.
-	waitShare = 0.5
+	waitShare = 0.75
 )
 
 // shouldWait reports whether a group had better leave what room there is to
@@ -28,5 +28,9 @@
 			all += w.info.Capacity.Accelerators
 		}
 	}
-	return float64(free-g.size()*g.step.Accelerators) < headroom*float64(all)
+	needs := g.size() * g.step.Accelerators
+	if 2*free > all && free >= 2*needs {
+		return false // room in plenty
+	}
+	return float64(free-needs) < headroom*float64(all)
 }
