--- a/coordination/scheduling/load_test.go
+++ b/coordination/scheduling/load_test.go
@@ -16,6 +16,8 @@
 	count    int
 	priority int
 	step     workflow.Step
+	// stretch is how many times its run time the job may take; 0 is three.
+	stretch float64
 }
 
 // play submits the waves and returns the attempts of all jobs after a while.
@@ -27,6 +29,9 @@
 		for range w.count {
 			j := job(len(h.jobs)+1, w.step)
 			j.Priority = w.priority
+			if w.stretch > 0 {
+				j.Stretch = w.stretch
+			}
 			h.add(j)
 			s.Load(j, workflow.Progress{}, 0)
 		}
@@ -55,11 +60,12 @@
 		begins  time.Duration
 		stopped int
 	}{
-		{"within its guarantee", 8, wave{0, 6, 1, long}, wave{time.Second, 1, 0, urgent}, 3400 * time.Millisecond, 1},
-		{"a guarantee of two in one second", 16, wave{0, 6, 1, long}, wave{time.Second, 2, 0, urgent}, 3400 * time.Millisecond, 2},
-		{"without a guarantee, in time", 0, wave{0, 6, 1, long}, wave{time.Second, 1, 0, urgent}, 2500 * time.Millisecond, 1},
-		{"beside room", 8, wave{0, 5, 1, long}, wave{time.Second, 1, 0, urgent}, 100 * time.Millisecond, 0},
-		{"long-running work is not stopped", 8, wave{0, 6, 1, lasting}, wave{time.Second, 1, 0, urgent}, 0, 0},
+		{"within its guarantee", 8, wave{0, 6, 1, long, 1}, wave{2 * time.Second, 1, 0, urgent, 1.5}, 3400 * time.Millisecond, 1},
+		{"a guarantee of two in one second", 16, wave{0, 6, 1, long, 1}, wave{2 * time.Second, 2, 0, urgent, 1.5}, 3400 * time.Millisecond, 2},
+		{"without a guarantee, in time", 0, wave{0, 6, 1, long, 1}, wave{2 * time.Second, 1, 0, urgent, 1.5}, 2500 * time.Millisecond, 1},
+		{"beside room", 8, wave{0, 5, 1, long, 1}, wave{2 * time.Second, 1, 0, urgent, 1.5}, 100 * time.Millisecond, 0},
+		{"beside work that has time left", 0, wave{0, 6, 1, long, 3}, wave{2 * time.Second, 2, 0, urgent, 1.5}, 100 * time.Millisecond, 0},
+		{"long-running work is not stopped", 8, wave{0, 6, 1, lasting, 1}, wave{2 * time.Second, 1, 0, urgent, 1.5}, 0, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -69,7 +75,7 @@
 				h.fleet.RunTime = func(task workflow.Task, _ int, _ workflow.WorkerID) time.Duration {
 					return h.step(task).Estimate
 				}
-				runs := h.play([]wave{test.full, test.urgent}, 6*time.Second)
+				runs := h.play([]wave{test.full, test.urgent}, 7*time.Second)
 				for _, j := range h.jobs {
 					if j.Priority != 0 {
 						continue
@@ -110,42 +116,42 @@
 	}{
 		{
 			"a gang stays on one rack",
-			[]wave{{0, 1, 1, workflow.Step{Tasks: 3, Accelerators: 8, Gang: true, SameRack: true}}},
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 3, Accelerators: 8, Gang: true, SameRack: true}, 0}},
 			func(last []runner.Run) bool { return racks(last) == 1 && len(last) == 3 },
 		},
 		{
 			"a gang that no rack holds is spread at once",
-			[]wave{{0, 1, 1, workflow.Step{Tasks: 5, Accelerators: 8, Gang: true, SameRack: true}}},
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 5, Accelerators: 8, Gang: true, SameRack: true}, 0}},
 			func(last []runner.Run) bool { return racks(last) == 2 && len(last) == 5 },
 		},
 		{
 			"a gang goes where it leaves the least room",
 			[]wave{
-				{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 8, Gang: true, Estimate: 30 * time.Second}},
-				{time.Second, 1, 1, workflow.Step{Tasks: 2, Accelerators: 8, Gang: true, SameRack: true}},
+				{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 8, Gang: true, Estimate: 30 * time.Second}, 0},
+				{time.Second, 1, 1, workflow.Step{Tasks: 2, Accelerators: 8, Gang: true, SameRack: true}, 0},
 			},
 			func(last []runner.Run) bool { return racks(last) == 1 && last[0].Worker < "w3" },
 		},
 		{
 			"data near by",
-			[]wave{{0, 1, 1, workflow.Step{Tasks: 2, Accelerators: 2, PreferredRack: "rack-1"}}},
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 2, Accelerators: 2, PreferredRack: "rack-1"}, 0}},
 			func(last []runner.Run) bool {
 				return len(last) == 2 && last[0].Worker >= "w3" && last[1].Worker >= "w3"
 			},
 		},
 		{
 			"a spread limit",
-			[]wave{{0, 1, 1, workflow.Step{Tasks: 6, Accelerators: 1, SpreadLimit: 1}}},
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 6, Accelerators: 1, SpreadLimit: 1}, 0}},
 			func(last []runner.Run) bool { return len(workers(last)) == 6 },
 		},
 		{
 			"long-running work begins again however it ends",
-			[]wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, LongRunning: true}}},
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, LongRunning: true}, 0}},
 			func(last []runner.Run) bool { return len(last) >= 3 },
 		},
 		{
 			"a label that nobody has",
-			[]wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, Label: "b"}}},
+			[]wave{{0, 1, 1, workflow.Step{Tasks: 1, Accelerators: 1, Label: "b"}, 0}},
 			func(last []runner.Run) bool { return len(last) == 0 },
 		},
 	}
