--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -16,9 +16,18 @@
 	victims []*group
 }
 
-// place finds room for a group, or nil.
+// place finds room for a group, or nil. What waits in vain beside room also takes
+// workers that it failed on or that are kept from new work.
 func (p *pool) place(g *group, now time.Time) *placement {
-	candidates := p.suitable(g, now)
+	choice := p.placeOn(g, p.suitable(g, now), now)
+	if choice == nil && now.Sub(g.waitingSince) > patience && p.idleShare() > idleForFar {
+		choice = p.placeOn(g, p.reachable(g, now), now)
+	}
+	return choice
+}
+
+// placeOn finds room on some workers.
+func (p *pool) placeOn(g *group, candidates []*worker, now time.Time) *placement {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -50,22 +59,23 @@
 	return 1
 }
 
-// suitable returns the workers that may run the group, without those that it
-// failed on unless there are no others.
+// suitable returns the workers that may run the group and that it has not
+// failed on.
 func (p *pool) suitable(g *group, now time.Time) (list []*worker) {
-	var avoided []*worker
-	for _, w := range p.workers {
-		if !w.takesWork(now) || !w.info.HasLabel(g.step.Label) {
-			continue
-		}
-		if g.avoid[w.info.ID] {
-			avoided = append(avoided, w)
-			continue
+	for _, w := range p.reachable(g, now) {
+		if !now.Before(w.avoidUntil) && !g.avoid[w.info.ID] {
+			list = append(list, w)
 		}
-		list = append(list, w)
 	}
-	if len(list) == 0 {
-		list = avoided
+	return list
+}
+
+// reachable returns the workers that could run the group.
+func (p *pool) reachable(g *group, now time.Time) (list []*worker) {
+	for _, w := range p.workers {
+		if w.takesWork(now) && w.info.HasLabel(g.step.Label) {
+			list = append(list, w)
+		}
 	}
 	return list
 }
@@ -97,7 +107,7 @@
 func (p *pool) mayRunFar(g *group, now time.Time) bool {
 	far := time.Duration(p.scheduler.Bounds.FarFactor * float64(g.step.Estimate))
 	inTime := !now.Add(far).After(g.due())
-	if (inTime || now.Sub(g.waitingSince) > farPatience) && p.idleShare() > idleForFar {
+	if (inTime || now.Sub(g.waitingSince) > patience) && p.idleShare() > idleForFar {
 		return true
 	}
 	return !p.fitsOneRack(g)
@@ -129,20 +139,11 @@
 // takes them for several times as long as it would near its rack or data.
 const idleForFar = 0.4
 
-// farPatience is how long a group waits for its rack beside idle ones; the
-// platform calls a job lost that waits for 3 s beside room.
-const farPatience = 1500 * time.Millisecond
+// patience is how long a group waits for its rack or for sound workers beside
+// room; the platform calls a job lost that does so for 3 s.
+const patience = 1500 * time.Millisecond
 
-func (p *pool) idleShare() float64 {
-	free, all := 0, 0
-	for _, w := range p.workers {
-		if w.info.listed {
-			free += max(w.free().Accelerators, 0)
-			all += w.info.Capacity.Accelerators
-		}
-	}
-	return float64(free) / float64(max(all, 1))
-}
+func (p *pool) idleShare() float64 { return float64(p.room.free) / float64(max(p.room.all, 1)) }
 
 func freeRoom(w *worker) workflow.Capacity { return w.free() }
 
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -63,6 +63,7 @@
 	}
 	entitled := p.entitled()
 	p.order(candidates, now, entitled)
+	p.room = p.lookAround()
 	for _, g := range candidates {
 		p.placeOrReclaim(g, now, entitled)
 	}
@@ -146,7 +147,7 @@
 	if p.shouldWait(g, now) {
 		return
 	}
-	choice := p.place(g, now)
+	choice := p.placeOnce(g, now)
 	if choice == nil {
 		choice = p.reclaimInTime(g, now, entitled)
 	}
@@ -206,5 +207,6 @@
 		Int("members", len(g.members)).Int("victims", len(g.victims)).
 		Int("priority", g.job.Priority).Dur("slack", g.due().Sub(g.placedAt)-g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
+	p.room.free -= g.size() * g.step.Accelerators
 	p.markDirty(g.job)
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -22,6 +22,7 @@
 	dirty   map[*job]struct{}
 	// meanWork is the mean core-seconds of a job, by queue.
 	meanWork map[string]float64
+	room     roundRoom
 }
 
 // job is a job with its progress; the pool's lock guards it.
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -118,10 +118,10 @@
 	return w.clock + time.Duration(float64(now.Sub(w.heard))*(1-clockDrift))
 }
 
-// takesWork reports whether new work may go there.
+// takesWork reports whether new work could go there, sound or not.
 func (w *worker) takesWork(now time.Time) bool {
 	return w.info.listed && !w.info.Draining && !w.strangers &&
-		!w.heard.IsZero() && now.Sub(w.heard) <= heardWithin && !now.Before(w.avoidUntil)
+		!w.heard.IsZero() && now.Sub(w.heard) <= heardWithin
 }
 
 func (w *worker) free() workflow.Capacity { return w.info.Capacity.Minus(w.used) }
