--- a/cmd_host.go
+++ b/cmd_host.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -55,13 +56,44 @@
 	if err != nil {
 		return err
 	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
+	a.follow(i, file, signals, log)
+	return errors.Wrap(i.Close(), "stop")
+}
+
+// settingsInterval is how often the file is looked at, as it may also change
+// without a signal.
+const settingsInterval = time.Second
+
+// follow takes over changed settings until the entry is told to stop.
+func (a *hostArguments) follow(i *hosted.Instance, file string, signals <-chan os.Signal, log zerolog.Logger) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	seen := modified(file)
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+			seen = modified(file)
+			reload(i, file, log)
+		case <-ticker.C:
+			if now := modified(file); !now.Equal(seen) {
+				seen = now
+				reload(i, file, log)
+			}
 		}
-		reload(i, file, log)
 	}
-	return errors.Wrap(i.Close(), "stop")
+}
+
+// modified returns when the file was changed last, or the zero time if it
+// can't be looked at: reading it then says why.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
 
 // reload keeps the settings in force if the file can't be read.
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -39,8 +39,10 @@
 	Organisation string
 	// Rest is the path behind the queue's prefix.
 	Rest string
-	// Version is that of the configuration which decided.
-	Version int64
+	// Version is that of the configuration which decided, BodyBytes its bound
+	// for a request's body; 0 is none.
+	Version   int64
+	BodyBytes int
 }
 
 // Resolve finds the queue and the organisation of a call. It refuses only on
@@ -73,7 +75,7 @@
 	if !found {
 		return Target{}, state.UnknownQueue
 	}
-	target := Target{Queue: queue, Rest: call.Path[len(queue.Prefix):], Version: p.Version}
+	target := Target{Queue: queue, Rest: call.Path[len(queue.Prefix):], Version: p.Version, BodyBytes: p.Limits.BodyBytes}
 	organisation, known := p.Keys[call.Key]
 	if !known && !queue.Anonymous {
 		return Target{}, state.UnknownOrganisation
--- a/coordination/scheduling/calls.go
+++ b/coordination/scheduling/calls.go
@@ -80,7 +80,6 @@
 type Bounds struct {
 	LeaseLimit   time.Duration
 	StopLimit    time.Duration
-	GangTimeout  time.Duration
 	ReclaimLimit time.Duration
 	FarFactor    float64
 	// Overlap is how long an earlier planner may still give orders after this
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -124,7 +124,7 @@
 	s := &scheduling.Scheduler{
 		Term: term, Now: time.Now, Wall: time.Now, Workers: h.fleet.Calls(),
 		Bounds: scheduling.Bounds{
-			LeaseLimit: h.fleet.LeaseLimit, StopLimit: 900 * time.Millisecond, GangTimeout: h.fleet.GangTimeout,
+			LeaseLimit: h.fleet.LeaseLimit, StopLimit: 900 * time.Millisecond,
 			ReclaimLimit: 3400 * time.Millisecond, FarFactor: 3, Overlap: 2 * time.Second,
 		},
 		Authorised: func() bool { return true },
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -150,7 +150,7 @@
 	now := p.scheduler.Now()
 	outcomes := g.outcomes()
 	g.phase, g.waitingSince, g.notBefore = waiting, now, now
-	g.members, g.victims, g.recovered, g.ordered = nil, nil, false, false
+	g.members, g.victims, g.ordered = nil, nil, false
 	p.scheduler.Log.Info().Str("event", "attemptEnded").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("failures", g.failures).Str("outcomes", outcomes).Send()
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -74,15 +74,11 @@
 	waitingSince time.Time
 	notBefore    time.Time
 	placedAt     time.Time
-	// checkpointAt is when the checkpoint was seen to change.
-	checkpointAt time.Time
 	// avoid holds the workers on which the group failed.
 	avoid map[workflow.WorkerID]bool
 	// victims are the groups that must end before the members start.
 	victims []victim
-	// recovered is set for an attempt of an earlier term.
-	recovered bool
-	ordered   bool
+	ordered bool
 	// done is set once an attempt has ended as done.
 	done bool
 }
@@ -148,7 +144,7 @@
 	if len(record.Placed) != len(tasks) {
 		return
 	}
-	g.phase, g.recovered, g.ordered, g.placedAt = placed, true, true, p.scheduler.Now()
+	g.phase, g.ordered, g.placedAt = placed, true, p.scheduler.Now()
 	for i, at := range record.Placed {
 		p.assign(g, tasks[i], p.workerNamed(at.Worker), at.Life).phase = recovering
 	}
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -27,9 +27,6 @@
 		}
 	}
 	g.ordered, g.victims, g.placedAt = true, nil, p.scheduler.Now()
-	if g.checkpointAt.IsZero() || g.checkpoint != "" {
-		g.checkpointAt = g.placedAt
-	}
 	for _, m := range g.members {
 		if m.phase != planned {
 			continue
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -206,7 +206,7 @@
 	}
 	g := m.group
 	if task.Checkpoint != "" && task.Checkpoint != g.checkpoint && g.attempt == m.attempt {
-		g.checkpoint, g.checkpointAt = task.Checkpoint, now
+		g.checkpoint = task.Checkpoint
 	}
 }
 
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -54,7 +54,7 @@
 	t.scheduler = &scheduling.Scheduler{
 		Term: scheduling.Term(revision),
 		Bounds: scheduling.Bounds{
-			LeaseLimit: s.LeaseLimit, StopLimit: s.StopLimit, GangTimeout: s.GangTimeout,
+			LeaseLimit: s.LeaseLimit, StopLimit: s.StopLimit,
 			ReclaimLimit: s.ReclaimLimit, FarFactor: s.FarFactor, Overlap: seat.LeaseTTL,
 		},
 		Now: time.Now, Wall: time.Now, Workers: i.workers.Calls(),
--- a/state/workflow/policy.go
+++ b/state/workflow/policy.go
@@ -7,10 +7,9 @@
 
 // Policy is the operator's configuration of one version.
 type Policy struct {
-	Version  int64
-	Queues   []Queue
-	Services []Service
-	Limits   Limits
+	Version int64
+	Queues  []Queue
+	Limits  Limits
 	// Organisations is keyed by name, Keys names the organisation of a caller's key.
 	Organisations map[string]Organisation
 	Keys          map[string]string
@@ -33,13 +32,6 @@
 	Advised bool
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name string
-	// EnforcesCapacity is set if the workers refuse what does not fit.
-	EnforcesCapacity bool
-}
-
 // Organisation is a customer with its guarantee.
 type Organisation struct {
 	Name string
@@ -66,13 +58,3 @@
 	}
 	return best, best != nil
 }
-
-// Service returns the named pool.
-func (p *Policy) Service(name string) (Service, bool) {
-	for _, s := range p.Services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return Service{}, false
-}
