--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -47,7 +47,7 @@
 	for i := range workers {
 		w := p.workerNamed(workflow.WorkerID(fmt.Sprintf("i-%d", i)))
 		w.info = workerInfo{workflow.Worker{
-			ID: w.info.ID, Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
+			ID: w.id, Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
 			Capacity: workflow.Capacity{Cores: 128000, MemoryMiB: 1 << 19, Accelerators: tasks},
 		}, true}
 		w.heard = time.Now().Add(time.Hour)
--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -30,7 +30,7 @@
 func (p *pool) quarantine(w *worker, cause string, pause time.Duration) {
 	w.avoidUntil = p.scheduler.Now().Add(pause)
 	p.scheduler.Count(workerQuarantined)
-	p.scheduler.Log.Warn().Str("event", "workerQuarantined").Str("worker", string(w.info.ID)).
+	p.scheduler.Log.Warn().Str("event", "workerQuarantined").Str("worker", string(w.id)).
 		Str("cause", cause).Int("failures", w.failures).Dur("pause", pause).Send()
 }
 
@@ -64,7 +64,7 @@
 	}
 	for _, m := range g.members {
 		if now.Sub(m.percentAt) > stallTimeout {
-			g.avoidWorker(m.worker.info.ID)
+			g.avoidWorker(m.worker.id)
 			p.quarantine(m.worker, "stalled", unhealthyPause)
 		}
 	}
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -81,7 +81,7 @@
 // rest of a gang may still be ending then.
 func (p *pool) countFailure(m *member) {
 	g := m.group
-	g.avoidWorker(m.worker.info.ID)
+	g.avoidWorker(m.worker.id)
 	if g.failedAttempt >= m.attempt {
 		return
 	}
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -63,7 +63,7 @@
 // failed on.
 func (p *pool) suitable(g *group, now time.Time) (list []*worker) {
 	for _, w := range p.reachable(g, now) {
-		if !now.Before(w.avoidUntil) && !g.avoid[w.info.ID] {
+		if !now.Before(w.avoidUntil) && !g.avoid[w.id] {
 			list = append(list, w)
 		}
 	}
@@ -153,7 +153,7 @@
 	needs := g.step.Needs()
 	ordered := slices.Clone(workers)
 	slices.SortFunc(ordered, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(room(a).Accelerators, room(b).Accelerators), cmp.Compare(a.info.ID, b.info.ID))
+		return cmp.Or(cmp.Compare(room(a).Accelerators, room(b).Accelerators), cmp.Compare(a.id, b.id))
 	})
 	choice := &placement{}
 	for _, w := range ordered {
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -140,6 +140,7 @@
 	planners := []*scheduling.Scheduler{h.plan()}
 	for at := range troubleTime / (100 * time.Millisecond) {
 		time.Sleep(100 * time.Millisecond)
+		planners[len(planners)-1].SetWorkers(h.fleet.Workers())
 		for _, handOver := range s.handOvers {
 			if handOver/(100*time.Millisecond) == at {
 				old := planners[len(planners)-1]
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -79,7 +79,7 @@
 		group: g, workers: slices.Clone(workers), now: now, victimsOn: victimsOn,
 		freed: make(map[*worker]workflow.Capacity), hosted: make(map[*worker]int),
 	}
-	slices.SortFunc(c.workers, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	slices.SortFunc(c.workers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	for _, w := range workers {
 		for _, m := range w.members {
 			if m.group.phase == stopping {
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -134,7 +134,7 @@
 		}
 		if !record.Done {
 			for _, m := range g.members {
-				record.Placed = append(record.Placed, workflow.WorkerLife{Worker: m.worker.info.ID, Life: m.life})
+				record.Placed = append(record.Placed, workflow.WorkerLife{Worker: m.worker.id, Life: m.life})
 			}
 		}
 		progress.Groups[id] = record
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -101,7 +101,7 @@
 func (p *pool) startAnswered(m *member, result StartResult, ambiguous bool) {
 	p.scheduler.Count(string(result))
 	p.scheduler.Log.Info().Str("event", "startAnswered").Str("request", string(m.task.Job)).
-		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(m.worker.info.ID)).
+		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(m.worker.id)).
 		Str("result", string(result)).Send()
 	if result == RefusedTerm {
 		p.scheduler.end(ErrTermEnded)
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -57,7 +57,8 @@
 		for _, m := range w.members {
 			if m.stopWanted && now.Sub(m.stopSent) >= stopRetry && !w.info.isPlaceholder() {
 				m.stopSent = now
-				p.scheduler.loops.Go(func() { p.stopMember(m, w.info.Worker) })
+				at := w.info.Worker
+				p.scheduler.loops.Go(func() { p.stopMember(m, at) })
 			}
 		}
 	}
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -33,7 +33,7 @@
 		err := p.renew(w)
 		if err == nil {
 			if silent {
-				p.scheduler.Log.Info().Str("event", "workerRegained").Str("worker", string(w.info.ID)).Send()
+				p.scheduler.Log.Info().Str("event", "workerRegained").Str("worker", string(w.id)).Send()
 			}
 			silent = false
 			p.awaitRecord(w)
@@ -46,7 +46,7 @@
 		if !silent && p.scheduler.ctx.Err() == nil {
 			silent = true
 			p.scheduler.Count(workerSilent)
-			p.scheduler.Log.Warn().Str("event", "workerLost").Str("worker", string(w.info.ID)).Err(err).Send()
+			p.scheduler.Log.Warn().Str("event", "workerLost").Str("worker", string(w.id)).Err(err).Send()
 		}
 		pause.For(p.scheduler.ctx, renewPause)
 	}
@@ -191,7 +191,7 @@
 		return
 	}
 	p.scheduler.Log.Info().Str("event", "taskEnded").Str("request", string(m.task.Job)).
-		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(w.info.ID)).
+		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(w.id)).
 		Int64("number", end.Number).Str("outcome", string(end.Outcome)).Send()
 	p.noteHealth(w, m, end.Outcome)
 	p.resolve(m, end.Outcome, end.Checkpoint)
@@ -235,8 +235,9 @@
 	w.reportSent = now
 	p.scheduler.Count(strangerStopped)
 	p.scheduler.Log.Warn().Str("event", "strangerStopped").Stringer("task", task.Task).
-		Int("attempt", task.Attempt).Str("worker", string(w.info.ID)).Send()
-	p.scheduler.loops.Go(func() { p.stopMember(stranger, w.info.Worker) })
+		Int("attempt", task.Attempt).Str("worker", string(w.id)).Send()
+	at := w.info.Worker
+	p.scheduler.loops.Go(func() { p.stopMember(stranger, at) })
 }
 
 // expireLeases ends what ran on workers that were not heard for a whole lease.
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -23,8 +23,9 @@
 	clockDrift = 0.02
 )
 
-// worker is a worker as this term knows it; the pool's lock guards it.
+// worker is a worker as this term knows it; the pool's lock guards all but id.
 type worker struct {
+	id   workflow.WorkerID
 	info workerInfo
 	// life is that of the newest report.
 	life    workflow.Incarnation
@@ -65,7 +66,7 @@
 	w, known := p.workers[id]
 	if !known {
 		w = &worker{
-			info: workerInfo{Worker: workflow.Worker{ID: id}}, members: make(map[attemptKey]*member),
+			id: id, info: workerInfo{Worker: workflow.Worker{ID: id}}, members: make(map[attemptKey]*member),
 			leaseEnds: p.leaseEnd(p.scheduler.began.Add(p.scheduler.Bounds.Overlap)), look: make(chan struct{}, 1),
 		}
 		p.workers[id] = w
