Keep answers and claims through a graceful change of planner

Cause, traced with TestReplaceAll's logs, twelve copies of it at once: five gaps between a planner that gives its zone up and the next one. 1. A rack that changed homes refused a start before it asked any worker; the start counted as sent, its stops found no home either, and the job ended as unknown (homeMoved). The start is asked again for up to 3 s now, and a refusal by an entry that is not the home is no start. 2. A planner that closed gave up its stops at once, so a start in doubt stayed in doubt. Stops go on for 3 s, and a confirmation that nothing was started counts also when it comes with a later stop. 3. A job that was given up and waited in the queue kept its claim when its planner closed; the next planner took it for started. Claims of waiting jobs are given free, for up to 5 s if the store is away. 4. A gang that the old planner started after the next one had heard of all racks was stopped as stale. The next planner takes it over. 5. A planner that had the seat for a moment had workers forget answers nobody had fetched. They forget once the answer was fetched or saved.

Ruled out: the test's own patience (the jobs were never to be answered), the load alone (rows in virtual time fail without each change).

Rows of TestGangUnderFaults fail first for 1 to 4; its bounds for a planner that hands over are tighter: a job that may run once runs, always.

--- a/coordination/dispatch/adopt.go
+++ b/coordination/dispatch/adopt.go
@@ -48,18 +48,28 @@
 	if known, found := d.records.Get(attempt.Job); found {
 		return known, nil
 	}
+	a := d.gather(rack, t, attempt)
+	if a == nil {
+		return nil, nil
+	}
+	a.record = newAdopted(a, attempt, d.Now())
+	a.registered = d.records.PutNew(attempt.Job, a.record)
+	d.adopting.Delete(attempt)
+	return nil, a
+}
+
+// gather adds a part and returns the adoption once it is whole; the caller has
+// the lock of all adoptions.
+func (d *Dispatcher) gather(rack string, t state.Task, attempt state.JobAttempt) (whole *adoption) {
 	a, found := d.adopting.Get(attempt)
 	if !found {
 		a = newAdoption(attempt, t.Job, d.Now())
 		d.adopting.Put(attempt, a)
 	}
 	if !a.add(rack, t) {
-		return nil, nil
+		return nil
 	}
-	a.record = newAdopted(a, attempt, d.Now())
-	a.registered = d.records.PutNew(attempt.Job, a.record)
-	d.adopting.Delete(attempt)
-	return nil, a
+	return a
 }
 
 func newAdoption(name state.JobAttempt, job state.Job, now time.Time) *adoption {
@@ -106,16 +116,22 @@
 // once the planner knows of its places.
 func newAdopted(a *adoption, attempt state.JobAttempt, now time.Time) *record {
 	r := newRecord(&a.job)
+	r.runAs(a, attempt, now)
+	return r
+}
+
+// runAs makes the gang the record's attempt; the caller has the lock.
+func (r *record) runAs(a *adoption, attempt state.JobAttempt, now time.Time) {
 	r.attempt = attempt.Attempt
 	r.base = attempt.Attempt - 1
 	r.claimed = !a.job.Idempotent
 	r.placements = a.placements()
 	r.parts = a.copyParts()
 	r.begun = now
+	r.whole, r.stopping, r.stopReason = false, false, ""
 	r.adopted = true
 	r.lifecycle = state.RecoveredLifecycle(attempt.Attempt)
 	r.apply(state.MembersAdopted)
-	return r
 }
 
 // takeOver makes an adopted gang a running job of this planner.
@@ -132,6 +148,48 @@
 	d.followAdopted(r, attempt.Attempt)
 }
 
+// adoptWaiting notes a part of a gang whose job waits here for the claim that
+// another planner took: that one started it after this one had heard of the racks.
+func (d *Dispatcher) adoptWaiting(r *record, rack string, t state.Task) {
+	attempt := state.JobAttempt{Job: t.Lease.Job, Attempt: t.Lease.Attempt}
+	d.adoptions.Lock()
+	if a := r.found; a != nil && a.name == attempt {
+		a.add(rack, t)
+	} else if a := d.gather(rack, t, attempt); a != nil {
+		d.adopting.Delete(attempt)
+		r.found = a
+	}
+	d.adoptions.Unlock()
+	d.takeFound(r)
+}
+
+// takeFound takes a waiting job's gang over once the job is in the queue; one
+// that is being placed comes back to it, as its claim lets nothing start.
+func (d *Dispatcher) takeFound(r *record) {
+	d.adoptions.Lock()
+	a := r.found
+	if a == nil || !d.Planner.Withdraw(r.job.ID) {
+		d.adoptions.Unlock()
+		return
+	}
+	r.mu.Lock()
+	r.runAs(a, a.name, d.Now())
+	r.mu.Unlock()
+	r.found = nil
+	d.adoptions.Unlock()
+	a.record, a.registered = r, true
+	d.takeOver(a, a.name)
+}
+
+// waitsFor reports whether the job may have been started only under the attempt,
+// by another planner, and must not be started here.
+func (r *record) waitsFor(attempt state.Attempt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	foreign := attempt <= r.base || attempt > r.attempt
+	return foreign && r.inherited && !r.job.Idempotent && !r.claimed && r.ended.IsZero()
+}
+
 // followAdopted acts on what was reported of a gang while it was being adopted:
 // before the planner knows of its places, none of it may be given free.
 func (d *Dispatcher) followAdopted(r *record, attempt state.Attempt) {
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"comfreystream/coordination/claim"
@@ -13,6 +14,11 @@
 	// claimTries and claimPause bound the wait for the claim of a planner that closes.
 	claimTries = 3
 	claimPause = 300 * time.Millisecond
+	// handoverLimit is how long after a takeover the planner before may still
+	// give a claim free: the end of a start, its stops and its writes.
+	handoverLimit = 12 * time.Second
+	// releaseLimit bounds how long a planner that closes tries to give a claim free.
+	releaseLimit = 5 * time.Second
 )
 
 // claim takes the key of a non-idempotent job just before its first start. A
@@ -41,6 +47,9 @@
 		r.inherited = false
 		return nil
 	case claim.Own:
+		if d.Now().Sub(d.began) < handoverLimit {
+			return stepError("claim "+r.job.Key, state.HomeMoved)
+		}
 		return r.forbid(state.Outcome{Job: r.job.ID, Ran: state.Unknown, Reason: state.AmbiguousStart})
 	case claim.Ended:
 		return r.forbid(result.Outcome)
@@ -71,6 +80,24 @@
 	return stepError("claim "+r.job.Key, outcome.Reason)
 }
 
+// releaseWaiting gives the claims free of jobs that wait for another attempt,
+// which the next planner makes.
+func (d *Dispatcher) releaseWaiting() {
+	var all sync.WaitGroup
+	for _, r := range d.records.Values() {
+		if r.isUnsettled() {
+			all.Go(func() { d.release(r) })
+		}
+	}
+	all.Wait()
+}
+
+func (r *record) isUnsettled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claimed && r.ended.IsZero()
+}
+
 // release gives a claim free, also one whose write is in doubt, if its job was
 // not started by this planner, which gives the zone up.
 func (d *Dispatcher) release(r *record) {
@@ -80,9 +107,22 @@
 	if !ours || ran != state.NotRun {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), releaseLimit)
 	defer cancel()
-	if err := d.Claims.Settle(ctx, &r.job, state.Refusal(r.job.ID, state.HomeMoved)); err != nil {
+	for {
+		err := d.settleClaim(ctx, r, state.Refusal(r.job.ID, state.HomeMoved))
+		if err == nil {
+			return
+		}
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
+		if !pause.For(ctx, claimPause) {
+			return
+		}
 	}
 }
+
+func (d *Dispatcher) settleClaim(ctx context.Context, r *record, outcome state.Outcome) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return d.Claims.Settle(ctx, &r.job, outcome)
+}
--- a/coordination/dispatch/dispatcher.go
+++ b/coordination/dispatch/dispatcher.go
@@ -131,6 +131,7 @@
 	d.closing.Unlock()
 	d.cancel()
 	d.tasks.Wait()
+	d.releaseWaiting()
 	return d.Ledger.Close()
 }
 
--- a/coordination/dispatch/faults_test.go
+++ b/coordination/dispatch/faults_test.go
@@ -91,6 +91,7 @@
 }
 
 func killPlanner(z *zone) { z.kill() }
+func moveHome(z *zone)    { z.moveHome(2 * time.Second) }
 func handOver(z *zone)    { z.handOver() }
 func cutOff(z *zone)      { z.cutOff() }
 func set(f standin.Faults) func(z *zone) {
@@ -141,11 +142,29 @@
 		{"planner dies after start", "after start", killPlanner, ran, once},
 		{"planner dies before a write", "before write", killPlanner, ran, once},
 		{"planner dies after a write", "after write", killPlanner, ran, once},
-		{"planner hands over before hold", "before hold", handOver, ran, once},
-		{"planner hands over after hold", "after hold", handOver, ran, once},
-		{"planner hands over before start", "before start", handOver, ran, once},
-		{"planner hands over after start", "after start", handOver, ran, once},
-		{"planner hands over at a write", "before write", handOver, ran, once},
+		{"planner hands over before hold", "before hold", handOver, ran, ran},
+		{"planner hands over after hold", "after hold", handOver, ran, ran},
+		{"planner hands over before start", "before start", handOver, ran, ran},
+		{"planner hands over after start", "after start", handOver, ran, ran},
+		{"planner hands over at a write", "before write", handOver, ran, ran},
+		{"planner hands over after the claim, with the store away for a while", "after write", func(z *zone) {
+			z.store.Inject(store.Always(store.Faults{Down: true}))
+			z.later(2500*time.Millisecond, func() { z.store.Inject(nil) })
+			handOver(z)
+			<-time.After(10 * time.Millisecond)
+		}, ran, ran},
+		{"planner hands over, and its start goes through after the next one has heard of all racks", "before start", func(z *zone) {
+			handOver(z)
+			<-time.After(4 * time.Second)
+		}, ran, ran},
+		{"planner hands over with the gang given up and queued again", "before start", func(z *zone) {
+			z.moveHome(10 * time.Second)
+			z.later(4*time.Second, func() { handOver(z) })
+		}, ran, ran},
+		{"rack's home moves before hold", "before hold", moveHome, ran, ran},
+		{"rack's home moves before start", "before start", moveHome, ran, ran},
+		{"rack's home moves and planner hands over before start", "before start", func(z *zone) { moveHome(z); handOver(z) }, ran, ran},
+		{"start is refused late by a leaving home while the planner hands over", "after start", func(z *zone) { moveHome(z); handOver(z) }, ran, ran},
 		{"planner dies while the gang runs", "running", killPlanner, ran, ran},
 		{"planner dies twice while the gang runs", "running", func(z *zone) {
 			z.kill()
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -81,9 +81,44 @@
 	}
 	r.mu.Lock()
 	r.settled = true
+	r.mu.Unlock()
+	d.forgetFetched(r)
+}
+
+// forgetFetched lets the workers forget a settled job once its caller has the
+// answer, or the store has it: until then a planner that takes the zone over
+// finds the answer on the workers.
+func (d *Dispatcher) forgetFetched(r *record) {
+	r.mu.Lock()
+	may := r.settled && (r.fetched || r.saved)
+	r.mu.Unlock()
+	if may {
+		d.forget(r)
+	}
+}
+
+func (d *Dispatcher) forget(r *record) {
+	r.mu.Lock()
+	first := !r.forgotten
+	r.forgotten = true
 	placements, ended := r.placements, r.attempts()
 	r.mu.Unlock()
-	d.tellRacks(placements, func(o *outbox) { o.forget = append(o.forget, ended...) })
+	if first {
+		d.tellRacks(placements, func(o *outbox) { o.forget = append(o.forget, ended...) })
+	}
+}
+
+// fetch returns the progress for an answer to the caller, who has the outcome then.
+func (d *Dispatcher) fetch(r *record) state.Progress {
+	progress := r.progress()
+	if !progress.Done {
+		return progress
+	}
+	r.mu.Lock()
+	r.fetched = true
+	r.mu.Unlock()
+	d.forgetFetched(r)
+	return progress
 }
 
 func (d *Dispatcher) persist(write func(ctx context.Context) error) {
--- a/coordination/dispatch/query.go
+++ b/coordination/dispatch/query.go
@@ -23,12 +23,12 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	case <-d.ctx.Done():
-		if progress := r.progress(); progress.Done {
+		if progress := d.fetch(r); progress.Done {
 			return progress, nil
 		}
 		return state.Progress{}, d.moved("await " + string(job))
 	}
-	return r.progress(), nil
+	return d.fetch(r), nil
 }
 
 // Cancel ends a job: one that is queued has not run; one that runs is stopped first.
--- a/coordination/dispatch/record.go
+++ b/coordination/dispatch/record.go
@@ -33,6 +33,9 @@
 	resumed bool
 	// inherited is set while an earlier planner may have started the job.
 	inherited bool
+	// found is a gang of the job that another planner started, whole but not yet
+	// taken over; the lock of all adoptions guards it.
+	found *adoption
 	// base is the number of the last attempt that another planner may have made.
 	base state.Attempt
 	// claimTried is set once the claim may be in the store.
@@ -47,9 +50,13 @@
 	saved bool
 	// settled is set once the outcome is recorded where it must last.
 	settled bool
-	ended   time.Time
-	outcome state.Outcome
-	done    chan struct{}
+	// fetched is set once the outcome was given to whoever asks for the job.
+	fetched bool
+	// forgotten is set once the workers were told to forget the job.
+	forgotten bool
+	ended     time.Time
+	outcome   state.Outcome
+	done      chan struct{}
 }
 
 func newRecord(job *state.Job) *record {
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -80,11 +80,18 @@
 func (d *Dispatcher) takeTask(rack string, t state.Task, full bool, reply *state.ReportReply) {
 	attempt := state.JobAttempt{Job: t.Lease.Job, Attempt: t.Lease.Attempt}
 	r, found := d.records.Get(attempt.Job)
-	if !found {
+	waiting := found && r.waitsFor(attempt.Attempt)
+	if !found || waiting {
 		if t.Job.ID == "" {
 			reply.Resend = true
 			return
 		}
+	}
+	if waiting {
+		d.adoptWaiting(r, rack, t)
+		return
+	}
+	if !found {
 		if r = d.adopt(rack, t); r == nil {
 			return
 		}
@@ -120,7 +127,7 @@
 func (r *record) restate(attempt state.JobAttempt, reply *state.ReportReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.settled {
+	if r.forgotten {
 		reply.Forget = append(reply.Forget, attempt)
 		return
 	}
--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -73,7 +73,7 @@
 	}
 	committed, reason := r.giveUp(result)
 	if committed && result.Ran != state.NotRun {
-		d.stopUntilCertain(r, attempt)
+		r.stopped(d.stopUntilCertain(r, attempt))
 	}
 	if d.ctx.Err() != nil {
 		d.release(r)
@@ -137,12 +137,28 @@
 	}
 	r.apply(state.StopSent)
 	if result.Ran == state.NotRun {
-		r.apply(state.VoidConfirmed)
-		r.frozen = r.resumed
+		r.void()
 	}
 	return true, reason
 }
 
+// stopped notes that the attempt is over; neverStarted says that none of it ran.
+func (r *record) stopped(neverStarted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if neverStarted {
+		r.void()
+		return
+	}
+	r.apply(state.MembersStopped)
+}
+
+// void notes that no member of the attempt was started; the caller has the lock.
+func (r *record) void() {
+	r.apply(state.VoidConfirmed)
+	r.frozen = r.resumed
+}
+
 // markWhole notes that every member was started.
 func (r *record) markWhole() (effect partEffect, stopReason state.Reason) {
 	r.mu.Lock()
@@ -153,22 +169,35 @@
 }
 
 // stopUntilCertain repeats the stop of an attempt until every rack has
-// confirmed it or every lease has expired.
-func (d *Dispatcher) stopUntilCertain(r *record, attempt state.Attempt) {
+// confirmed it or every lease has expired. It reports whether all confirmed at
+// once that no member was ever started; a worker that began again forgets.
+func (d *Dispatcher) stopUntilCertain(r *record, attempt state.Attempt) (neverStarted bool) {
 	r.mu.Lock()
 	racks := racksOf(r.placements)
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(d.ctx, leaseLapse)
+	ctx, cancel := d.stopContext()
 	defer cancel()
-	for ctx.Err() == nil {
-		_, err := d.Gang.Abort(ctx, r.job.ID, attempt, racks)
+	for began := d.Now(); ctx.Err() == nil; {
+		never, err := d.Gang.Abort(ctx, r.job.ID, attempt, racks)
 		if err == nil {
-			break
+			return never && d.Now().Sub(began) < confirmLimit
 		}
 		d.Count(state.ReasonOf(err, state.WorkerSilent))
 		pause.For(ctx, stopPause)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.apply(state.MembersStopped)
+	return false
+}
+
+// stopContext lasts until no lease can be alive any more, and for closingStop
+// once the zone is given up.
+func (d *Dispatcher) stopContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), leaseLapse)
+	closing := context.AfterFunc(d.ctx, func() {
+		pause.For(ctx, closingStop)
+		cancel()
+	})
+	return ctx, func() {
+		closing()
+		cancel()
+	}
 }
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -15,6 +15,12 @@
 	leaseLapse = 20 * time.Second
 	// stopPause is the pause between two stops that were not confirmed.
 	stopPause = 200 * time.Millisecond
+	// closingStop is how long a planner that gives the zone up still stops an
+	// attempt; its racks have their next homes within two seconds.
+	closingStop = 3 * time.Second
+	// confirmLimit is how long after a start the answer that it never came about
+	// is believed: a worker is not replaced by one at its address within it.
+	confirmLimit = 4 * time.Second
 )
 
 // stopAttempt stops a running attempt for a reason and decides on another one;
@@ -27,6 +33,7 @@
 	r.apply(state.StopSent)
 	r.mu.Unlock()
 	d.stopUntilCertain(r, attempt)
+	r.stopped(false)
 	d.decide(r, attempt, reason, blamed, nil)
 }
 
@@ -86,6 +93,7 @@
 		if r.isCancelled() && d.Planner.Cancel(job.ID) != planning.CancelRunning {
 			d.finish(r, r.refusal(state.Cancelled))
 		}
+		d.takeFound(r)
 		d.Signal()
 		return
 	}
--- a/coordination/dispatch/sweep.go
+++ b/coordination/dispatch/sweep.go
@@ -36,6 +36,7 @@
 	now := d.Now()
 	for _, r := range d.records.Values() {
 		if r.expired(now) {
+			d.forget(r)
 			d.records.Delete(r.job.ID)
 		}
 	}
--- a/coordination/dispatch/zone_test.go
+++ b/coordination/dispatch/zone_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -55,6 +56,8 @@
 	fault       func(z *zone)
 	step        string
 	loseReplies int
+	// homeMoves is until when the racks have no home that knows them.
+	homeMoves time.Time
 	// spent counts the jobs whose retries the budget ended, and gaveUp those that may run twice and did not run.
 	spent, gaveUp int
 }
@@ -244,12 +247,32 @@
 	return p.dead
 }
 
+// moveHome has the racks between two homes for a while.
+func (z *zone) moveHome(away time.Duration) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.homeMoves = time.Now().Add(away)
+}
+
+// homeMoved is what the homes answer to a planner's step while they change.
+func (z *zone) homeMoved(step string) error {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if !slices.Contains([]string{"hold", "start", "stop", "checkpoint"}, step) || !time.Now().Before(z.homeMoves) {
+		return nil
+	}
+	return state.NewStepError("find rack", keeperSelf, state.HomeMoved, nil)
+}
+
 // call carries out a step of the planner, with the row's fault before or after it.
 func (p *planner) call(step string, effect func() error) error {
 	p.zone.at("before " + step)
 	if p.isDead() {
 		return state.AmbiguousStep(step, p.address, state.ConnectionLost, nil)
 	}
+	if err := p.zone.homeMoved(step); err != nil {
+		return err
+	}
 	err := effect()
 	p.zone.at("after " + step)
 	if p.isDead() {
--- a/coordination/gang/start.go
+++ b/coordination/gang/start.go
@@ -6,13 +6,14 @@
 	"sync"
 	"time"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 )
 
 // startAll starts the racks in parallel and returns the first failure, which
 // ends the others' wait.
 func (s *Starter) startAll(ctx context.Context, g *gang) *failure {
-	bounded, cancel := context.WithTimeout(ctx, startTimeout)
+	bounded, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	heldUntil := g.heldUntil()
 	failures := make(chan *failure, len(g.parts))
@@ -30,22 +31,41 @@
 	return (<-failures).orEnded(ctx)
 }
 
-// start sends a rack its start only if the answer is due before any lease lapses.
+// start sends a rack its start only if the answer is due before any lease lapses;
+// while the rack changes homes it asks again.
 func (s *Starter) start(ctx context.Context, p *part, heldUntil time.Time) *failure {
-	if ctx.Err() != nil {
-		return failureOf(p, ctx.Err())
-	}
-	if heldUntil.Sub(s.Now()) < startTimeout {
-		return &failure{reason: state.LeaseLapsed}
-	}
-	p.startSent = true
-	if err := s.Start(ctx, p.rack, p.leases); err != nil {
-		return failureOf(p, err)
+	for {
+		if ctx.Err() != nil {
+			return failureOf(p, ctx.Err())
+		}
+		if heldUntil.Sub(s.Now()) < startTimeout {
+			return &failure{reason: state.LeaseLapsed}
+		}
+		err := s.startOnce(ctx, p)
+		if !isMoved(err) {
+			p.startSent = true
+		}
+		if err == nil {
+			return nil
+		}
+		if !isMoved(err) || !pause.For(ctx, startPause) {
+			return failureOf(p, err)
+		}
 	}
-	return nil
 }
 
-// stopStarted stops every part and says what is known of the work.
+func (s *Starter) startOnce(ctx context.Context, p *part) error {
+	bounded, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return s.Start(bounded, p.rack, p.leases)
+}
+
+// isMoved reports whether an entry said that it is not the rack's home, which
+// it does before it asks any worker.
+func isMoved(err error) bool {
+	return state.ReasonOf(err, "") == state.HomeMoved && !state.IsAmbiguous(err)
+}
+
 func (s *Starter) stopStarted(ctx context.Context, g *gang) state.Ran {
 	if !slices.ContainsFunc(g.parts, func(p *part) bool { return p.startSent }) {
 		s.release(ctx, g)
--- a/coordination/gang/starter.go
+++ b/coordination/gang/starter.go
@@ -13,9 +13,13 @@
 	holdTimeout    = 400 * time.Millisecond
 	releaseTimeout = 300 * time.Millisecond
 	startTimeout   = time.Second
-	stopTimeout    = time.Second
-	stopPause      = 100 * time.Millisecond
-	stopTries      = 3
+	// startLimit bounds all the starts of a gang; a rack that changes homes has
+	// its next one within two seconds.
+	startLimit  = 3 * time.Second
+	startPause  = 50 * time.Millisecond
+	stopTimeout = time.Second
+	stopPause   = 100 * time.Millisecond
+	stopTries   = 3
 )
 
 // Starter starts gangs through the homes of their racks; it keeps nothing
--- a/coordination/planning/lifecycle.go
+++ b/coordination/planning/lifecycle.go
@@ -67,9 +67,7 @@
 	case gone:
 		return CancelUnknown
 	case queued:
-		e.queue.remove(e)
-		e.phase = gone
-		p.jobs.Delete(job)
+		p.drop(e)
 		return CancelQueued
 	default:
 		e.cancelled = true
@@ -77,6 +75,28 @@
 	}
 }
 
+// Withdraw takes a queued job out and reports whether it was queued.
+func (p *Planner) Withdraw(job state.JobID) bool {
+	e, found := p.jobs.Get(job)
+	if !found {
+		return false
+	}
+	e.queue.mu.Lock()
+	defer e.queue.mu.Unlock()
+	if e.phase != queued {
+		return false
+	}
+	p.drop(e)
+	return true
+}
+
+// drop forgets a queued job; the caller has its queue's lock.
+func (p *Planner) drop(e *entry) {
+	e.queue.remove(e)
+	e.phase = gone
+	p.jobs.Delete(e.job.ID)
+}
+
 // Started says that every member of the attempt runs.
 func (p *Planner) Started(job state.JobID, attempt state.Attempt) {
 	p.rounds.Lock()
--- a/standin/fleet/crowd_test.go
+++ b/standin/fleet/crowd_test.go
@@ -74,6 +74,7 @@
 	id := progress.Outcome.Job
 	for err == nil && !progress.Done {
 		progress, err = c.client.Await(ctx, c.entry(random), id, time.Second)
+		progress.Outcome.Job = id
 	}
 	c.count(job, progress.Outcome, err)
 }
@@ -82,10 +83,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case err != nil && !c.kills:
-		c.t.Errorf("%s: %v", job.Key, err)
 	case err != nil:
 		c.lost++
+		if !c.kills {
+			c.t.Errorf("%s (%s): %v", job.Key, o.Job, err)
+		}
 		return
 	case o.Ran == state.RanWhole:
 		c.whole++
@@ -97,7 +99,7 @@
 	default:
 		c.other++
 		if job.Idempotent || !c.kills {
-			c.t.Errorf("%s (idempotent %v) has the outcome %v (%s)", job.Key, job.Idempotent, o.Ran, o.Reason)
+			c.t.Errorf("%s (%s, idempotent %v) has the outcome %v (%s)", job.Key, o.Job, job.Idempotent, o.Ran, o.Reason)
 		}
 	}
 	starts := c.fleet.starts(o.Job)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,10 +49,12 @@
 
 // Fleet is a running set; it is safe for several goroutines.
 type Fleet struct {
-	plan  Plan
-	log   zerolog.Logger
-	Store *store.Served
-	List  *instancelist.Served
+	plan Plan
+	log  zerolog.Logger
+	// started counts the entries; the logs tell them apart by it.
+	started atomic.Int64
+	Store   *store.Served
+	List    *instancelist.Served
 	// Links join the zones and the platform, which is the group "platform".
 	Links *link.Links
 
@@ -126,7 +129,7 @@
 		AvailabilityZone: zone, Address: anyPort,
 		Store: f.Store.Address(), InstanceList: f.List.Address(),
 		StoreCallsPerSecond: 500, Connections: 4096, BodyBytes: 1 << 20, DrainLimit: drainTime,
-	}, f.log)
+	}, f.log.With().Int("entry", int(f.started.Add(1))).Logger())
 	if err != nil {
 		return nil, err
 	}
