Reach the store through the planner while an entry's own way is cut

An entry now has the planner make its calls to the store: reads, changes and watches of the intake and the configuration. While neither way works a change is refused at once, not run, instead of sent into silence.

--- a/coordination/archive/intake.go
+++ b/coordination/archive/intake.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// tryTimeout bounds one call for a caller.
-	tryTimeout = 700 * time.Millisecond
+	// tryTimeout bounds one call for a caller, directly and through another entry.
+	tryTimeout = 1200 * time.Millisecond
 	// tryPause is the time between tries.
 	tryPause = 60 * time.Millisecond
 	// refusalLimit is how long a call that surely did nothing is tried again;
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -39,10 +39,15 @@
 
 	toStore   *transport.Client
 	toWorkers *transport.Client
-	store     keyvalue.Store
+	// direct is the store without a way round through other entries.
+	direct    *keyvalue.Store
+	store     *keyvalue.Store
+	forOthers *keyvalue.Store
 	workers   *platform.Workers
 	book      *policy.Book
+	// archive is the record as callers need it, plans as the planner does.
 	archive   *archive.Archive
+	plans     *archive.Archive
 	candidate *seat.Candidate
 	term      atomic.Pointer[term]
 	peers     *peer.PlannerClient
@@ -70,17 +75,22 @@
 	i.toPeers = transport.NewClient(transport.ClientLimits{})
 	i.peers = peer.NewPlannerClient(i.toPeers)
 	store := &platform.Store{Connections: i.toStore, Address: func() netip.AddrPort { return i.settings.Load().Store }}
-	i.store = store.Calls()
+	near := store.Calls()
+	detour := &keyvalue.Detour{
+		Near: &near, Around: peer.NewStoreClient(i.toPeers, i.otherPlanner).Calls(), Count: i.countDetour, Log: log,
+	}
+	i.direct, i.store, i.forOthers = detour.Direct(), detour.Calls(), detour.ForOthers()
 	i.workers = &platform.Workers{Connections: i.toWorkers}
-	i.book = &policy.Book{Store: &i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
-	i.archive = newArchive(&i.store)
+	i.book = &policy.Book{Store: i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
+	i.archive = newArchive(i.store)
+	i.plans = newArchive(i.direct)
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
 		return nil, err
 	}
 	i.candidate = &seat.Candidate{
-		Store: &i.store, Identity: newIdentity(i.entries.Address()), Now: seat.BootTime, Ask: i.askPlanner,
+		Store: i.direct, Identity: newIdentity(i.entries.Address()), Now: seat.BootTime, Ask: i.askPlanner,
 		Began: i.beginTerm, Over: i.endTerm, Log: log,
 	}
 	i.wired.Store(true)
@@ -145,7 +155,7 @@
 	stand := func(ctx context.Context, term keyvalue.Revision, wait time.Duration) seat.Standing {
 		return i.candidate.Stand(ctx, term, wait)
 	}
-	forPeers := (&peer.PlannerService{Stand: stand, Accepted: i.heardAccepted, Cancelled: i.heardCancelled}).Handler()
+	forPeers := (&peer.PlannerService{Stand: stand, Accepted: i.heardAccepted, Cancelled: i.heardCancelled, Store: i.forOthers}).Handler()
 	return func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case strings.HasPrefix(string(ctx.Path()), peer.PathPrefix):
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -12,6 +12,7 @@
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/seat"
 	"comfreystream/protocol/record"
+	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
 
@@ -29,6 +30,18 @@
 	return address, errors.Wrap(err, "read the planner's identity")
 }
 
+// otherPlanner returns the planner if it is another entry.
+func (i *Instance) otherPlanner() (netip.AddrPort, error) {
+	identity, self := i.candidate.Planner()
+	if self {
+		return netip.AddrPort{}, errors.New("this entry is the planner")
+	}
+	return plannerAddress(identity)
+}
+
+// countDetour counts a call to the store that goes through another entry.
+func (i *Instance) countDetour() { i.metrics.CountRetry(state.StoreUnavailable) }
+
 func (i *Instance) askPlanner(ctx context.Context, identity []byte, term keyvalue.Revision, wait time.Duration) (seat.Standing, error) {
 	address, err := plannerAddress(identity)
 	if err != nil {
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -60,7 +60,7 @@
 		Now: time.Now, Wall: time.Now, Workers: i.workers.Calls(),
 		Authorised: func() bool { return i.candidate.Valid(revision) },
 		Save: func(ctx context.Context, saves []scheduling.Save) ([]keyvalue.Revision, error) {
-			return i.archive.Save(ctx, t.seat, saves)
+			return i.plans.Save(ctx, t.seat, saves)
 		},
 		Guarantee: i.guarantee,
 		Ended:     func() { i.candidate.GiveUp(revision) },
@@ -93,14 +93,14 @@
 	i := t.instance
 	for t.ctx.Err() == nil {
 		var err error
-		if t.progress, err = i.archive.Load(t.ctx); err == nil {
+		if t.progress, err = i.plans.Load(t.ctx); err == nil {
 			close(t.loaded)
 			break
 		}
 		i.log.Warn().Str("event", "progressNotLoaded").Err(err).Send()
 		pause.For(t.ctx, loadRetry)
 	}
-	i.archive.FollowIntake(t.ctx, archive.Listener{
+	i.plans.FollowIntake(t.ctx, archive.Listener{
 		Accepted:  t.accepted,
 		Cancelled: t.cancelled,
 		Complete: func() {
@@ -133,7 +133,7 @@
 	i := t.instance
 	for t.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(t.ctx, registryTimeout)
-		items, _, err := i.store.List(ctx, platform.WorkersPrefix)
+		items, _, err := i.direct.List(ctx, platform.WorkersPrefix)
 		cancel()
 		if err != nil {
 			if t.ctx.Err() == nil {
@@ -166,7 +166,7 @@
 	for t.ctx.Err() == nil {
 		pending := t.scheduler.Pending()
 		if !maps.Equal(pending, last) && i.candidate.Valid(t.seat.Revision) {
-			if err := i.archive.SavePending(t.ctx, t.seat, pending); err == nil {
+			if err := i.plans.SavePending(t.ctx, t.seat, pending); err == nil {
 				last = pending
 			} else if t.ctx.Err() == nil {
 				i.log.Warn().Str("event", "pendingNotRecorded").Err(err).Send()
@@ -184,7 +184,7 @@
 		if len(ids) == 0 || !i.candidate.Valid(t.seat.Revision) {
 			continue
 		}
-		gone, err := i.archive.Delete(t.ctx, t.seat, ids)
+		gone, err := i.plans.Delete(t.ctx, t.seat, ids)
 		t.scheduler.Forget(gone)
 		line := i.log.Info()
 		if err != nil {
--- a/protocol/peer/planner.go
+++ b/protocol/peer/planner.go
@@ -45,6 +45,8 @@
 	// Accepted and Cancelled tell what was just put on record.
 	Accepted  func(id workflow.ID, record []byte) error
 	Cancelled func(id workflow.ID)
+	// Store is reached for entries that do not reach it themselves.
+	Store *keyvalue.Store
 }
 
 // Handler returns the handler for all paths that begin with PathPrefix.
@@ -60,6 +62,7 @@
 		s.Cancelled(r.Job)
 		return none{}, nil
 	})
+	handleStore(mux, s.Store)
 	return transport.Adapt(mux)
 }
 
