Look only at what a planning round can change

The pool keeps an agenda: groups undecided, groups at work (looked at for stalls each 200 ms), members to stop, timed jobs. The queue is sorted by keys worked out once a group instead of once a comparison.

--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -63,6 +63,7 @@
 		for index := range tasks {
 			g := p.addGroup(j, workflow.GroupID{Index: index})
 			g.phase, g.ordered, g.placedAt = placed, true, time.Now()
+			p.agenda.watch(g)
 			m := p.assign(g, workflow.Task{Job: j.ID, Index: index}, w, 0)
 			m.phase, m.percentAt, m.percent = running, time.Now().Add(time.Hour), 100
 		}
--- a/coordination/scheduling/headroom.go
+++ b/coordination/scheduling/headroom.go
@@ -21,8 +21,7 @@
 		return false
 	}
 	waited := now.Sub(g.due().Add(-g.job.objective))
-	slack := g.due().Sub(now) - g.step.Estimate
-	if slack < 0 || waited > time.Duration(waitShare*float64(g.job.objective-g.step.Estimate)) {
+	if g.slack(now) < 0 || waited > time.Duration(waitShare*float64(g.job.objective-g.step.Estimate)) {
 		return false
 	}
 	free, all := p.room.free, p.room.all
--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -37,14 +37,13 @@
 // stopStalled stops groups of which a task has stood still, and keeps new
 // work from the workers that are at fault.
 func (p *pool) stopStalled(now time.Time) {
-	for _, j := range p.jobs {
-		if j.status != workflow.Running {
-			continue
-		}
-		for _, g := range j.groups {
-			if g.phase == placed && !g.step.LongRunning {
-				p.stopIfStalled(g, now)
-			}
+	if now.Sub(p.agenda.stallsSought) < planTick {
+		return
+	}
+	p.agenda.stallsSought = now
+	for g := range p.agenda.atWork {
+		if !g.step.LongRunning {
+			p.stopIfStalled(g, now)
 		}
 	}
 }
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -65,6 +65,7 @@
 		return
 	}
 	m.phase, m.outcome = ended, outcome
+	delete(p.agenda.stops, m)
 	delete(m.worker.members, m.key())
 	m.worker.used = m.worker.used.Minus(m.group.step.Needs())
 	if checkpoint != "" && m.group.attempt == m.attempt {
@@ -132,6 +133,7 @@
 		return
 	}
 	g.phase, g.done = finished, true
+	p.agenda.drop(g)
 	j := g.job
 	j.doneGroups[[2]int{g.id.Occurrence, g.id.Step}]++
 	p.markDirty(j)
@@ -149,18 +151,21 @@
 func (p *pool) retryGroup(g *group) {
 	now := p.scheduler.Now()
 	outcomes := g.outcomes()
-	g.phase, g.waitingSince, g.notBefore = waiting, now, now
+	g.phase, g.waitingSince = waiting, now
 	g.members, g.victims, g.ordered = nil, nil, false
+	p.agenda.decide(g)
 	p.scheduler.Log.Info().Str("event", "attemptEnded").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("failures", g.failures).Str("outcomes", outcomes).Send()
 	if g.job.status.Final() {
 		g.phase = finished
+		p.agenda.drop(g)
 		p.markDirty(g.job) // the record should no longer name its workers
 		return
 	}
 	if g.failures >= g.job.MaxAttempts && !g.step.LongRunning {
 		g.phase = finished
+		p.agenda.drop(g)
 		p.endJob(g.job, workflow.Failed)
 	}
 }
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -45,47 +45,51 @@
 	p.expireLeases(now)
 	p.stopStalled(now)
 	var candidates []*group
-	for _, j := range p.jobs {
-		if j.status.Final() {
-			continue
-		}
-		if j.Occurrences > 0 {
-			p.openSteps(j)
-		}
-		for _, g := range j.groups {
-			if g.phase == waiting && !now.Before(g.notBefore) {
-				candidates = append(candidates, g)
-			}
-			if g.phase == placed && !g.ordered {
-				p.startOrGiveUp(g, now)
-			}
+	for j := range p.agenda.timed {
+		p.openSteps(j)
+	}
+	for g := range p.agenda.undecided {
+		switch {
+		case g.job.status.Final():
+		case g.phase == waiting:
+			candidates = append(candidates, g)
+		case g.phase == placed:
+			p.startOrGiveUp(g, now)
 		}
 	}
 	entitled := p.entitled()
-	p.order(candidates, now, entitled)
+	line := p.order(candidates, now, entitled)
 	p.room = p.lookAround()
-	for _, g := range candidates {
-		p.placeOrReclaim(g, now, entitled)
+	for _, next := range line {
+		p.placeOrReclaim(next.group, now, entitled)
 	}
 	p.sendStops(now)
 }
 
+// inLine is a group that waits, with what its place in the queue depends on.
+type inLine struct {
+	*group
+	rank int
+	due  time.Time
+}
+
 // order sorts the groups: those within a guarantee first, then what can
 // still be in time by priority, urgent work that is late before the rest.
-func (p *pool) order(candidates []*group, now time.Time, entitled map[*job]bool) {
-	ranks := make(map[*group]int, len(candidates))
-	for _, g := range candidates {
-		ranks[g] = p.rank(g, now, entitled)
+func (p *pool) order(candidates []*group, now time.Time, entitled map[*job]bool) []inLine {
+	line := make([]inLine, len(candidates))
+	for i, g := range candidates {
+		line[i] = inLine{g, p.rank(g, now, entitled), g.due()}
 	}
-	slices.SortFunc(candidates, func(a, b *group) int {
+	slices.SortFunc(line, func(a, b inLine) int {
 		return cmp.Or(
-			cmp.Compare(ranks[a], ranks[b]),
-			a.due().Compare(b.due()),
+			cmp.Compare(a.rank, b.rank),
+			a.due.Compare(b.due),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.id.Occurrence, b.id.Occurrence),
 			cmp.Compare(a.id.Step, b.id.Step),
 			cmp.Compare(a.id.Index, b.id.Index))
 	})
+	return line
 }
 
 // The ranks of groups in the queue; each priority has one for work in time
@@ -103,7 +107,7 @@
 
 func (p *pool) rank(g *group, now time.Time, entitled map[*job]bool) int {
 	priority := min(g.job.Priority, lowestPriority)
-	inTime := !now.Add(g.step.Estimate).After(g.due())
+	inTime := g.slack(now) >= 0
 	switch {
 	case entitled[g.job]:
 		return rankEntitled
@@ -165,7 +169,7 @@
 	}
 	limit := p.scheduler.Bounds.ReclaimLimit - p.scheduler.Bounds.StopLimit - reclaimMargin
 	mustStart := entitled[g.job] && now.Sub(g.job.received) >= limit
-	slack := g.due().Sub(now) - g.step.Estimate
+	slack := g.slack(now)
 	if !mustStart && (slack < minReclaimSlack || slack > maxReclaimSlack) {
 		return nil
 	}
@@ -205,7 +209,7 @@
 	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("members", len(g.members)).Int("victims", len(g.victims)).
-		Int("priority", g.job.Priority).Dur("slack", g.due().Sub(g.placedAt)-g.step.Estimate).
+		Int("priority", g.job.Priority).Dur("slack", g.slack(g.placedAt)).Dur("estimate", g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.room.free -= g.size() * g.step.Accelerators
 	p.markDirty(g.job)
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -23,6 +23,7 @@
 	// meanWork is the mean core-seconds of a job, by queue.
 	meanWork map[string]float64
 	room     roundRoom
+	agenda   agenda
 }
 
 // job is a job with its progress; the pool's lock guards it.
@@ -70,10 +71,8 @@
 	// failedAttempt is the newest attempt that is counted in failures.
 	failedAttempt int
 	checkpoint    string
-	// waitingSince and notBefore belong to the phase waiting.
-	waitingSince time.Time
-	notBefore    time.Time
-	placedAt     time.Time
+	waitingSince  time.Time
+	placedAt      time.Time
 	// avoid holds the workers on which the group failed.
 	avoid map[workflow.WorkerID]bool
 	// victims are the groups that must end before the members start.
@@ -91,6 +90,7 @@
 		workers:  make(map[workflow.WorkerID]*worker),
 		dirty:    make(map[*job]struct{}),
 		meanWork: make(map[string]float64),
+		agenda:   newAgenda(),
 	}
 }
 
@@ -111,6 +111,9 @@
 		j.status, j.ended = progress.Status, p.scheduler.Now()
 	}
 	p.jobs[w.ID] = j
+	if j.Occurrences > 0 && !j.status.Final() {
+		p.agenda.timed[j] = struct{}{}
+	}
 	p.noteWork(j)
 	for id, record := range progress.Groups {
 		p.restore(j, id, record)
@@ -137,6 +140,7 @@
 	g.failures, g.failedAttempt = record.Failures, record.FailedAttempt
 	if record.Done {
 		g.phase, g.done = finished, true
+		p.agenda.drop(g)
 		j.doneGroups[[2]int{id.Occurrence, id.Step}]++
 		return
 	}
@@ -145,6 +149,7 @@
 		return
 	}
 	g.phase, g.ordered, g.placedAt = placed, true, p.scheduler.Now()
+	p.agenda.watch(g)
 	for i, at := range record.Placed {
 		p.assign(g, tasks[i], p.workerNamed(at.Worker), at.Life).phase = recovering
 	}
@@ -156,6 +161,7 @@
 func (p *pool) addGroup(j *job, id workflow.GroupID) *group {
 	g := &group{id: id, job: j, step: &j.Steps[id.Step], waitingSince: p.scheduler.Now()}
 	j.groups[id] = g
+	p.agenda.decide(g)
 	return g
 }
 
@@ -222,6 +228,9 @@
 	return due
 }
 
+// slack is how long the group can wait and, started then, still be in time.
+func (g *group) slack(now time.Time) time.Duration { return g.due().Sub(now) - g.step.Estimate }
+
 func (p *pool) cancelJob(id workflow.ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -236,9 +245,10 @@
 // endJob gives the job its last state and stops what still runs of it.
 func (p *pool) endJob(j *job, status workflow.Status) {
 	j.status, j.ended = status, p.scheduler.Now()
+	delete(p.agenda.timed, j)
 	p.markDirty(j)
 	p.scheduler.Log.Info().Str("event", "jobEnded").Str("request", string(j.ID)).
-		Str("status", string(status)).Dur("age", p.scheduler.Now().Sub(j.received)).Send()
+		Str("status", string(status)).Dur("age", j.ended.Sub(j.received)).Dur("objective", j.objective).Send()
 	for _, g := range j.groups {
 		if status != workflow.Completed {
 			p.stopGroup(g, reasonCancelled)
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -27,6 +27,7 @@
 		}
 	}
 	g.ordered, g.victims, g.placedAt = true, nil, p.scheduler.Now()
+	p.agenda.watch(g)
 	for _, m := range g.members {
 		if m.phase != planned {
 			continue
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -30,6 +30,7 @@
 	case waiting:
 		if g.job.status.Final() {
 			g.phase = finished
+			p.agenda.drop(g)
 		}
 		return
 	case finished, stopping:
@@ -39,13 +40,14 @@
 	p.scheduler.Log.Info().Str("event", "attemptStopped").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).Str("reason", reason).Send()
 	g.phase = stopping
+	p.agenda.drop(g)
 	for _, m := range g.members {
 		switch m.phase {
 		case planned:
 			p.resolve(m, workflow.Void, "")
 		case ended:
 		default:
-			m.stopWanted = true
+			p.agenda.stop(m)
 		}
 	}
 	signal(p.planDue)
@@ -53,13 +55,11 @@
 
 // sendStops sends each stop that is due; the lock is held.
 func (p *pool) sendStops(now time.Time) {
-	for _, w := range p.workers {
-		for _, m := range w.members {
-			if m.stopWanted && now.Sub(m.stopSent) >= stopRetry && !w.info.isPlaceholder() {
-				m.stopSent = now
-				at := w.info.Worker
-				p.scheduler.loops.Go(func() { p.stopMember(m, at) })
-			}
+	for m := range p.agenda.stops {
+		if now.Sub(m.stopSent) >= stopRetry && !m.worker.info.isPlaceholder() {
+			m.stopSent = now
+			at := m.worker.info.Worker
+			p.scheduler.loops.Go(func() { p.stopMember(m, at) })
 		}
 	}
 }
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -168,7 +168,8 @@
 		case m.life == report.Life || m.phase == planned:
 		case listed[key]:
 		case m.phase == ordered:
-			m.stopWanted, m.startUntil = true, never
+			p.agenda.stop(m)
+			m.startUntil = never
 			m.stopHeard, m.stopSent = time.Time{}, time.Time{}
 		default:
 			p.resolve(m, workflow.Lost, "")
