Refuse unsupported jobs in one place, without a time to return

The adapter refused tasks that fill unused capacity while it decoded the job, the intake refused advised queues; both answers promised that a second later would do. The intake decides on both now, logs the refusal with the job's identity, and names no time. record.NewArchive replaces two copies of the same wiring.

--- a/coordination/archive/archive_test.go
+++ b/coordination/archive/archive_test.go
@@ -17,16 +17,6 @@
 	"comfreystream/state/workflow"
 )
 
-func newArchive(store *keyvalue.Store) *archive.Archive {
-	return &archive.Archive{
-		Store:     store,
-		EncodeJob: record.EncodeSubmission, DecodeJob: record.DecodeSubmission,
-		EncodeProgress: record.EncodeProgress, DecodeProgress: record.DecodeProgress,
-		DecodeStatus:  record.DecodeStatus,
-		EncodePending: record.EncodePending, DecodePending: record.DecodePending,
-	}
-}
-
 var progress = workflow.Progress{
 	Status: workflow.Running,
 	Groups: map[workflow.GroupID]workflow.Group{
@@ -59,7 +49,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := standin.New()
 				calls := store.Calls()
-				a := newArchive(&calls)
+				a := record.NewArchive(&calls)
 				revision, err := calls.Commit(t.Context(), keyvalue.Change{Puts: []keyvalue.Put{{Key: "seat"}}})
 				if err != nil {
 					t.Fatal(err)
@@ -96,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New()
 		calls := store.Calls()
-		a := newArchive(&calls)
+		a := record.NewArchive(&calls)
 		var saves []scheduling.Save
 		for i := range 40 {
 			saves = append(saves, scheduling.Save{Job: workflow.ID(rune('A' + i)), Progress: progress})
@@ -129,7 +119,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			store := standin.New()
 			calls := store.Calls()
-			a := newArchive(&calls)
+			a := record.NewArchive(&calls)
 			var ids []workflow.ID
 			for i := range 12 {
 				id := workflow.ID(rune('A' + i))
@@ -156,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New()
 		calls := store.Calls()
-		a := newArchive(&calls)
+		a := record.NewArchive(&calls)
 		ctx, stop := context.WithCancel(t.Context())
 		var mu sync.Mutex
 		heard := make(map[workflow.ID]bool)
--- a/coordination/archive/linear_test.go
+++ b/coordination/archive/linear_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"comfreystream/coordination/archive"
+	"comfreystream/protocol/record"
 	standin "comfreystream/standin/keyvalue"
 	"comfreystream/state"
 	"comfreystream/state/workflow"
@@ -118,7 +119,7 @@
 		return standin.Fault(1 + dice(4))
 	}
 	calls := store.Calls()
-	a := newArchive(&calls)
+	a := record.NewArchive(&calls)
 	began := time.Now()
 	var group sync.WaitGroup
 	for caller := range callers {
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -90,7 +91,9 @@
 	job.Queue, job.Service, job.Organisation = q.Name, q.Service, target.Organisation
 	job.Priority, job.MaxAttempts, job.Stretch = q.Priority, q.MaxAttempts, q.Stretch
 	job.StartAllowance, job.Accepted = q.StartAllowance, i.Now()
-	if q.Advised {
+	if q.Advised || slices.ContainsFunc(job.Steps, func(s workflow.Step) bool { return s.Scavenging }) {
+		i.Log.Info().Str("event", "callRefused").Str("request", string(job.ID)).
+			Str("reason", string(state.Unsupported)).Str("queue", q.Name).Send()
 		return i.refuse("submit a job", state.Unsupported, nil)
 	}
 	err := i.Archive.Accept(ctx, job)
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -82,8 +82,8 @@
 	i.direct, i.store, i.forOthers = detour.Direct(), detour.Calls(), detour.ForOthers()
 	i.workers = &platform.Workers{Connections: i.toWorkers}
 	i.book = &policy.Book{Store: i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
-	i.archive = newArchive(i.store)
-	i.plans = newArchive(i.direct)
+	i.archive = record.NewArchive(i.store)
+	i.plans = record.NewArchive(i.direct)
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
@@ -104,16 +104,6 @@
 // Callers returns the address that callers reach.
 func (i *Instance) Callers() netip.AddrPort { return i.callers.Address() }
 
-func newArchive(store *keyvalue.Store) *archive.Archive {
-	return &archive.Archive{
-		Store:     store,
-		EncodeJob: record.EncodeSubmission, DecodeJob: record.DecodeSubmission,
-		EncodeProgress: record.EncodeProgress, DecodeProgress: record.DecodeProgress,
-		DecodeStatus:  record.DecodeStatus,
-		EncodePending: record.EncodePending, DecodePending: record.DecodePending,
-	}
-}
-
 func (i *Instance) listen(s *platform.Settings) (err error) {
 	front := &platform.Front{
 		Intake: &intake.Intake{
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -41,6 +41,7 @@
 	SpreadLimit    int           `cbor:"12,keyasint,omitempty"`
 	Speculative    bool          `cbor:"13,keyasint,omitempty"`
 	LongRunning    bool          `cbor:"14,keyasint,omitempty"`
+	Scavenging     bool          `cbor:"15,keyasint,omitempty"`
 }
 
 // EncodeSubmission returns the record of an accepted job.
--- a/state/workflow/job.go
+++ b/state/workflow/job.go
@@ -58,6 +58,8 @@
 	Speculative bool
 	// LongRunning tasks run until the job is cancelled.
 	LongRunning bool
+	// Scavenging tasks only take what all others leave.
+	Scavenging bool
 }
 
 // Runs returns how often the steps run, at least once.
