--- a/coordination/scheduling/load_test.go
+++ b/coordination/scheduling/load_test.go
@@ -97,7 +97,7 @@
 				if stopped != test.stopped {
 					t.Errorf("%d attempts were stopped, want %d", stopped, test.stopped)
 				}
-				for _, v := range violations(runs, 2) {
+				for _, v := range runner.Violations(runs, 2) {
 					t.Error(v)
 				}
 			})
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -153,7 +153,7 @@
 	for _, p := range planners {
 		_ = p.Close()
 	}
-	problems := violations(h.fleet.Runs(), h.jobs[0].MaxAttempts)
+	problems := runner.Violations(h.fleet.Runs(), h.jobs[0].MaxAttempts)
 	for _, j := range h.jobs {
 		if status := h.ledger.status(j.ID); !status.Final() {
 			problems = append(problems, fmt.Sprintf("job %s is %q after %v without faults", j.ID, status, calmTime))
--- a/coordination/scheduling/takeover_test.go
+++ b/coordination/scheduling/takeover_test.go
@@ -81,7 +81,7 @@
 						t.Errorf("%s began %d times, want at most %d: %+v", r.Task, starts[r.Task], test.attempts, r)
 					}
 				}
-				for _, v := range violations(h.fleet.Runs(), h.jobs[0].MaxAttempts) {
+				for _, v := range runner.Violations(h.fleet.Runs(), h.jobs[0].MaxAttempts) {
 					t.Error(v)
 				}
 			})
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -95,13 +95,15 @@
 	}
 }
 
-// Add adds a worker, or begins a new life of one.
+// Add adds a worker, or begins a new life of one: what ran there is lost, and
+// the rest of its gangs ends with it.
 func (f *Fleet) Add(info workflow.Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.proceed()
 	if old, known := f.workers[info.ID]; known {
-		for _, r := range old.running {
-			r.Ended, r.Outcome = time.Now(), workflow.Lost
+		for len(old.running) > 0 {
+			f.end(old.running[0], workflow.Lost, time.Now())
 		}
 	}
 	f.workers[info.ID] = &worker{info: info, born: time.Now(), barred: make(map[workflow.Task]int)}
@@ -220,10 +222,14 @@
 	return refused
 }
 
-// renew looks every few milliseconds whether there is an end to tell.
+// renew looks every few milliseconds whether there is an end to tell; a call that
+// waits ends with the life that it reached, as connections do.
 func (f *Fleet) renew(ctx context.Context, at workflow.Worker, order scheduling.RenewOrder) (workflow.Report, error) {
 	const lookInterval = 5 * time.Millisecond
 	deadline := time.Now().Add(order.Wait)
+	f.mu.Lock()
+	reached := f.workers[at.ID]
+	f.mu.Unlock()
 	for first := true; ; first = false {
 		var report workflow.Report
 		var refused error
@@ -231,7 +237,13 @@
 		if !first {
 			call = "RenewWait"
 		}
-		if err := f.perform(ctx, call, at.ID, func(w *worker) { report, refused = f.report(w, order) }); err != nil {
+		if err := f.perform(ctx, call, at.ID, func(w *worker) {
+			if w == reached {
+				report, refused = f.report(w, order)
+				return
+			}
+			refused = state.AmbiguousStep("Renew", at.Address, state.WorkerSilent, nil)
+		}); err != nil {
 			return workflow.Report{}, err
 		}
 		if refused != nil || len(report.Ends) > 0 || !time.Now().Before(deadline) {
