--- a/coordination/gang/start.go
+++ b/coordination/gang/start.go
@@ -66,6 +66,7 @@
 	return state.ReasonOf(err, "") == state.HomeMoved && !state.IsAmbiguous(err)
 }
 
+// stopStarted stops every part and says what is known of the work.
 func (s *Starter) stopStarted(ctx context.Context, g *gang) state.Ran {
 	if !slices.ContainsFunc(g.parts, func(p *part) bool { return p.startSent }) {
 		s.release(ctx, g)
