Take out what nothing reads

The configuration's bounds of headers and of idle time, a worker's availability zone, an organisation's name beside its key, the listener for a new configuration and workflow.Job.GroupOf were decoded or declared and never used. No behaviour changes; the decode tests check the same values.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -76,7 +76,7 @@
 	if !found {
 		return Target{}, state.UnknownQueue
 	}
-	target := Target{Queue: queue, Rest: call.Path[len(queue.Prefix):], Version: p.Version, BodyBytes: p.Limits.BodyBytes}
+	target := Target{Queue: queue, Rest: call.Path[len(queue.Prefix):], Version: p.Version, BodyBytes: p.BodyBytes}
 	organisation, known := p.Keys[call.Key]
 	if !known && !queue.Anonymous {
 		return Target{}, state.UnknownOrganisation
--- a/coordination/policy/book.go
+++ b/coordination/policy/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,14 +15,15 @@
 	"comfreystream/state/workflow"
 )
 
+// confirmTimeout bounds one read of the configuration.
+const confirmTimeout = 800 * time.Millisecond
+
 // Book is the configuration in force; it is safe for several goroutines.
 type Book struct {
 	Store  *keyvalue.Store
 	Key    string
 	Decode func(text []byte) (*workflow.Policy, error)
-	// Changed hears each version that comes into force; nil is nobody.
-	Changed func(p *workflow.Policy)
-	Log     zerolog.Logger
+	Log    zerolog.Logger
 
 	mu      sync.Mutex
 	current atomic.Pointer[workflow.Policy]
@@ -57,7 +59,7 @@
 	case result := <-done:
 		return b.Current(), result.Err
 	case <-ctx.Done():
-		return nil, state.NewStepError("confirm the configuration", noPeer, state.StoreUnavailable, ctx.Err())
+		return nil, state.NewStepError("confirm the configuration", netip.AddrPort{}, state.StoreUnavailable, ctx.Err())
 	}
 }
 
@@ -84,7 +86,4 @@
 	b.current.Store(p)
 	b.Log.Info().Str("event", "configurationInForce").Int64("version", p.Version).
 		Int64("revision", int64(item.Revision)).Int("queues", len(p.Queues)).Send()
-	if b.Changed != nil {
-		b.Changed(p)
-	}
 }
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -85,7 +85,7 @@
 	if p == nil {
 		return 0
 	}
-	return p.Organisations[organisation].Accelerators
+	return p.Guarantees[organisation]
 }
 
 // plan loads what is on record, then follows jobs and workers.
--- a/state/workflow/policy.go
+++ b/state/workflow/policy.go
@@ -9,10 +9,12 @@
 type Policy struct {
 	Version int64
 	Queues  []Queue
-	Limits  Limits
-	// Organisations is keyed by name, Keys names the organisation of a caller's key.
-	Organisations map[string]Organisation
-	Keys          map[string]string
+	// BodyBytes bounds the body of a caller's request; 0 is no bound.
+	BodyBytes int
+	// Guarantees holds, by organisation, the accelerators that it can always have
+	// for its most urgent jobs; Keys names the organisation of a caller's key.
+	Guarantees map[string]int
+	Keys       map[string]string
 }
 
 // Queue takes jobs at a path of a host for one service.
@@ -32,21 +34,6 @@
 	Advised bool
 }
 
-// Organisation is a customer with its guarantee.
-type Organisation struct {
-	Name string
-	// Accelerators is the number that it can always have for its most urgent jobs.
-	Accelerators int
-}
-
-// Limits bounds callers' requests.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Match returns the queue with the longest prefix of the path on the host.
 func (p *Policy) Match(host, path string) (*Queue, bool) {
 	var best *Queue
--- a/state/workflow/progress.go
+++ b/state/workflow/progress.go
@@ -73,16 +73,3 @@
 	}
 	return tasks
 }
-
-// GroupOf returns the group that a task belongs to; it reports false for a
-// task that the job does not have.
-func (j *Job) GroupOf(t Task) (GroupID, bool) {
-	if t.Step < 0 || t.Step >= len(j.Steps) || t.Index < 0 || t.Index >= j.Steps[t.Step].Tasks ||
-		t.Occurrence < 0 || t.Occurrence >= j.Runs() {
-		return GroupID{}, false
-	}
-	if j.Steps[t.Step].Gang {
-		return GroupID{Occurrence: t.Occurrence, Step: t.Step}, true
-	}
-	return GroupID{Occurrence: t.Occurrence, Step: t.Step, Index: t.Index}, true
-}
--- a/state/workflow/worker.go
+++ b/state/workflow/worker.go
@@ -15,13 +15,12 @@
 
 // Worker is what a worker says of itself in the platform's registry.
 type Worker struct {
-	ID               WorkerID
-	Life             Incarnation
-	Service          string
-	Address          netip.AddrPort
-	AvailabilityZone string
-	Capacity         Capacity
-	Labels           []string
+	ID       WorkerID
+	Life     Incarnation
+	Service  string
+	Address  netip.AddrPort
+	Capacity Capacity
+	Labels   []string
 	// Draining is set once the worker leaves; it gets nothing new.
 	Draining bool
 }
