Say once what stood several times

- archive: the four reads for callers are one, Save splits its jobs as Delete does.
- scheduling: a group that has no further attempt is settled in one place (its phase and the agenda went together five times); the time of a stray task's stop is named for what it is.
- dispatch: a claim is given free by the loop that writes outcomes.

--- a/coordination/archive/intake.go
+++ b/coordination/archive/intake.go
@@ -37,10 +37,7 @@
 
 // Cancel puts the wish on record; known is false if there is no such job.
 func (a *Archive) Cancel(ctx context.Context, id workflow.ID) (known bool, err error) {
-	err = a.retry(ctx, func(ctx context.Context) error {
-		_, known, _, err = a.Store.Get(ctx, jobKey(id))
-		return err
-	})
+	_, known, err = a.get(ctx, jobKey(id))
 	if err != nil || !known {
 		return known, err
 	}
@@ -52,11 +49,7 @@
 
 // Status returns how far a job is; known is false if there is none.
 func (a *Archive) Status(ctx context.Context, id workflow.ID) (status workflow.Status, known bool, err error) {
-	var item keyvalue.Item
-	err = a.retry(ctx, func(ctx context.Context) error {
-		item, known, _, err = a.Store.Get(ctx, progressKey(id))
-		return err
-	})
+	item, known, err := a.get(ctx, progressKey(id))
 	if err != nil {
 		return "", false, err
 	}
@@ -64,27 +57,28 @@
 		status, err := a.DecodeStatus(item.Value)
 		return status, true, err
 	}
-	err = a.retry(ctx, func(ctx context.Context) error {
-		_, known, _, err = a.Store.Get(ctx, jobKey(id))
-		return err
-	})
+	_, known, err = a.get(ctx, jobKey(id))
 	return workflow.Queued, known, err
 }
 
 // Pending returns the jobs without a started task, by queue.
 func (a *Archive) Pending(ctx context.Context) (pending map[string]int, err error) {
-	var item keyvalue.Item
-	var known bool
-	err = a.retry(ctx, func(ctx context.Context) error {
-		item, known, _, err = a.Store.Get(ctx, pendingKey)
-		return err
-	})
+	item, known, err := a.get(ctx, pendingKey)
 	if err != nil || !known {
 		return nil, err
 	}
 	return a.DecodePending(item.Value)
 }
 
+// get reads a key for a caller; known is false if there is none.
+func (a *Archive) get(ctx context.Context, key string) (item keyvalue.Item, known bool, err error) {
+	err = a.retry(ctx, func(ctx context.Context) error {
+		item, known, _, err = a.Store.Get(ctx, key)
+		return err
+	})
+	return item, known, err
+}
+
 // create writes keys that may exist already; then there is nothing to do. It
 // is repeated until it is settled, which is harmless.
 func (a *Archive) create(ctx context.Context, change keyvalue.Change) error {
--- a/coordination/archive/progress.go
+++ b/coordination/archive/progress.go
@@ -52,9 +52,7 @@
 // scheduling.ErrTermEnded once the seat is another's.
 func (a *Archive) Save(ctx context.Context, seat keyvalue.Condition, saves []scheduling.Save) ([]keyvalue.Revision, error) {
 	revisions := make([]keyvalue.Revision, 0, len(saves))
-	for len(saves) > 0 {
-		part := saves[:min(len(saves), jobsPerChange)]
-		saves = saves[len(part):]
+	for part := range slices.Chunk(saves, jobsPerChange) {
 		saved, err := a.savePart(ctx, seat, part)
 		revisions = append(revisions, saved...)
 		if err != nil {
--- a/coordination/dispatch/claims.go
+++ b/coordination/dispatch/claims.go
@@ -109,20 +109,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), releaseLimit)
 	defer cancel()
-	for {
-		err := d.settleClaim(ctx, r, state.Refusal(r.job.ID, state.HomeMoved))
-		if err == nil {
-			return
-		}
-		d.Count(state.ReasonOf(err, state.StoreUnavailable))
-		if !pause.For(ctx, claimPause) {
-			return
-		}
-	}
-}
-
-func (d *Dispatcher) settleClaim(ctx context.Context, r *record, outcome state.Outcome) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return d.Claims.Settle(ctx, &r.job, outcome)
+	d.persistWithin(ctx, claimPause, func(ctx context.Context) error {
+		return d.Claims.Settle(ctx, &r.job, state.Refusal(r.job.ID, state.HomeMoved))
+	})
 }
--- a/coordination/dispatch/finish.go
+++ b/coordination/dispatch/finish.go
@@ -122,15 +122,20 @@
 }
 
 func (d *Dispatcher) persist(write func(ctx context.Context) error) {
-	for d.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
-		err := write(ctx)
+	d.persistWithin(d.ctx, storePause, write)
+}
+
+// persistWithin repeats a write until the store takes it or the context ends.
+func (d *Dispatcher) persistWithin(ctx context.Context, between time.Duration, write func(ctx context.Context) error) {
+	for ctx.Err() == nil {
+		trying, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := write(trying)
 		cancel()
 		if err == nil {
 			return
 		}
 		d.Count(state.ReasonOf(err, state.StoreUnavailable))
-		pause.For(d.ctx, storePause)
+		pause.For(ctx, between)
 	}
 }
 
--- a/coordination/dispatch/reports.go
+++ b/coordination/dispatch/reports.go
@@ -81,11 +81,9 @@
 	attempt := state.JobAttempt{Job: t.Lease.Job, Attempt: t.Lease.Attempt}
 	r, found := d.records.Get(attempt.Job)
 	waiting := found && r.waitsFor(attempt.Attempt)
-	if !found || waiting {
-		if t.Job.ID == "" {
-			reply.Resend = true
-			return
-		}
+	if (!found || waiting) && t.Job.ID == "" {
+		reply.Resend = true
+		return
 	}
 	if waiting {
 		d.adoptWaiting(r, rack, t)
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -132,8 +132,8 @@
 	if g.done {
 		return
 	}
-	g.phase, g.done = finished, true
-	p.agenda.drop(g)
+	p.settle(g)
+	g.done = true
 	j := g.job
 	j.doneGroups[[2]int{g.id.Occurrence, g.id.Step}]++
 	p.markDirty(j)
@@ -158,18 +158,22 @@
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
 		Int("failures", g.failures).Str("outcomes", outcomes).Send()
 	if g.job.status.Final() {
-		g.phase = finished
-		p.agenda.drop(g)
+		p.settle(g)
 		p.markDirty(g.job) // the record should no longer name its workers
 		return
 	}
 	if g.failures >= g.job.MaxAttempts && !g.step.LongRunning {
-		g.phase = finished
-		p.agenda.drop(g)
+		p.settle(g)
 		p.endJob(g.job, workflow.Failed)
 	}
 }
 
+// settle notes that no further attempt follows.
+func (p *pool) settle(g *group) {
+	g.phase = finished
+	p.agenda.drop(g)
+}
+
 func (g *group) avoidWorker(id workflow.WorkerID) {
 	if g.avoid == nil {
 		g.avoid = make(map[workflow.WorkerID]bool)
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -139,8 +139,8 @@
 	g.attempt, g.checkpoint = record.Attempt, record.Checkpoint
 	g.failures, g.failedAttempt = record.Failures, record.FailedAttempt
 	if record.Done {
-		g.phase, g.done = finished, true
-		p.agenda.drop(g)
+		p.settle(g)
+		g.done = true
 		j.doneGroups[[2]int{id.Occurrence, id.Step}]++
 		return
 	}
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -29,8 +29,7 @@
 	switch g.phase {
 	case waiting:
 		if g.job.status.Final() {
-			g.phase = finished
-			p.agenda.drop(g)
+			p.settle(g)
 		}
 		return
 	case finished, stopping:
--- a/coordination/scheduling/tend.go
+++ b/coordination/scheduling/tend.go
@@ -230,10 +230,10 @@
 func (p *pool) stopStranger(w *worker, task workflow.RunningTask, now time.Time) {
 	w.strangers = true
 	stranger := &member{task: task.Task, attempt: task.Attempt, worker: w}
-	if now.Sub(w.reportSent) < stopRetry {
+	if now.Sub(w.strangerStopSent) < stopRetry {
 		return
 	}
-	w.reportSent = now
+	w.strangerStopSent = now
 	p.scheduler.Count(strangerStopped)
 	p.scheduler.Log.Warn().Str("event", "strangerStopped").Stringer("task", task.Task).
 		Int("attempt", task.Attempt).Str("worker", string(w.id)).Send()
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -45,10 +45,10 @@
 	// look wakes the tender when ends are on record or a stop was answered.
 	look chan struct{}
 	// avoidUntil, failures in a row and the job that failed last tell its health.
-	avoidUntil time.Time
-	failures   int
-	failedJob  workflow.ID
-	reportSent time.Time
+	avoidUntil       time.Time
+	failures         int
+	failedJob        workflow.ID
+	strangerStopSent time.Time
 }
 
 // workerInfo is a worker's registration and whether it still stands.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -38,7 +38,6 @@
 	storeCalls  family[storeCall]
 	rollouts    family[rollout.Event]
 	planner     family[string]
-	requests    tally.Scope
 	page        fasthttp.RequestHandler
 	closer      io.Closer
 }
@@ -63,7 +62,6 @@
 		storeCalls:  storeFamily(root),
 		rollouts:    reasonFamily(root, "rollout_events_total", rollout.Events),
 		planner:     reasonFamily(root, "planner_events_total", scheduling.Events),
-		requests:    root,
 		page:        transport.Adapt(reporter.HTTPHandler()),
 		closer:      closer,
 	}
@@ -98,7 +96,7 @@
 // ObserveRequest records how long a caller's request took, by method and status.
 func (m *Metrics) ObserveRequest(method string, status int, took time.Duration) {
 	tags := map[string]string{"method": method, "status": strconv.Itoa(status)}
-	m.requests.Tagged(tags).Histogram("request_seconds", requestBuckets).RecordDuration(took)
+	m.Root.Tagged(tags).Histogram("request_seconds", requestBuckets).RecordDuration(took)
 }
 
 // requestBuckets are the upper bounds of the latency histogram, from 1 ms to 4 s.
--- a/standin/link/proxy.go
+++ b/standin/link/proxy.go
@@ -1,9 +1,9 @@
 package link
 
 import (
-	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -142,14 +142,10 @@
 		if mode == Delayed {
 			<-time.After(DelayBy)
 		}
-		lost := false
-		for _, m := range losing {
-			lost = lost || m == mode
-		}
-		if lost {
+		if slices.Contains(losing, mode) {
 			continue
 		}
-		if _, err := to.Write(buffer[:n]); err != nil && !errors.Is(err, io.EOF) {
+		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
