Have the entries with most cores plan, and judge late planners apart

Cause: on the large deployment whoever is first takes the term, mostly one of the 129 entries of 0.192 cores. It answers late, and its own failed renewals, read late, made it report that it was cut off: up to 55 entries deposed it at once, the next small one loaded the jobs and did the same.

Change: a candidate with less than half a core leaves a free key to the others for up to 0.6 s, and a small planner yields its term, three seconds old at least, to a candidate with twice its cores. A planner whose timers fire late reports itself late instead of cut off, and a late planner is not deposed: its lease in the store decides. Status requests wait 4 s instead of 1.2 s and wake when the term is given up.

Ruled out: deposing less often; the lease runs out by itself after 2 s, and monitors gain half a second at most.

--- a/coordination/election/candidate.go
+++ b/coordination/election/candidate.go
@@ -29,6 +29,9 @@
 	watchWait = 1500 * time.Millisecond
 	// retryPause is the wait after a failed call.
 	retryPause = 100 * time.Millisecond
+	// lateMargin is how late a timer may fire before the process counts as late,
+	// so that an unanswered call says nothing about the store.
+	lateMargin = 200 * time.Millisecond
 )
 
 // Candidate runs for planner and keeps its terms alive; it is safe for
@@ -37,11 +40,14 @@
 	Store *keyvalue.Store
 	// Identity is the value written to Key; it must be unique to this process.
 	Identity []byte
+	// Cores is how many processor cores this process may use. Candidates with
+	// fewer leave the planning to those with more.
+	Cores float64
 	// Now returns a monotonic time that includes suspension of the machine.
 	Now func() time.Duration
 	// AskStatus requests the Status of the planner with the identity; the planner
 	// holds the request open until its status changes or the wait is over.
-	AskStatus func(ctx context.Context, identity []byte, term keyvalue.Revision, wait time.Duration) (TermStatus, error)
+	AskStatus func(ctx context.Context, identity []byte, request StatusRequest) (TermStatus, error)
 	// StartTerm starts the work of a term; EndTerm stops it and waits for it.
 	StartTerm func(term keyvalue.Revision)
 	EndTerm   func()
@@ -50,13 +56,19 @@
 	mu    sync.Mutex
 	lease keyvalue.LeaseID
 	term  keyvalue.Revision
-	// renewed is when the latest successful renewal was sent.
-	renewed time.Duration
+	// began is when the term began, renewed when the latest successful renewal was
+	// sent, and failedOnTime counts the renewals since then that failed although
+	// this process was not late.
+	began        time.Duration
+	renewed      time.Duration
+	failedOnTime int
 	// resigned stops Run; givenUp is closed when the current term is given up.
 	resigned bool
 	givenUp  chan struct{}
-	// planner is the item under Key when another candidate last held it.
+	// planner is the item under Key when another candidate last held it, and
+	// stoodBy is set once the key was free after that and left to others.
 	planner keyvalue.Item
+	stoodBy bool
 	// lastDeposed is when this candidate last ended another's term; 0 is never.
 	lastDeposed time.Duration
 }
@@ -140,6 +152,10 @@
 		c.setPlanner(item)
 		return false, c.waitForRelease(ctx, item, asOf)
 	}
+	if c.standsBy() {
+		pause.For(ctx, c.standbyDelay())
+		return false, nil
+	}
 	sent := c.Now()
 	calling, cancel = context.WithTimeout(ctx, callTimeout)
 	lease, err := c.Store.Grant(calling, LeaseTTL)
@@ -154,7 +170,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease, c.term, c.renewed = lease, term, sent
+	c.lease, c.term, c.began, c.renewed, c.failedOnTime = lease, term, sent, sent, 0
+	c.stoodBy = false
 	c.givenUp = make(chan struct{})
 	return true, nil
 }
@@ -162,7 +179,7 @@
 func (c *Candidate) setPlanner(item keyvalue.Item) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.planner = item
+	c.planner, c.stoodBy = item, false
 }
 
 // Planner returns the identity of the planner that was last seen, and whether
@@ -241,6 +258,7 @@
 // the planner.
 func (c *Candidate) renewLease(ctx context.Context, term keyvalue.Revision, lease keyvalue.LeaseID, givenUp chan struct{}) string {
 	for {
+		waiting := c.Now()
 		select {
 		case <-ctx.Done():
 			return "closed"
@@ -252,14 +270,16 @@
 		calling, cancel := context.WithTimeout(ctx, callTimeout)
 		err := c.Store.KeepAlive(calling, lease)
 		cancel()
+		late := max(sent-waiting-renewInterval, c.Now()-sent-callTimeout)
 		switch {
 		case err == nil:
 			c.recordRenewal(term, sent)
 		case errors.Is(err, keyvalue.ErrLeaseEnded):
 			return "leaseEnded"
 		case ctx.Err() == nil:
+			c.recordFailedRenewal(late)
 			c.Log.Warn().Str("event", "seatRenewalFailed").Int64("term", int64(term)).
-				Bool("sure", c.Valid(term)).Err(err).Send()
+				Bool("sure", c.Valid(term)).Dur("late", max(late, 0)).Err(err).Send()
 		}
 	}
 }
@@ -268,7 +288,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.term == term {
-		c.renewed = max(c.renewed, sent)
+		c.renewed, c.failedOnTime = max(c.renewed, sent), 0
+	}
+}
+
+// recordFailedRenewal counts a failed renewal unless this process was too late
+// itself to have read an answer.
+func (c *Candidate) recordFailedRenewal(late time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if late < lateMargin {
+		c.failedOnTime++
 	}
 }
 
--- a/coordination/election/candidate_test.go
+++ b/coordination/election/candidate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,24 +24,26 @@
 	began             []time.Time
 	ended             []time.Time
 	refuseConnections bool
+	// late is how long after the time limit of a renewal the process goes on.
+	late time.Duration
 }
 
-// startCandidates runs candidates on one store, each with its own faults; the
-// first of them becomes the planner.
-func startCandidates(store *standin.Store, count int) []*testCandidate {
+// startCandidates runs candidates on one store, a millisecond apart, each with its
+// own cores and faults.
+func startCandidates(store *standin.Store, cores ...float64) []*testCandidate {
 	began := time.Now()
-	all := make([]*testCandidate, count)
+	all := make([]*testCandidate, len(cores))
 	for i := range all {
 		c := &testCandidate{}
 		calls := withFaults(store, c)
 		c.Candidate = &Candidate{
-			Store: &calls, Identity: []byte{byte('a' + i)}, Now: func() time.Duration { return time.Since(began) },
-			AskStatus: func(ctx context.Context, identity []byte, term keyvalue.Revision, wait time.Duration) (TermStatus, error) {
+			Store: &calls, Identity: []byte{byte('a' + i)}, Cores: cores[i], Now: func() time.Duration { return time.Since(began) },
+			AskStatus: func(ctx context.Context, identity []byte, request StatusRequest) (TermStatus, error) {
 				planner := all[identity[0]-'a']
 				if planner.refusesConnections() {
 					return "", ErrRefused
 				}
-				return planner.Status(ctx, term, wait), nil
+				return planner.Status(ctx, request), nil
 			},
 			StartTerm: func(keyvalue.Revision) { c.recordTime(&c.began) },
 			EndTerm:   func() { c.recordTime(&c.ended) },
@@ -52,7 +55,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		c.stop = cancel
 		c.done.Go(func() { c.Run(ctx) })
-		time.Sleep(time.Millisecond) // lets the first become the planner
+		time.Sleep(time.Millisecond) // lets the first of equal candidates become the planner
 	}
 	return all
 }
@@ -74,6 +77,10 @@
 	}
 	own.KeepAlive = func(ctx context.Context, lease keyvalue.LeaseID) error {
 		if err := check(ctx, "KeepAlive"); err != nil {
+			c.mu.Lock()
+			late := c.late
+			c.mu.Unlock()
+			time.Sleep(late)
 			return err
 		}
 		return calls.KeepAlive(ctx, lease)
@@ -125,8 +132,105 @@
 	return self && len(c.began) > 0
 }
 
+// plans reports whether the candidate certainly holds a term.
+func (c *testCandidate) plans() bool {
+	c.Candidate.mu.Lock()
+	term := c.term
+	c.Candidate.mu.Unlock()
+	return c.Valid(term)
+}
+
 func silent(string) standin.Fault { return standin.Silent }
 
+// failFirst leaves the first call of the kind without an answer.
+func failFirst(kind string) func(string) standin.Fault {
+	failed := false
+	return func(call string) standin.Fault {
+		if call != kind || failed {
+			return standin.None
+		}
+		failed = true
+		return standin.Silent
+	}
+}
+
+// TestPlannerWithMostCores checks which candidate plans, and that it came to that
+// within the given number of terms, when candidates have different cores.
+func TestPlannerWithMostCores(t *testing.T) {
+	tests := []struct {
+		name  string
+		cores []float64
+		// fail is the candidate that loses the store after a second, or -1.
+		fail     int
+		want     float64
+		maxTerms int
+	}{
+		{"small ones start first", []float64{0.2, 0.2, 0.8}, -1, 0.8, 1},
+		{"the large one fails", []float64{0.2, 0.2, 0.8}, 2, 0.2, 2},
+		{"another large one is left", []float64{0.8, 0.2, 0.8}, 0, 0.8, 2},
+		{"all are small", []float64{0.2, 0.2}, -1, 0.2, 1},
+		{"slightly more is not worth a change", []float64{0.3, 0.4, 0.4}, -1, 0.4, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := startCandidates(standin.New(), test.cores...)
+				time.Sleep(time.Second)
+				if test.fail >= 0 {
+					all[test.fail].setFault(silent)
+				}
+				time.Sleep(20 * time.Second)
+				terms := 0
+				var planners []float64
+				for _, c := range all {
+					if c.plans() {
+						planners = append(planners, c.Cores)
+					}
+					terms += len(c.began)
+				}
+				if !slices.Equal(planners, []float64{test.want}) {
+					t.Errorf("candidates with %v cores plan, want one with %v", planners, test.want)
+				}
+				if terms > test.maxTerms {
+					t.Errorf("%d terms began, want at most %d", terms, test.maxTerms)
+				}
+				for _, c := range all {
+					c.stop()
+					c.done.Wait()
+				}
+			})
+		})
+	}
+}
+
+// TestSmallPlannerYields has a candidate with more cores arrive while a small one
+// plans.
+func TestSmallPlannerYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := startCandidates(standin.New(), 0.2, 0.8, 0.2)
+		time.Sleep(time.Second)
+		all[1].setFault(silent)
+		time.Sleep(4 * time.Second)
+		if all[1].plans() {
+			t.Error("the large candidate plans without the store")
+		}
+		all[1].setFault(nil)
+		time.Sleep(5 * time.Second)
+		if !all[1].plans() {
+			t.Error("the large candidate does not plan")
+		}
+		terms := 0
+		for _, c := range all {
+			terms += len(c.began)
+			c.stop()
+			c.done.Wait()
+		}
+		if terms != 3 {
+			t.Errorf("%d terms began, want 3", terms)
+		}
+	})
+}
+
 // TestHandOver checks that a new term begins within a bound that depends on how
 // the planner failed: it hands over, crashes, loses the store or hangs.
 func TestHandOver(t *testing.T) {
@@ -149,13 +253,19 @@
 			c.setFault(silent)
 			c.AskStatus = nil
 		}, LeaseTTL + 100*time.Millisecond, false},
+		{"it is late itself", func(_ *standin.Store, c *testCandidate) {
+			c.mu.Lock()
+			c.late = 400 * time.Millisecond
+			c.fault = failFirst("KeepAlive")
+			c.mu.Unlock()
+		}, 0, true},
 		{"the store drops its history", func(store *standin.Store, _ *testCandidate) { store.Compact() }, 0, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := standin.New()
-				all := startCandidates(store, 3)
+				all := startCandidates(store, 1, 1, 1)
 				time.Sleep(5 * time.Second)
 				failedAt := time.Now()
 				test.fail(store, all[0])
@@ -189,7 +299,7 @@
 func TestTermPauses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New()
-		all := startCandidates(store, 2)
+		all := startCandidates(store, 1, 1)
 		time.Sleep(time.Second)
 		all[0].Candidate.mu.Lock()
 		term := all[0].term
--- a/coordination/election/monitor.go
+++ b/coordination/election/monitor.go
@@ -19,22 +19,36 @@
 	Leading TermStatus = "leading"
 	// CutOff means that it holds the term, but its renewals fail.
 	CutOff TermStatus = "cut"
+	// Late means that it holds the term, but is too slow itself to tell whether its
+	// renewals reach the store.
+	Late TermStatus = "late"
 	// NotLeading means that it does not hold the term.
 	NotLeading TermStatus = "away"
 )
 
+// StatusRequest asks an instance for its status in a term.
+type StatusRequest struct {
+	Term keyvalue.Revision
+	// Wait is how long the planner may hold the request open until its status
+	// changes.
+	Wait time.Duration
+	// Cores is how many processor cores the asking candidate may use.
+	Cores float64
+}
+
 // ErrRefused means that nothing listens on the planner's address.
 var ErrRefused = errors.New("the planner's address refuses connections")
 
 const (
 	// statusWait is how long the planner may hold a status request open until
-	// its status changes.
-	statusWait = 1200 * time.Millisecond
+	// its status changes. A process that dies resets the connection, so that a
+	// longer wait delays nothing.
+	statusWait = 4 * time.Second
 	// statusTimeout adds an allowance for a slow network.
 	statusTimeout = statusWait + 800*time.Millisecond
-	// cutOffAfter is the age of the latest renewal at which a planner reports
-	// that it is cut off: two renewals have failed by then.
-	cutOffAfter = 2*renewInterval + 200*time.Millisecond
+	// cutOffAfter is the age of the latest renewal from which a planner may be cut
+	// off: a call has run out of time by then.
+	cutOffAfter = renewInterval + callTimeout
 	// minRefusals in a row are needed, as a single one may come from a restart
 	// of something on the network path.
 	minRefusals = 3
@@ -46,29 +60,43 @@
 )
 
 // Status answers another instance's status request. It returns once this
-// candidate no longer leads the term, or after the wait.
-func (c *Candidate) Status(ctx context.Context, term keyvalue.Revision, wait time.Duration) TermStatus {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+// candidate no longer leads the term, or after the wait. A planner with far fewer
+// cores than the asking candidate ends its term, so that the other can plan.
+func (c *Candidate) Status(ctx context.Context, request StatusRequest) TermStatus {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait)
 	defer cancel()
 	for {
-		status := c.statusNow(term)
-		if status != Leading || ctx.Err() != nil {
+		if c.shouldYield(request) {
+			c.Log.Info().Str("event", "termYielded").Int64("term", int64(request.Term)).
+				Float64("cores", c.Cores).Float64("askerCores", request.Cores).Send()
+			c.GiveUp(request.Term)
+		}
+		status, changed := c.statusNow(request.Term)
+		if status == CutOff || status == NotLeading || ctx.Err() != nil {
 			return status
 		}
-		pause.For(ctx, renewInterval)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(cutOffAfter):
+		}
 	}
 }
 
-func (c *Candidate) statusNow(term keyvalue.Revision) TermStatus {
+// statusNow returns the status in the term, and a channel that is closed when
+// the term is given up.
+func (c *Candidate) statusNow(term keyvalue.Revision) (status TermStatus, givenUp <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.term != term || !c.holdsTerm():
-		return NotLeading
+		return NotLeading, nil
 	case c.renewedWithin(term, cutOffAfter):
-		return Leading
+		return Leading, c.givenUp
+	case c.failedOnTime > 0:
+		return CutOff, nil
 	default:
-		return CutOff
+		return Late, c.givenUp
 	}
 }
 
@@ -81,7 +109,7 @@
 	refused := 0
 	for ctx.Err() == nil {
 		requesting, cancel := context.WithTimeout(ctx, statusTimeout)
-		status, err := c.AskStatus(requesting, held.Value, held.Revision, statusWait)
+		status, err := c.AskStatus(requesting, held.Value, StatusRequest{held.Revision, statusWait, c.Cores})
 		cancel()
 		switch {
 		case errors.Is(err, ErrRefused):
@@ -94,7 +122,7 @@
 		case err != nil:
 			refused = 0
 			pause.For(ctx, retryPause)
-		case status != Leading:
+		case status == CutOff || status == NotLeading:
 			c.depose(ctx, held, string(status))
 			pause.For(ctx, renewInterval)
 		default:
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	i.candidate = &election.Candidate{
-		Store: i.directStore, Identity: newIdentity(i.entryServer.Address()), Now: election.BootTime, AskStatus: i.askPlanner,
+		Store: i.directStore, Identity: newIdentity(i.entryServer.Address()), Cores: s.Cores, Now: election.BootTime, AskStatus: i.askPlanner,
 		StartTerm: i.beginTerm, EndTerm: i.endTerm, Log: log,
 	}
 	i.initialised.Store(true)
@@ -146,8 +146,8 @@
 
 // entryHandler serves other entries and the metrics.
 func (i *Instance) entryHandler() fasthttp.RequestHandler {
-	status := func(ctx context.Context, term keyvalue.Revision, wait time.Duration) election.TermStatus {
-		return i.candidate.Status(ctx, term, wait)
+	status := func(ctx context.Context, request election.StatusRequest) election.TermStatus {
+		return i.candidate.Status(ctx, request)
 	}
 	forPeers := (&peer.PlannerService{TermStatus: status, NotifyAccepted: i.handleAccepted, NotifyCancelled: i.handleCancelled, Store: i.peerStore}).Handler()
 	return func(ctx *fasthttp.RequestCtx) {
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/election"
-	"comfreystream/coordination/keyvalue"
 	"comfreystream/protocol/record"
 	"comfreystream/state"
 	"comfreystream/state/workflow"
@@ -45,12 +44,12 @@
 func (i *Instance) countRelayed() { i.metrics.CountRetry(state.StoreUnavailable) }
 
 // askPlanner requests the status of the planner with the identity.
-func (i *Instance) askPlanner(ctx context.Context, identity []byte, term keyvalue.Revision, wait time.Duration) (election.TermStatus, error) {
+func (i *Instance) askPlanner(ctx context.Context, identity []byte, request election.StatusRequest) (election.TermStatus, error) {
 	address, err := plannerAddress(identity)
 	if err != nil {
 		return "", err
 	}
-	return i.plannerClient.TermStatus(ctx, address, term, wait)
+	return i.plannerClient.TermStatus(ctx, address, request)
 }
 
 // notifyAccepted notifies the planner of an accepted job without waiting for it.
--- a/protocol/peer/planner.go
+++ b/protocol/peer/planner.go
@@ -23,8 +23,9 @@
 )
 
 type termStatusRequest struct {
-	Term keyvalue.Revision `cbor:"1,keyasint"`
-	Wait time.Duration     `cbor:"2,keyasint"`
+	Term  keyvalue.Revision `cbor:"1,keyasint"`
+	Wait  time.Duration     `cbor:"2,keyasint"`
+	Cores float64           `cbor:"3,keyasint,omitempty"`
 }
 
 type termStatusResponse struct {
@@ -41,9 +42,9 @@
 // PlannerService holds the handlers that an entry serves to others when one
 // planner plans for all entries; every field must be set.
 type PlannerService struct {
-	// TermStatus returns whether the entry is the planner of the term; it waits up to
-	// wait for the result to change.
-	TermStatus func(ctx context.Context, term keyvalue.Revision, wait time.Duration) election.TermStatus
+	// TermStatus returns whether the entry is the planner of the term; it may wait for
+	// the result to change.
+	TermStatus func(ctx context.Context, request election.StatusRequest) election.TermStatus
 	// NotifyAccepted and NotifyCancelled notify the planner of a job or a
 	// cancellation that was just written to the store.
 	NotifyAccepted  func(id workflow.ID, record []byte) error
@@ -56,7 +57,7 @@
 func (s *PlannerService) Handler() fasthttp.RequestHandler {
 	mux := http.NewServeMux()
 	handle(mux, stepStand, func(ctx context.Context, r termStatusRequest) (termStatusResponse, error) {
-		return termStatusResponse{s.TermStatus(ctx, r.Term, r.Wait)}, nil
+		return termStatusResponse{s.TermStatus(ctx, election.StatusRequest(r))}, nil
 	})
 	handle(mux, stepAccepted, func(_ context.Context, r jobNotification) (emptyMessage, error) {
 		return emptyMessage{}, s.NotifyAccepted(r.Job, r.Record)
@@ -87,11 +88,10 @@
 	}
 }
 
-// TermStatus asks whether the peer is the planner of the term; the peer waits up to
-// wait for the result to change. The error wraps election.ErrRefused if nothing
-// listens at the peer's address.
-func (c *PlannerClient) TermStatus(ctx context.Context, peer netip.AddrPort, term keyvalue.Revision, wait time.Duration) (election.TermStatus, error) {
-	response, err := c.termStatus.call(ctx, peer, termStatusRequest{Term: term, Wait: wait})
+// TermStatus asks whether the peer is the planner of the term. The error wraps
+// election.ErrRefused if nothing listens at the peer's address.
+func (c *PlannerClient) TermStatus(ctx context.Context, peer netip.AddrPort, request election.StatusRequest) (election.TermStatus, error) {
+	response, err := c.termStatus.call(ctx, peer, termStatusRequest(request))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return "", errors.Wrapf(election.ErrRefused, "stand: %s", peer)
 	}
