Pace renewals and starts by the planner's processor

Change: a worker may wait longer for an end before it answers a renewal, so that renewals take about a quarter of the planner's cores, at most a sixth of the longest lease. Starts wait for their turn, their time limits begin when they are sent, and no more groups are placed while 512 members wait. A renewal that carries a new acknowledgement keeps the wait of 0.5 s, the others carry none: with longer waits the property test found one that acknowledged ends of a restarted worker (kept in TestPastFailures). A report that a later one has overtaken is dropped. The simulated worker applies an acknowledgement once, when the call arrives, and not again at each look during its wait.

Ruled out: longer time limits for starts; the storm only lasts longer.

--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -64,13 +64,26 @@
 	jobs       []*workflow.Job
 	cancelled  []workflow.ID
 	guaranteed int
+	// cores is how many processor cores the planner may use.
+	cores float64
+	// calls are the calls to the workers, and counts the counted events.
+	calls  scheduling.WorkerCalls
+	counts map[string]int
+}
+
+// counted returns how often an event was counted.
+func (h *harness) counted(event string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.counts[event]
 }
 
 func newHarness(workers int) *harness {
 	h := &harness{
 		store: &memoryStore{records: make(map[workflow.ID]scheduling.ProgressUpdate), revision: 1},
-		fleet: runner.New(),
+		fleet: runner.New(), counts: make(map[string]int),
 	}
+	h.calls = h.fleet.Calls()
 	for i := range workers {
 		h.fleet.Add(worker(i, 1))
 	}
@@ -123,7 +136,7 @@
 	}
 	h.store.mu.Unlock()
 	s := &scheduling.Scheduler{
-		Term: term, Now: time.Now, WallClock: time.Now, Workers: h.fleet.Calls(),
+		Term: term, Cores: h.cores, Now: time.Now, WallClock: time.Now, Workers: h.calls,
 		Bounds: scheduling.Bounds{
 			LeaseLimit: h.fleet.LeaseLimit, StopLimit: 900 * time.Millisecond,
 			ReclaimLimit: 3400 * time.Millisecond, FarFactor: 3, Overlap: 2 * time.Second,
@@ -134,8 +147,12 @@
 		},
 		Guarantee:   func(string) int { return h.guaranteed },
 		OnTermEnded: func() {},
-		Count:       func(string) {},
-		Log:         zerolog.Nop(),
+		Count: func(event string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.counts[event]++
+		},
+		Log: zerolog.Nop(),
 	}
 	s.Open()
 	for _, j := range h.jobs {
--- a/coordination/scheduling/headroom.go
+++ b/coordination/scheduling/headroom.go
@@ -38,6 +38,8 @@
 type roundCapacity struct {
 	// free and all count accelerators.
 	free, all int
+	// unsent counts the members that are placed, but whose starts were not sent.
+	unsent int
 	// unplaceable holds the shapes that could not be placed.
 	unplaceable map[shape]bool
 }
--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -6,10 +6,10 @@
 	"comfreystream/state/workflow"
 )
 
-// stallTimeout is how long a task may report the same percentage. The slowest
-// task worth keeping, an 11 s task at a third of its speed, gains a percent
+// minStallTimeout is the least time that a task may report the same percentage. The
+// slowest task worth keeping, an 11 s task at a third of its speed, gains a percent
 // every 0.4 s.
-const stallTimeout = 2500 * time.Millisecond
+const minStallTimeout = 2500 * time.Millisecond
 
 // updateWorkerHealth counts a worker's consecutive failures, skipping a repeated
 // failure of the same job, and quarantines the worker if there are too many.
@@ -55,6 +55,7 @@
 // percentages are out of date.
 func (p *pool) stopIfStalled(g *group, now time.Time) {
 	stalled := false
+	maxReportAge, stallTimeout := p.maxReportAge(), p.stallTimeout()
 	for _, m := range g.members {
 		if m.phase != running || now.Sub(m.worker.reportedAt) > maxReportAge {
 			return
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -76,8 +76,9 @@
 // reachableWorkers returns the workers that accept tasks and have the group's
 // label.
 func (p *pool) reachableWorkers(g *group, now time.Time) (list []*worker) {
+	maxReportAge := p.maxReportAge()
 	for _, w := range p.workers {
-		if w.acceptsTasks(now) && w.info.HasLabel(g.step.Label) {
+		if w.acceptsTasks(now, maxReportAge) && w.info.HasLabel(g.step.Label) {
 			list = append(list, w)
 		}
 	}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -46,6 +46,7 @@
 	p.expireLeases(now)
 	p.stopStalled(now)
 	var candidates []*group
+	unsent := 0
 	for j := range p.work.timed {
 		p.createReadyGroups(j)
 	}
@@ -57,10 +58,14 @@
 		case g.phase == placed:
 			p.startOrAbandon(g, now)
 		}
+		if g.phase == saving || g.phase == placed && !g.startsSent {
+			unsent += g.size()
+		}
 	}
 	guaranteed := p.guaranteedJobs()
 	queue := p.sortQueue(candidates, now, guaranteed)
 	p.capacity = p.countAccelerators()
+	p.capacity.unsent = unsent
 	for _, entry := range queue {
 		p.placeOrReclaim(entry.group, now, guaranteed)
 	}
@@ -152,7 +157,7 @@
 // placeOrReclaim begins an attempt if the group fits, or if it is worthwhile to
 // preempt others for it.
 func (p *pool) placeOrReclaim(g *group, now time.Time, guaranteed map[*job]bool) {
-	if p.shouldDefer(g, now) {
+	if p.startsPending+p.capacity.unsent >= startBacklog || p.shouldDefer(g, now) {
 		return
 	}
 	choice := p.placeUnlessTried(g, now)
@@ -219,5 +224,6 @@
 		Int("priority", g.job.Priority).Dur("slack", g.slack(g.placedAt)).Dur("estimate", g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.capacity.free -= g.size() * g.step.Accelerators
+	p.capacity.unsent += g.size()
 	p.markDirty(g.job)
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -19,6 +19,10 @@
 	mu      sync.Mutex
 	jobs    map[workflow.ID]*job
 	workers map[workflow.WorkerID]*worker
+	// registered counts the registered workers, startsPending the members whose
+	// start was ordered but not yet answered or given up.
+	registered    int
+	startsPending int
 	// dirty holds the jobs with unsaved changes.
 	dirty map[*job]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -36,6 +36,8 @@
 	restarts []time.Duration
 	// storeOutage is when the store becomes unavailable, for two seconds.
 	storeOutage time.Duration
+	// cores is how many cores each planner may use; few make renewals rare.
+	cores float64
 }
 
 func drawScenario(t *rapid.T) scenario {
@@ -48,6 +50,7 @@
 		takeovers:   milliseconds(times.Draw(t, "takeovers")),
 		overlap:     time.Duration(rapid.Int64Range(0, 2000).Draw(t, "overlap")) * time.Millisecond,
 		restarts:    milliseconds(times.Draw(t, "restarts")),
+		cores:       rapid.SampledFrom([]float64{0, 0.001}).Draw(t, "cores"),
 		storeOutage: time.Duration(rapid.Int64Range(0, faultPeriod.Milliseconds()).Draw(t, "storeOutage")) * time.Millisecond,
 	}
 }
@@ -89,6 +92,10 @@
 			takeovers: milliseconds([]int64{201, 279, 203, 1358}), restarts: milliseconds([]int64{203, 8137, 201}),
 			storeOutage: 2642 * time.Millisecond,
 		}},
+		{"a renewal with an acknowledgement waited long on a restarted worker", scenario{
+			seed: 0x6fbb, jobs: 3, faultRate: 0.4, failRate: 0.1, overlap: 1629 * time.Millisecond,
+			takeovers: milliseconds([]int64{246}), restarts: milliseconds([]int64{1908}), storeOutage: 15 * time.Millisecond, cores: 0.001,
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -106,6 +113,7 @@
 // run runs the scenario and returns the violations.
 func (s scenario) run() []string {
 	h := newHarness(3)
+	h.cores = s.cores
 	began := time.Now()
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	var mu sync.Mutex
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -11,16 +11,10 @@
 )
 
 const (
-	// renewWait is how long a worker may wait for an end before it answers a
-	// renewal. The lease is renewed that often, so that it outlasts a partition of
-	// nearly its own length.
-	renewWait = 500 * time.Millisecond
-	// renewTimeout bounds one renewal call, with 300 ms for a slow link.
-	renewTimeout = renewWait + 300*time.Millisecond
 	// maxAcknowledgeAge is how old the newest report may be for a renewal to
 	// acknowledge ends. The worker may have restarted since, and a new incarnation
-	// numbers its ends from 1 again. The limit is less than a restarted worker needs
-	// to start and end a task.
+	// numbers its ends from 1 again. The limit and the wait of such a renewal are
+	// together less than a restarted worker needs to start and end a task.
 	maxAcknowledgeAge = 600 * time.Millisecond
 	// maxSaveWait bounds how long a renewal is delayed until ends are saved.
 	maxSaveWait = 250 * time.Millisecond
@@ -32,7 +26,7 @@
 func (p *pool) renewLoop(w *worker) {
 	silent := false
 	for p.scheduler.ctx.Err() == nil {
-		err := p.renew(w)
+		err := p.renew(w, true)
 		if err == nil {
 			if silent {
 				p.scheduler.Log.Info().Str("event", "workerRegained").Str("worker", string(w.id)).Send()
@@ -72,22 +66,23 @@
 	}
 }
 
-// renew sends one renewal and applies the report. The worker is to answer at once
-// if it has been silent or a stop awaits confirmation.
-func (p *pool) renew(w *worker) error {
+// renew sends one renewal and applies the report. The worker may wait for an end
+// before it answers, unless it has been silent or a stop awaits confirmation.
+func (p *pool) renew(w *worker, mayWait bool) error {
 	if !p.scheduler.Authorised() {
 		return errors.New("this planner may no longer hold its term")
 	}
 	p.mu.Lock()
 	now := p.scheduler.Now()
-	order := RenewOrder{Term: p.scheduler.Term, Wait: renewWait}
-	if now.Sub(w.reportedAt) <= maxAcknowledgeAge {
-		order.Acknowledged = w.lastSavedEnd
+	wait := p.renewWait()
+	order := RenewOrder{Term: p.scheduler.Term, Wait: wait}
+	if now.Sub(w.reportedAt) <= maxAcknowledgeAge && w.lastSavedEnd > w.lastAckedEnd {
+		order.Acknowledged, order.Wait = w.lastSavedEnd, minRenewWait
 	}
-	if w.awaitsStopEnd() {
+	if !mayWait || w.awaitsStopEnd() {
 		order.Wait = 0
 	}
-	if now.Sub(w.reportedAt) <= maxReportAge {
+	if now.Sub(w.reportedAt) <= p.maxReportAge() {
 		// The lease of a silent worker is left to run out, so that leaseExpiry stays
 		// a known time.
 		order.Until = w.estimateClock(now) + p.scheduler.Bounds.LeaseLimit
@@ -96,17 +91,26 @@
 		order.Wait = 0
 	}
 	target := w.info.Worker
+	w.renewals++
+	r := renewal{number: w.renewals, sentAt: now, order: order}
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(p.scheduler.ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(p.scheduler.ctx, wait+renewTransit)
 	defer cancel()
 	report, err := p.scheduler.Workers.Renew(ctx, target, order)
 	if err != nil {
 		return err
 	}
-	p.applyReport(w, report, now)
+	p.applyReport(w, report, r)
 	return nil
 }
 
+// renewal is a renewal that was sent to a worker; number counts those to it.
+type renewal struct {
+	number int
+	sentAt time.Time
+	order  RenewOrder
+}
+
 // awaitsStopEnd reports whether the worker answered a stop of a member whose start
 // is unconfirmed: the next report tells whether that member has ended.
 func (w *worker) awaitsStopEnd() bool {
@@ -118,15 +122,21 @@
 	return false
 }
 
-// applyReport applies the report that answers a renewal sent at renewalSent.
-func (p *pool) applyReport(w *worker, report workflow.Report, renewalSent time.Time) {
+// applyReport applies the report that answers a renewal.
+func (p *pool) applyReport(w *worker, report workflow.Report, r renewal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if r.number < w.reportedRenewal {
+		return // a report that was requested later has overtaken this one
+	}
+	w.reportedRenewal = r.number
 	now := p.scheduler.Now()
 	firstReport := w.reportedAt.IsZero()
 	if report.Incarnation != w.incarnation {
 		p.applyRestart(w, report)
 		firstReport = true
+	} else {
+		w.lastAckedEnd = max(w.lastAckedEnd, r.order.Acknowledged)
 	}
 	w.reportedAt, w.reportedClock = now, report.Clock
 	for _, end := range report.Ended {
@@ -145,7 +155,7 @@
 		p.applyRunning(m, task, now)
 	}
 	for key, m := range w.members {
-		if !reported[key] && m.cannotRun(report.Clock, renewalSent) {
+		if !reported[key] && m.cannotRun(report.Clock, r.sentAt) {
 			p.endMember(m, workflow.Void, "")
 		}
 	}
@@ -160,7 +170,7 @@
 // that the order does not expire as planned: members that the report lists go on,
 // and the other starting ones are stopped before they can start.
 func (p *pool) applyRestart(w *worker, report workflow.Report) {
-	w.incarnation, w.lastAppliedEnd, w.lastSavedEnd = report.Incarnation, 0, 0
+	w.incarnation, w.lastAppliedEnd, w.lastSavedEnd, w.lastAckedEnd = report.Incarnation, 0, 0, 0
 	w.failures, w.failedJob, w.avoidUntil = 0, "", time.Time{}
 	reported := make(map[attemptKey]bool)
 	for _, task := range report.Running {
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -16,6 +16,9 @@
 type Scheduler struct {
 	Term   Term
 	Bounds Bounds
+	// Cores is how many processor cores the planner may use; 0 means enough for
+	// any number of calls.
+	Cores float64
 	// Now is the monotonic clock. WallClock is the time of day, in which start times
 	// and times of acceptance are given.
 	Now       func() time.Time
@@ -39,6 +42,8 @@
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	endOnce    sync.Once
+	// starts is a semaphore: it holds a value for each start without an answer.
+	starts chan struct{}
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -50,6 +55,7 @@
 	s.termBegan = s.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.pools = make(map[string]*pool)
+	s.starts = make(chan struct{}, s.concurrentStarts())
 }
 
 // Close stops all goroutines and waits for them. Workers may still carry out
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
@@ -40,6 +42,7 @@
 			Spec: g.job.Spec, Checkpoint: g.checkpoint, Until: m.startUntil,
 		}
 		target := m.worker.info.Worker
+		p.startsPending++
 		p.scheduler.goroutines.Go(func() { p.startMember(m, target, order) })
 	}
 }
@@ -69,15 +72,14 @@
 // startMember sends a start order until the worker answers or the order becomes
 // invalid. A repeated order is harmless, since the worker recognises the attempt.
 func (p *pool) startMember(m *member, target workflow.Worker, order StartOrder) {
-	ambiguous := false
+	sent, ambiguous := false, false
 	timeout := firstStartTimeout
 	for range maxStartTries {
-		if !p.mayStart(m) {
+		result, err := p.tryStart(m, target, order, timeout)
+		if errors.Is(err, errNotSent) {
 			break
 		}
-		ctx, cancel := context.WithTimeout(p.scheduler.ctx, timeout)
-		result, err := p.scheduler.Workers.Start(ctx, target, order)
-		cancel()
+		sent = true
 		if err == nil {
 			p.handleStartAnswer(m, result, ambiguous)
 			return
@@ -88,7 +90,25 @@
 		p.scheduler.Log.Warn().Str("event", "startUnanswered").Str("request", string(m.task.Job)).
 			Stringer("task", m.task).Int("attempt", m.attempt).Err(err).Send()
 	}
-	p.abandonStart(m, ambiguous)
+	p.abandonStart(m, sent, ambiguous)
+}
+
+// errNotSent means that a start order was no longer valid when its turn came.
+var errNotSent = errors.New("the start order is not valid any more")
+
+// tryStart sends the order once its turn has come; the time limit begins then.
+func (p *pool) tryStart(m *member, target workflow.Worker, order StartOrder, timeout time.Duration) (StartResult, error) {
+	release, ok := p.scheduler.acquireStart(p.scheduler.ctx)
+	if !ok {
+		return "", errNotSent
+	}
+	defer release()
+	if !p.mayStart(m) {
+		return "", errNotSent
+	}
+	ctx, cancel := context.WithTimeout(p.scheduler.ctx, timeout)
+	defer cancel()
+	return p.scheduler.Workers.Start(ctx, target, order)
 }
 
 // mayStart reports whether the order is still valid. It is called right before
@@ -115,6 +135,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endPendingStart()
 	if m.phase != starting {
 		return
 	}
@@ -131,12 +152,24 @@
 
 // abandonStart ends a member whose start was not answered. If the member may have
 // started, it waits for the worker's next reports instead.
-func (p *pool) abandonStart(m *member, ambiguous bool) {
+func (p *pool) abandonStart(m *member, sent, ambiguous bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	m.worker.avoidUntil = p.scheduler.Now().Add(unansweredPause)
+	p.endPendingStart()
+	if sent {
+		m.worker.avoidUntil = p.scheduler.Now().Add(unansweredPause)
+	}
 	if m.phase != starting || ambiguous {
 		return
 	}
 	p.endMember(m, workflow.Void, "")
 }
+
+// endPendingStart counts one start less without an answer, and has a round placed
+// what waited for that. The caller holds the lock.
+func (p *pool) endPendingStart() {
+	p.startsPending--
+	if p.startsPending == startBacklog/2 {
+		wake(p.planDue)
+	}
+}
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -76,12 +76,7 @@
 	err := p.scheduler.Workers.Stop(ctx, target, order)
 	switch {
 	case err == nil:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if m.stopAnsweredAt.IsZero() {
-			m.stopAnsweredAt = p.scheduler.Now()
-		}
-		wake(m.worker.renewDue)
+		p.handleStopAnswer(m)
 	case errors.Is(err, ErrTermEnded):
 		p.scheduler.endTerm(err)
 	case p.scheduler.ctx.Err() == nil:
@@ -90,3 +85,23 @@
 			Stringer("task", m.task).Int("attempt", m.attempt).Err(err).Send()
 	}
 }
+
+// handleStopAnswer notes the answer to a stop. For a member whose start is
+// unconfirmed, it asks the worker at once whether the member has ended: if it had
+// never begun, there is no end that would cut short the wait of a renewal.
+func (p *pool) handleStopAnswer(m *member) {
+	p.mu.Lock()
+	first := m.stopAnsweredAt.IsZero()
+	if first {
+		m.stopAnsweredAt = p.scheduler.Now()
+	}
+	confirm := first && m.phase == starting && p.renewWait() > minRenewWait
+	wake(m.worker.renewDue)
+	p.mu.Unlock()
+	if !confirm {
+		return
+	}
+	if err := p.renew(m.worker, false); errors.Is(err, ErrTermEnded) {
+		p.scheduler.endTerm(err)
+	}
+}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// maxReportAge is the age of its newest report up to which a worker gets tasks
-	// and has its lease renewed.
-	maxReportAge = 1500 * time.Millisecond
 	// renewalTransitLimit bounds the time that the last renewal is in transit.
 	renewalTransitLimit = 250 * time.Millisecond
 	// refusedPause is how long a worker gets no tasks after it refused a start.
@@ -40,13 +37,19 @@
 	// worker's clock in it.
 	reportedAt    time.Time
 	reportedClock time.Duration
+	// renewals counts the renewals sent; reportedRenewal is the number of the one
+	// that the newest report answers.
+	renewals        int
+	reportedRenewal int
 	// leaseExpiry is when the lease has certainly run out and the worker has killed
 	// its tasks, unless the lease is renewed.
 	leaseExpiry time.Time
 	// lastAppliedEnd is the number of the last end that was applied to the groups,
-	// lastSavedEnd that of the last whose effect is saved.
+	// lastSavedEnd that of the last whose effect is saved, and lastAckedEnd that of
+	// the last that the worker knows to be saved.
 	lastAppliedEnd int64
 	lastSavedEnd   int64
+	lastAckedEnd   int64
 	// runsUnknown is set while the worker reports attempts that this planner does
 	// not know.
 	runsUnknown bool
@@ -97,6 +100,7 @@
 func (p *pool) setWorkers(list []workflow.Worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.registered = len(list)
 	registered := make(map[workflow.WorkerID]bool, len(list))
 	changed := false
 	for _, info := range list {
@@ -135,7 +139,7 @@
 
 // acceptsTasks reports whether tasks can be placed on the worker, leaving aside
 // its health.
-func (w *worker) acceptsTasks(now time.Time) bool {
+func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration) bool {
 	return w.info.registered && !w.info.Draining && !w.runsUnknown &&
 		!w.reportedAt.IsZero() && now.Sub(w.reportedAt) <= maxReportAge
 }
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -55,7 +55,7 @@
 	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{})}
 	t.ctx, t.cancel = context.WithCancel(i.ctx)
 	t.scheduler = &scheduling.Scheduler{
-		Term: scheduling.Term(revision),
+		Term: scheduling.Term(revision), Cores: s.Cores,
 		Bounds: scheduling.Bounds{
 			LeaseLimit: s.LeaseLimit, StopLimit: s.StopLimit,
 			ReclaimLimit: s.ReclaimLimit, FarFactor: s.FarFactor, Overlap: election.LeaseTTL,
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -248,6 +248,7 @@
 		if err := f.perform(ctx, call, at.ID, func(w *worker) {
 			if w == original {
 				report, refused = f.report(w, order)
+				order.Acknowledged = 0 // it holds for the ends when the call arrives
 				return
 			}
 			refused = state.NewAmbiguousStepError("Renew", at.Address, state.WorkerSilent, nil)
