Search each round once for what many groups share

Cause: a planning round held the pool's lock for 1.2 s with 160 gangs waiting on 1,100 busy workers: for each urgent group and member, reclaim went through all workers of each rack and added up the cost of each victim again. Reports and starts waited meanwhile, so that the planner looked cut off.

Racks without enough free accelerators are skipped. The planner rests three times as long as a round took.

--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -70,3 +70,73 @@
 	}
 	return p
 }
+
+// BenchmarkRoundUnderOverload measures a planning round of 1,100 workers in racks
+// of 20 that are all in use, while gangs wait for a rack: urgent ones that may
+// preempt others, and others.
+func BenchmarkRoundUnderOverload(b *testing.B) {
+	for _, waits := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("waiting=%d", waits), func(b *testing.B) {
+			p := overloadedPool(1100)
+			for i := range waits {
+				urgent := i%2 == 0
+				j := &workflow.Job{
+					ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", Organisation: "o", Priority: 1, MaxAttempts: 3, Stretch: 3,
+					Steps:    []workflow.Step{{Tasks: 8 + i%32, Cores: 3700, Accelerators: 1 << (i % 4), Gang: true, SameRack: i%5 != 0, Estimate: 11 * time.Second}},
+					Accepted: time.Now(),
+				}
+				if urgent {
+					j.Priority, j.Stretch, j.StartAllowance = 0, 1, time.Hour
+				}
+				p.load(j, workflow.Progress{}, 0)
+				if urgent {
+					p.jobs[j.ID].objective = time.Hour // adjusted to the slack in each round
+				}
+			}
+			var took []time.Duration
+			for b.Loop() {
+				for _, j := range p.jobs {
+					if j.Priority == 0 {
+						j.objective = time.Since(j.acceptedAt) + 11*time.Second + 800*time.Millisecond
+					}
+				}
+				began := time.Now()
+				p.planRound()
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+		})
+	}
+}
+
+// overloadedPool returns a pool whose workers, 20 to a rack, run tasks of 1 to 8
+// accelerators that cost more to stop than an urgent job is worth.
+func overloadedPool(workers int) *pool {
+	p := fullPool(0, 0)
+	for i := range workers {
+		w := p.ensureWorker(workflow.WorkerID(fmt.Sprintf("i-%d", i)))
+		w.info = workerInfo{workflow.Worker{
+			ID: w.id, Labels: []string{"a", fmt.Sprintf("r%d", i/20)},
+			Capacity: workflow.Capacity{Cores: 32000, MemoryMiB: 1 << 17, Accelerators: 8},
+		}, true}
+		w.reportedAt = time.Now().Add(time.Hour)
+		j := &job{
+			Job: &workflow.Job{
+				ID: workflow.ID(fmt.Sprintf("r%d", i)), Queue: "q", Priority: 1,
+				Steps: []workflow.Step{{Tasks: 8 >> (i % 4), Cores: 2800, Accelerators: 1 << (i % 4), Estimate: 4 * time.Hour}},
+			},
+			status: workflow.Running, acceptedAt: time.Now().Add(-time.Hour), groups: make(map[workflow.GroupID]*group),
+			doneGroups: make(map[[2]int]int), created: map[[2]int]bool{{0, 0}: true}, objective: 12 * time.Hour,
+		}
+		p.jobs[j.ID] = j
+		for index := range j.Steps[0].Tasks {
+			g := p.addGroup(j, workflow.GroupID{Index: index})
+			g.phase, g.startsSent, g.placedAt = placed, true, time.Now().Add(-time.Hour)
+			p.work.addStarted(g)
+			m := p.assign(g, workflow.Task{Job: j.ID, Index: index}, w, 0)
+			m.phase, m.percentChangedAt, m.percent = running, time.Now().Add(time.Hour), 100
+		}
+	}
+	return p
+}
--- a/coordination/scheduling/headroom.go
+++ b/coordination/scheduling/headroom.go
@@ -1,10 +1,6 @@
 package scheduling
 
-import (
-	"time"
-
-	"comfreystream/state/workflow"
-)
+import "time"
 
 const (
 	// urgentHeadroom is the fraction of the accelerators that deferrable groups
@@ -25,7 +21,7 @@
 	if g.slack(now) < 0 || waited > time.Duration(maxWaitFraction*float64(g.job.objective-g.step.Estimate)) {
 		return false
 	}
-	free, total := p.capacity.free, p.capacity.all
+	free, total := p.round.free, p.round.all
 	needs := g.size() * g.step.Accelerators
 	if 2*free > total && free >= 2*needs {
 		return false // plenty of free accelerators
@@ -33,51 +29,16 @@
 	return float64(free-needs) < urgentHeadroom*float64(total)
 }
 
-// roundCapacity is what one planning round knows of the free capacity, which
-// only shrinks during the round.
-type roundCapacity struct {
-	// free and all count accelerators.
-	free, all int
-	// unsent counts the members that are placed, but whose starts were not sent.
-	unsent int
-	// unplaceable holds the shapes that could not be placed.
-	unplaceable map[shape]bool
-}
-
-// shape is what placement depends on, apart from the history of a group and its
-// rack and spread constraints.
-type shape struct {
-	needs workflow.Capacity
-	label string
-	size  int
-}
-
-// countAccelerators counts the accelerators of the schedulable workers.
-func (p *pool) countAccelerators() roundCapacity {
-	c := roundCapacity{unplaceable: make(map[shape]bool)}
-	for _, w := range p.workers {
-		if w.info.registered && !w.info.Draining {
-			c.free += max(w.free().Accelerators, 0)
-			c.all += w.info.Capacity.Accelerators
-		}
-	}
-	return c
-}
-
-func (g *group) shape() shape {
-	return shape{g.step.Needs(), g.step.Label, g.size()}
-}
-
 // placeUnlessTried places the group, but skips the search if another group of the
 // same shape could not be placed in this round.
 func (p *pool) placeUnlessTried(g *group, now time.Time) *placement {
 	shapeOnly := len(g.avoidedWorkers) == 0 && !g.needsLocality() && g.step.SpreadLimit == 0 && now.Sub(g.waitingSince) <= maxPreferenceWait
-	if shapeOnly && p.capacity.unplaceable[g.shape()] {
+	if shapeOnly && p.round.unplaceable[g.shape()] {
 		return nil
 	}
 	choice := p.place(g, now)
 	if choice == nil && shapeOnly {
-		p.capacity.unplaceable[g.shape()] = true
+		p.round.unplaceable[g.shape()] = true
 	}
 	return choice
 }
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -20,22 +19,21 @@
 // group that has waited for maxPreferenceWait may also use workers that it failed
 // on or that are currently avoided.
 func (p *pool) place(g *group, now time.Time) *placement {
-	choice := p.placeOn(g, p.suitableWorkers(g, now), now)
+	choice := p.placeOn(g, p.round.suitable.filter(g, false), now)
 	if choice == nil && now.Sub(g.waitingSince) > maxPreferenceWait && p.idleShare() > minIdleForRemote {
-		choice = p.placeOn(g, p.reachableWorkers(g, now), now)
+		choice = p.placeOn(g, p.round.reachable.filter(g, true), now)
 	}
 	return choice
 }
 
 // placeOn places the group on some of the candidates, near its rack or data if
 // that matters.
-func (p *pool) placeOn(g *group, candidates []*worker, now time.Time) *placement {
-	if len(candidates) == 0 {
+func (p *pool) placeOn(g *group, among *candidates, now time.Time) *placement {
+	if len(among.workers) == 0 {
 		return nil
 	}
 	if g.step.PreferredRack != "" {
-		local := workersOnRack(candidates, g.step.PreferredRack)
-		if choice := g.fill(local, freeCapacity); choice != nil {
+		if choice := g.fill(among.onRack(g.step.PreferredRack), freeCapacity); choice != nil {
 			return choice
 		}
 		if !p.mayRunRemote(g, now) {
@@ -43,15 +41,15 @@
 		}
 	}
 	if !g.step.SameRack || g.size() == 1 {
-		return g.fill(candidates, freeCapacity)
+		return g.fill(among.workers, freeCapacity)
 	}
-	if choice := p.placeOnFullestRack(g, candidates); choice != nil {
+	if choice := g.placeOnFullestRack(among); choice != nil {
 		return choice
 	}
 	if !p.mayRunRemote(g, now) {
 		return nil
 	}
-	return g.fill(candidates, freeCapacity)
+	return g.fill(among.workers, freeCapacity)
 }
 
 // size returns the number of members that an attempt of the group has.
@@ -62,45 +60,19 @@
 	return 1
 }
 
-// suitableWorkers returns the workers that can run the group, less those that
-// are avoided for now or that the group failed on.
-func (p *pool) suitableWorkers(g *group, now time.Time) (list []*worker) {
-	for _, w := range p.reachableWorkers(g, now) {
-		if !now.Before(w.avoidUntil) && !g.avoidedWorkers[w.id] {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
-// reachableWorkers returns the workers that accept tasks and have the group's
-// label.
-func (p *pool) reachableWorkers(g *group, now time.Time) (list []*worker) {
-	maxReportAge := p.maxReportAge()
-	for _, w := range p.workers {
-		if w.acceptsTasks(now, maxReportAge) && w.info.HasLabel(g.step.Label) {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
 // placeOnFullestRack places the group on the rack with the fewest free
 // accelerators that still holds it.
-func (p *pool) placeOnFullestRack(g *group, candidates []*worker) (best *placement) {
+func (g *group) placeOnFullestRack(among *candidates) (best *placement) {
 	leastRemaining := 0
-	racks := workersByRack(candidates)
-	for _, rack := range slices.Sorted(maps.Keys(racks)) {
-		workers := racks[rack]
-		choice := g.fill(workers, freeCapacity)
-		if choice == nil {
-			continue
-		}
+	for _, r := range among.byRack() {
 		remaining := 0
-		for _, w := range workers {
-			remaining += w.free().Accelerators
+		for _, w := range r.workers {
+			remaining += max(w.free().Accelerators, 0)
+		}
+		if remaining < g.size()*g.step.Accelerators || best != nil && remaining >= leastRemaining {
+			continue
 		}
-		if best == nil || remaining < leastRemaining {
+		if choice := g.fill(r.workers, freeCapacity); choice != nil {
 			best, leastRemaining = choice, remaining
 		}
 	}
@@ -122,15 +94,16 @@
 // someRackFits reports whether the group would fit on some rack if it were empty,
 // or on its preferred rack if it has one.
 func (p *pool) someRackFits(g *group) bool {
-	for rack, workers := range workersByRack(p.schedulableWorkers()) {
-		if g.step.PreferredRack != "" && rack != g.step.PreferredRack {
-			continue
-		}
-		if g.fill(workers, func(w *worker) workflow.Capacity { return w.info.Capacity }) != nil {
-			return true
-		}
+	fits, known := p.round.rackFits[g.shape()]
+	if known && g.step.SpreadLimit == 0 {
+		return fits
 	}
-	return false
+	fits = slices.ContainsFunc(groupByRack(p.schedulableWorkers()), func(r rack) bool {
+		return (g.step.PreferredRack == "" || r.name == g.step.PreferredRack) &&
+			g.fill(r.workers, func(w *worker) workflow.Capacity { return w.info.Capacity }) != nil
+	})
+	p.round.rackFits[g.shape()] = fits
+	return fits
 }
 
 // schedulableWorkers returns the workers that are registered and not draining.
@@ -153,13 +126,16 @@
 const maxPreferenceWait = 1500 * time.Millisecond
 
 // idleShare returns the fraction of the accelerators that are free.
-func (p *pool) idleShare() float64 { return float64(p.capacity.free) / float64(max(p.capacity.all, 1)) }
+func (p *pool) idleShare() float64 { return float64(p.round.free) / float64(max(p.round.all, 1)) }
 
 func freeCapacity(w *worker) workflow.Capacity { return w.free() }
 
 // fill places all members on the workers, those with the fewest free accelerators
 // first, or returns nil.
 func (g *group) fill(workers []*worker, capacity func(w *worker) workflow.Capacity) *placement {
+	if g.size() == 1 {
+		return g.fillOne(workers, capacity)
+	}
 	wanted := g.size()
 	needs := g.step.Needs()
 	ordered := slices.Clone(workers)
@@ -178,6 +154,27 @@
 	return nil
 }
 
+// fillOne places a single task on the worker with the fewest free accelerators that
+// holds it.
+func (g *group) fillOne(workers []*worker, capacity func(w *worker) workflow.Capacity) *placement {
+	needs := g.step.Needs()
+	var best *worker
+	least := 0
+	for _, w := range workers {
+		free := capacity(w)
+		if best != nil && (free.Accelerators > least || free.Accelerators == least && w.id > best.id) {
+			continue
+		}
+		if needs.FitsIn(free) && g.limitBySpread(w, 1) == 1 {
+			best, least = w, free.Accelerators
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return &placement{workers: []*worker{best}}
+}
+
 // limitBySpread reduces a number of tasks to what the step's spread limit leaves
 // on the worker beside tasks of the same step and occurrence.
 func (g *group) limitBySpread(w *worker, count int) int {
@@ -204,20 +201,3 @@
 	}
 	return w.info.Labels[len(w.info.Labels)-1]
 }
-
-func workersOnRack(workers []*worker, rack string) (list []*worker) {
-	for _, w := range workers {
-		if w.rack() == rack {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
-func workersByRack(workers []*worker) map[string][]*worker {
-	racks := make(map[string][]*worker)
-	for _, w := range workers {
-		racks[w.rack()] = append(racks[w.rack()], w)
-	}
-	return racks
-}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,12 +14,16 @@
 	planInterval = 200 * time.Millisecond
 	// planBatchDelay delays a round so that it covers changes in quick succession.
 	planBatchDelay = 5 * time.Millisecond
+	// planRestFactor is how many times as long as a round the planner waits before
+	// the next, so that reports are applied and calls sent meanwhile.
+	planRestFactor = 3
 )
 
 // planLoop runs a planning round after each change and every planInterval.
 func (p *pool) planLoop() {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
+	var took time.Duration
 	for {
 		select {
 		case <-p.scheduler.ctx.Done():
@@ -28,11 +33,13 @@
 			select {
 			case <-p.scheduler.ctx.Done():
 				return
-			case <-time.After(planBatchDelay):
+			case <-time.After(max(planBatchDelay, planRestFactor*took)):
 			}
 		}
 		if p.scheduler.Authorised() {
+			began := p.scheduler.Now()
 			p.planRound()
+			took = min(p.scheduler.Now().Sub(began), planInterval/planRestFactor)
 		}
 	}
 }
@@ -62,14 +69,21 @@
 			unsent += g.size()
 		}
 	}
+	if len(candidates) > 0 {
+		p.placeAll(candidates, now, unsent)
+	}
+	p.sendStops(now)
+}
+
+// placeAll begins attempts of the waiting groups that fit, in the order of the
+// queue.
+func (p *pool) placeAll(waiting []*group, now time.Time, unsent int) {
 	guaranteed := p.guaranteedJobs()
-	queue := p.sortQueue(candidates, now, guaranteed)
-	p.capacity = p.countAccelerators()
-	p.capacity.unsent = unsent
-	for _, entry := range queue {
+	p.round = p.newRound(now)
+	p.round.unsent = unsent
+	for _, entry := range p.sortQueue(waiting, now, guaranteed) {
 		p.placeOrReclaim(entry.group, now, guaranteed)
 	}
-	p.sendStops(now)
 }
 
 // queuedGroup is a waiting group with the keys of its position in the queue.
@@ -134,10 +148,8 @@
 // their organisation, filled from the oldest job on.
 func (p *pool) guaranteedJobs() map[*job]bool {
 	var urgent []*job
-	for _, j := range p.jobs {
-		if j.Priority == 0 && !j.status.Final() {
-			urgent = append(urgent, j)
-		}
+	for j := range p.work.urgent {
+		urgent = append(urgent, j)
 	}
 	slices.SortFunc(urgent, func(a, b *job) int {
 		return cmp.Or(a.acceptedAt.Compare(b.acceptedAt), cmp.Compare(a.ID, b.ID))
@@ -157,7 +169,7 @@
 // placeOrReclaim begins an attempt if the group fits, or if it is worthwhile to
 // preempt others for it.
 func (p *pool) placeOrReclaim(g *group, now time.Time, guaranteed map[*job]bool) {
-	if p.startsPending+p.capacity.unsent >= startBacklog || p.shouldDefer(g, now) {
+	if p.startsPending+p.round.unsent >= startBacklog || p.shouldDefer(g, now) {
 		return
 	}
 	choice := p.placeUnlessTried(g, now)
@@ -182,11 +194,14 @@
 	if !mustStart && (slack < minReclaimSlack || slack > maxReclaimSlack) {
 		return nil
 	}
-	choice, cost := p.reclaim(g, now, guaranteed)
-	if choice == nil || !mustStart && cost > (1-lateValueFraction)*p.jobValue(g.job) {
+	maxCost := (1 - lateValueFraction) * p.jobValue(g.job)
+	if mustStart {
+		maxCost = math.Inf(1)
+	} else if now.Sub(g.searchedAt) < planInterval || p.scheduler.Now().After(p.round.searchUntil) {
 		return nil
 	}
-	return choice
+	g.searchedAt = now
+	return p.reclaim(g, now, guaranteed, maxCost)
 }
 
 const (
@@ -223,7 +238,8 @@
 		Int("members", len(g.members)).Int("victims", len(g.victims)).
 		Int("priority", g.job.Priority).Dur("slack", g.slack(g.placedAt)).Dur("estimate", g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
-	p.capacity.free -= g.size() * g.step.Accelerators
-	p.capacity.unsent += g.size()
+	p.round.free -= g.size() * g.step.Accelerators
+	p.round.unsent += g.size()
+	clear(p.round.firstOptions)
 	p.markDirty(g.job)
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	jobs    map[workflow.ID]*job
 	workers map[workflow.WorkerID]*worker
+	// ordered holds the workers ordered by ID.
+	ordered []*worker
 	// registered counts the registered workers, startsPending the members whose
 	// start was ordered but not yet answered or given up.
 	registered    int
@@ -27,9 +29,9 @@
 	dirty map[*job]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
-	// capacity is that of the current planning round.
-	capacity roundCapacity
-	work     worklist
+	// round is what the current planning round knows.
+	round round
+	work  worklist
 }
 
 // job is a job and its progress. The pool's lock guards it.
@@ -83,6 +85,8 @@
 	checkpoint    string
 	// waitingSince is when the group was created or its last attempt ended.
 	waitingSince time.Time
+	// searchedAt is when attempts to preempt were last searched for.
+	searchedAt time.Time
 	// placedAt is when the attempt was placed and, later, when its starts were sent.
 	placedAt time.Time
 	// avoidedWorkers holds the workers on which the group failed or stalled.
@@ -124,8 +128,8 @@
 		j.status, j.endedAt = progress.Status, p.scheduler.Now()
 	}
 	p.jobs[w.ID] = j
-	if j.Occurrences > 0 && !j.status.Final() {
-		p.work.timed[j] = struct{}{}
+	if !j.status.Final() {
+		p.work.addJob(j)
 	}
 	p.updateMeanWork(j)
 	for id, record := range progress.Groups {
@@ -262,7 +266,7 @@
 // endJob sets the job's final status and, unless it completed, stops its groups.
 func (p *pool) endJob(j *job, status workflow.Status) {
 	j.status, j.endedAt = status, p.scheduler.Now()
-	delete(p.work.timed, j)
+	p.work.removeJob(j)
 	p.markDirty(j)
 	p.scheduler.Log.Info().Str("event", "jobEnded").Str("request", string(j.ID)).
 		Str("status", string(status)).Dur("age", j.endedAt.Sub(j.acceptedAt)).Dur("objective", j.objective).Send()
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -1,75 +1,57 @@
 package scheduling
 
 import (
-	"cmp"
-	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"comfreystream/state/workflow"
 )
 
-// reclaim returns the cheapest placement of a group that preempts others, and its
-// cost, or nil. It prefers the group's rack; only a guaranteed job is placed away
-// from it. Jobs without a guarantee preempt only jobs of lower urgency.
-func (p *pool) reclaim(g *group, now time.Time, guaranteed map[*job]bool) (*placement, float64) {
-	candidates := p.suitableWorkers(g, now)
+// reclaim returns the cheapest placement of a group that preempts others at no
+// more than maxCost, or nil. It prefers the group's rack; only a guaranteed job is
+// placed away from it.
+func (p *pool) reclaim(g *group, now time.Time, guaranteed map[*job]bool, maxCost float64) *placement {
+	among := p.round.suitable.filter(g, false)
 	var best *preemptionPlan
 	consider := func(workers []*worker) {
-		plan := newPreemptionPlan(g, workers, now, p.preemptible(g, workers, guaranteed))
-		if plan.placeMembers() && (best == nil || plan.cost < best.cost) {
-			best = plan
+		pp := newPreemptionPlan(g, workers, &p.round, now, guaranteed, maxCost)
+		if pp.placeMembers() {
+			best, maxCost = pp, math.Nextafter(pp.cost, 0)
 		}
 	}
 	switch {
 	case g.step.SameRack && g.size() > 1:
-		racks := workersByRack(candidates)
-		for _, rack := range slices.Sorted(maps.Keys(racks)) {
-			consider(racks[rack])
+		for _, r := range among.byRack() {
+			consider(r.workers)
 		}
 	case g.step.PreferredRack != "":
-		consider(workersOnRack(candidates, g.step.PreferredRack))
+		consider(among.onRack(g.step.PreferredRack))
 	}
 	if best == nil && (guaranteed[g.job] || !g.needsLocality()) {
-		consider(candidates)
+		consider(among.workers)
 	}
 	if best == nil {
-		return nil, 0
+		return nil
 	}
-	return &placement{workers: best.hosts, victims: best.victims}, best.cost
-}
-
-// preemptible returns, by worker, the groups that g may preempt.
-func (p *pool) preemptible(g *group, workers []*worker, guaranteed map[*job]bool) map[*worker][]*group {
-	victims := make(map[*worker][]*group)
-	for _, w := range workers {
-		for _, m := range w.members {
-			v := m.group
-			if v.phase != placed && v.phase != saving || guaranteed[v.job] || v.step.LongRunning {
-				continue
-			}
-			if !guaranteed[g.job] && v.job.Priority <= g.job.Priority {
-				continue
-			}
-			if !slices.Contains(victims[w], v) {
-				victims[w] = append(victims[w], v)
-			}
-		}
-	}
-	return victims
+	return &placement{workers: best.hosts, victims: best.victims}
 }
 
 // preemptionPlan chooses workers for the members of a group, and the groups to
 // stop so that they fit.
 type preemptionPlan struct {
-	group   *group
-	workers []*worker
-	now     time.Time
-	// victimsByWorker holds the groups that may be stopped, by ascending cost per
-	// accelerator.
-	victimsByWorker map[*worker][]*group
-	// freed is the capacity that stopped attempts release, memberCount the number
-	// of members placed so far, by worker.
+	group      *group
+	workers    []*worker
+	round      *round
+	now        time.Time
+	guaranteed map[*job]bool
+	maxCost    float64
+	// options holds for each worker what one more member there would take; those
+	// that outdated names must be computed again.
+	options  []option
+	outdated map[*worker]bool
+	// freed is the capacity that the victims release, memberCount the number of
+	// members placed so far, by worker.
 	freed       map[*worker]workflow.Capacity
 	memberCount map[*worker]int
 	// hosts holds the chosen worker of each member.
@@ -78,74 +60,115 @@
 	cost    float64
 }
 
-func newPreemptionPlan(g *group, workers []*worker, now time.Time, victimsByWorker map[*worker][]*group) *preemptionPlan {
-	pp := &preemptionPlan{
-		group: g, workers: slices.Clone(workers), now: now, victimsByWorker: victimsByWorker,
-		freed: make(map[*worker]workflow.Capacity), memberCount: make(map[*worker]int),
-	}
-	slices.SortFunc(pp.workers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
-	for _, w := range workers {
-		for _, m := range w.members {
-			if m.group.phase == stopping {
-				pp.addFreed(m)
-			}
-		}
-		slices.SortFunc(victimsByWorker[w], func(a, b *group) int {
-			return cmp.Or(cmp.Compare(pp.costPerAccelerator(a), pp.costPerAccelerator(b)), cmp.Compare(a.job.ID, b.job.ID))
-		})
-	}
-	return pp
+// optionKey names what the option for a group's first member on a worker depends on.
+type optionKey struct {
+	victimsKey
+	needs workflow.Capacity
+}
+
+// option is a way to place one more member on a worker.
+type option struct {
+	victims []*group
+	cost    float64
+	fits    bool
+}
+
+func newPreemptionPlan(g *group, workers []*worker, r *round, now time.Time, guaranteed map[*job]bool, maxCost float64) *preemptionPlan {
+	return &preemptionPlan{group: g, workers: workers, round: r, now: now, guaranteed: guaranteed, maxCost: maxCost}
 }
 
 // placeMembers chooses for one member after another the worker with the lowest
-// cost. It reports false if a member fits nowhere.
+// cost. It reports false if a member fits nowhere or the cost exceeds maxCost.
 func (pp *preemptionPlan) placeMembers() bool {
-	for range pp.group.size() {
-		var best *worker
-		var bestVictims []*group
-		lowestCost, leastFree := 0.0, 0
-		for _, w := range pp.workers {
-			victims, cost, fits := pp.cheapestVictims(w)
-			free := w.free().Accelerators
-			if fits && (best == nil || cost < lowestCost || cost == lowestCost && free < leastFree) {
-				best, bestVictims, lowestCost, leastFree = w, victims, cost, free
-			}
+	best := pp.loadOptions()
+	if best < 0 || pp.options[best].cost > pp.maxCost {
+		return false
+	}
+	pp.outdated, pp.freed, pp.memberCount = make(map[*worker]bool), make(map[*worker]workflow.Capacity), make(map[*worker]int)
+	for {
+		pp.addMember(pp.workers[best], pp.options[best])
+		if len(pp.hosts) == pp.group.size() {
+			pp.addStopping()
+			return true
 		}
-		if best == nil {
+		best = pp.cheapestWorker()
+		if best < 0 || pp.cost+pp.options[best].cost > pp.maxCost {
 			return false
 		}
-		pp.addMember(best, bestVictims, lowestCost)
 	}
-	pp.addStopping()
-	return true
 }
 
-// cheapestVictims returns the groups to stop so that one more member fits on the
+// loadOptions computes the options for the first member and returns the position of
+// the worker with the lowest cost, or -1.
+func (pp *preemptionPlan) loadOptions() int {
+	pp.options = pp.round.options[:0]
+	for _, w := range pp.workers {
+		pp.options = append(pp.options, pp.firstOption(w))
+	}
+	pp.round.options = pp.options
+	return pp.cheapestWorker()
+}
+
+// firstOption returns the option for the first member on a worker, which many
+// groups share.
+func (pp *preemptionPlan) firstOption(w *worker) option {
+	if pp.group.step.SpreadLimit > 0 {
+		return pp.cheapestOption(w)
+	}
+	key := optionKey{victimsKey{w, pp.guaranteed[pp.group.job]}, pp.group.step.Needs()}
+	o, known := pp.round.firstOptions[key]
+	if !known {
+		o = pp.cheapestOption(w)
+		pp.round.firstOptions[key] = o
+	}
+	return o
+}
+
+// cheapestWorker returns the position of the worker where one more member costs
+// least, or -1 if it fits nowhere.
+func (pp *preemptionPlan) cheapestWorker() int {
+	best, leastFree := -1, 0
+	for i, w := range pp.workers {
+		if pp.outdated[w] {
+			pp.options[i] = pp.cheapestOption(w)
+			delete(pp.outdated, w)
+		}
+		o, free := &pp.options[i], w.free().Accelerators
+		if o.fits && (best < 0 || o.cost < pp.options[best].cost || o.cost == pp.options[best].cost && free < leastFree) {
+			best, leastFree = i, free
+		}
+	}
+	return best
+}
+
+// cheapestOption returns the groups to stop so that one more member fits on the
 // worker. It adds groups by ascending cost per accelerator until the member fits.
-func (pp *preemptionPlan) cheapestVictims(w *worker) (victims []*group, cost float64, fits bool) {
+func (pp *preemptionPlan) cheapestOption(w *worker) option {
 	if pp.group.limitBySpread(w, pp.memberCount[w]+1) <= pp.memberCount[w] {
-		return nil, 0, false
+		return option{}
 	}
 	needs := pp.group.step.Needs()
-	capacity := w.free().Plus(pp.freed[w]).Minus(needs.Times(pp.memberCount[w]))
+	capacity := w.free().Plus(w.stoppingCapacity()).Plus(pp.freed[w]).Minus(needs.Times(pp.memberCount[w]))
 	if needs.FitsIn(capacity) {
-		return nil, 0, true
+		return option{fits: true}
 	}
-	for _, v := range pp.victimsByWorker[w] {
-		if slices.Contains(pp.victims, v) {
+	var victims []*group
+	for _, v := range pp.round.preemptible(w, pp.guaranteed[pp.group.job], pp.now, pp.guaranteed) {
+		// An attempt of this round may have stopped the group.
+		if v.phase != placed && v.phase != saving || slices.Contains(pp.victims, v) {
 			continue
 		}
 		victims = append(victims, v)
 		capacity = capacity.Plus(v.usedOn(w))
 		if needs.FitsIn(capacity) {
-			victims = dropUnneeded(victims, w, needs, capacity)
-			for _, v := range victims {
-				cost += v.preemptionCost(pp.now)
+			o := option{victims: dropUnneeded(victims, w, needs, capacity), fits: true}
+			for _, v := range o.victims {
+				o.cost += pp.round.preemptionCost(v, pp.now)
 			}
-			return victims, cost, true
+			return o
 		}
 	}
-	return nil, 0, false
+	return option{}
 }
 
 // dropUnneeded removes victims without which the capacity still suffices, the
@@ -162,14 +185,16 @@
 
 // addMember places one member on the worker and counts the capacity that the victims
 // release on all their workers.
-func (pp *preemptionPlan) addMember(w *worker, victims []*group, cost float64) {
+func (pp *preemptionPlan) addMember(w *worker, o option) {
 	pp.memberCount[w]++
+	pp.outdated[w] = true
 	pp.hosts = append(pp.hosts, w)
-	pp.cost += cost
-	for _, v := range victims {
+	pp.cost += o.cost
+	for _, v := range o.victims {
 		pp.victims = append(pp.victims, v)
 		for _, m := range v.members {
 			if m.phase != ended {
+				pp.outdated[m.worker] = true
 				pp.addFreed(m)
 			}
 		}
@@ -180,6 +205,16 @@
 	pp.freed[m.worker] = pp.freed[m.worker].Plus(m.group.step.Needs())
 }
 
+// stoppingCapacity returns the capacity of the attempts that are stopping already.
+func (w *worker) stoppingCapacity() (capacity workflow.Capacity) {
+	for _, m := range w.members {
+		if m.group.phase == stopping {
+			capacity = capacity.Plus(m.group.step.Needs())
+		}
+	}
+	return capacity
+}
+
 // addStopping adds the groups that are already stopping on the chosen workers, so
 // that the start waits for them too.
 func (pp *preemptionPlan) addStopping() {
@@ -201,9 +236,3 @@
 	}
 	return used
 }
-
-// costPerAccelerator returns the cost of preempting the group for each
-// accelerator that it releases.
-func (pp *preemptionPlan) costPerAccelerator(g *group) float64 {
-	return g.preemptionCost(pp.now) / float64(max(g.size()*g.step.Accelerators, 1))
-}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -1,6 +1,8 @@
 package scheduling
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"comfreystream/state/workflow"
@@ -86,6 +88,8 @@
 			leaseExpiry: p.latestLeaseExpiry(p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap)), renewDue: make(chan struct{}, 1),
 		}
 		p.workers[id] = w
+		i, _ := slices.BinarySearchFunc(p.ordered, id, func(w *worker, id workflow.WorkerID) int { return cmp.Compare(w.id, id) })
+		p.ordered = slices.Insert(p.ordered, i, w)
 	}
 	return w
 }
--- a/coordination/scheduling/worklist.go
+++ b/coordination/scheduling/worklist.go
@@ -16,6 +16,8 @@
 	// timed holds the unfinished jobs with start times, whose next occurrences may
 	// become due.
 	timed map[*job]struct{}
+	// urgent holds the unfinished jobs of priority 0, to which guarantees apply.
+	urgent map[*job]struct{}
 	// stallsCheckedAt is the time of the last check for stalled tasks.
 	stallsCheckedAt time.Time
 }
@@ -23,10 +25,25 @@
 func newWorklist() worklist {
 	return worklist{
 		unstarted: make(map[*group]struct{}), started: make(map[*group]struct{}),
-		stops: make(map[*member]struct{}), timed: make(map[*job]struct{}),
+		stops: make(map[*member]struct{}), timed: make(map[*job]struct{}), urgent: make(map[*job]struct{}),
 	}
 }
 
+// addJob lists a job that has not ended.
+func (l *worklist) addJob(j *job) {
+	if j.Occurrences > 0 {
+		l.timed[j] = struct{}{}
+	}
+	if j.Priority == 0 {
+		l.urgent[j] = struct{}{}
+	}
+}
+
+func (l *worklist) removeJob(j *job) {
+	delete(l.timed, j)
+	delete(l.urgent, j)
+}
+
 func (l *worklist) addUnstarted(g *group) {
 	delete(l.started, g)
 	l.unstarted[g] = struct{}{}
