Answer unanswered reads as not run, and drop counts that no planner keeps

One unreadable record of progress kept a planner from loading any.

Change: reads are never ambiguous. The numbers are stored under the term's lease and always once at the beginning of a term; without them GET answers 503, reason noPlanner. A job whose progress cannot be read is left alone, with a log line; the others are loaded.

Result: TestReadWithoutAnswer (three rows) and TestPendingEndsWithTerm fail without the change; TestLoadUnreadable does not compile against it.

--- a/coordination/election/candidate.go
+++ b/coordination/election/candidate.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// Lease returns the lease of the latest term that this candidate has held.
+func (c *Candidate) Lease() keyvalue.LeaseID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease
+}
+
 // GiveUp ends the term if it is the current one.
 func (c *Candidate) GiveUp(term keyvalue.Revision) {
 	c.mu.Lock()
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -139,6 +139,9 @@
 // Pending returns the number of jobs in the target's queue without a started task.
 func (i *Intake) Pending(ctx context.Context, target Target) (int, error) {
 	pending, err := i.JobStore.Pending(ctx)
+	if state.ReasonOf(err, "") == state.NoPlanner {
+		return 0, i.refuse("count waiting jobs", state.NoPlanner, err)
+	}
 	if err != nil {
 		return 0, i.storeError("count waiting jobs", err)
 	}
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,21 +62,29 @@
 	return workflow.Queued, known, err
 }
 
-// Pending returns the number of jobs without a started task, by queue.
+// Pending returns the number of jobs without a started task, by queue. While no
+// planner counts them, it returns an error with the reason noPlanner.
 func (st *Store) Pending(ctx context.Context) (pending map[string]int, err error) {
 	item, known, err := st.get(ctx, pendingKey)
-	if err != nil || !known {
+	if err != nil {
 		return nil, err
 	}
+	if !known {
+		return nil, state.NewStepError("read the numbers of waiting jobs", netip.AddrPort{}, state.NoPlanner, nil)
+	}
 	return st.DecodePending(item.Value)
 }
 
-// get reads a key, with retries; known is false if it does not exist.
+// get reads a key, with retries; known is false if it does not exist. Its error is
+// never ambiguous, as a read that was not answered changes nothing.
 func (st *Store) get(ctx context.Context, key string) (item keyvalue.Item, known bool, err error) {
 	err = st.retry(ctx, func(ctx context.Context) error {
 		item, known, _, err = st.Store.Get(ctx, key)
 		return err
 	})
+	if err != nil && state.IsAmbiguous(err) {
+		err = state.NewStepError("read a job's record", netip.AddrPort{}, state.StoreUnavailable, err)
+	}
 	return item, known, err
 }
 
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"comfreystream/coordination/scheduling"
 	"comfreystream/protocol/record"
 	standin "comfreystream/standin/keyvalue"
+	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
 
@@ -106,6 +108,101 @@
 	})
 }
 
+// TestLoadUnreadable has another writer's entry among the progress of the jobs. The
+// others are loaded.
+func TestLoadUnreadable(t *testing.T) {
+	tests := []struct{ name, value string }{
+		{"empty", ""},
+		{"no record", "\xff\x00"},
+		{"deeply nested", strings.Repeat("\x81", 1<<16)},
+		{"text", `{"state":"running"}`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := standin.New()
+			calls := store.Calls()
+			st := record.NewJobStore(&calls)
+			if _, err := st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, []scheduling.ProgressUpdate{{Job: "A", Progress: progress}, {Job: "B", Progress: progress}}); err != nil {
+				t.Fatal(err)
+			}
+			items, _, err := calls.List(t.Context(), "")
+			if err != nil || len(items) != 2 {
+				t.Fatalf("%d items, %v", len(items), err)
+			}
+			if _, err := calls.Commit(t.Context(), keyvalue.Change{Puts: []keyvalue.Put{{Key: items[1].Key, Value: []byte(test.value)}}}); err != nil {
+				t.Fatal(err)
+			}
+			all, err := st.Load(t.Context())
+			if err != nil || all["A"].Err != nil || all["A"].Progress.Status != workflow.Running {
+				t.Errorf("loaded %+v, %v", all["A"], err)
+			}
+			if all["B"].Err == nil {
+				t.Errorf("loaded %+v", all["B"])
+			}
+		})
+	}
+}
+
+// TestReadWithoutAnswer checks that an unanswered read is not reported as one that
+// may have had an effect.
+func TestReadWithoutAnswer(t *testing.T) {
+	tests := []struct {
+		name string
+		read func(ctx context.Context, st *jobstore.Store) error
+	}{
+		{"status", func(ctx context.Context, st *jobstore.Store) error {
+			_, _, err := st.Status(ctx, "A")
+			return err
+		}},
+		{"numbers of waiting jobs", func(ctx context.Context, st *jobstore.Store) error {
+			_, err := st.Pending(ctx)
+			return err
+		}},
+		{"cancellation before it is written", func(ctx context.Context, st *jobstore.Store) error {
+			_, err := st.Cancel(ctx, "A")
+			return err
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := standin.New()
+				store.Fault = func(string) standin.Fault { return standin.Unanswered }
+				calls := store.Calls()
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				if err := test.read(ctx, record.NewJobStore(&calls)); err == nil || state.IsAmbiguous(err) {
+					t.Errorf("error %v, ambiguous %v", err, state.IsAmbiguous(err))
+				}
+			})
+		})
+	}
+}
+
+// TestPendingEndsWithTerm checks that numbers of waiting jobs that no planner keeps
+// up to date are not given any more.
+func TestPendingEndsWithTerm(t *testing.T) {
+	store := standin.New()
+	calls := store.Calls()
+	st := record.NewJobStore(&calls)
+	lease, err := calls.Grant(t.Context(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := st.SavePending(t.Context(), keyvalue.Condition{Key: "seat"}, lease, map[string]int{"q": 3}); err != nil {
+		t.Fatal(err)
+	}
+	if pending, err := st.Pending(t.Context()); err != nil || pending["q"] != 3 {
+		t.Errorf("pending %v, %v", pending, err)
+	}
+	if err := calls.Revoke(t.Context(), lease); err != nil {
+		t.Fatal(err)
+	}
+	if pending, err := st.Pending(t.Context()); state.ReasonOf(err, "") != state.NoPlanner {
+		t.Errorf("pending %v, %v, want %s", pending, err, state.NoPlanner)
+	}
+}
+
 // TestDelete checks that the planner deletes all keys of the jobs, and that a
 // planner of another term deletes none.
 func TestDelete(t *testing.T) {
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -26,6 +26,9 @@
 type StoredProgress struct {
 	Progress workflow.Progress
 	Revision keyvalue.Revision
+	// Err is set if the progress cannot be decoded; nothing may be started then, as
+	// the job's tasks may have run.
+	Err error
 }
 
 // Load reads the progress of all jobs; only for the planner is it certain to be
@@ -40,10 +43,9 @@
 	all := make(map[workflow.ID]StoredProgress, len(items))
 	for _, item := range items {
 		progress, err := st.DecodeProgress(item.Value)
-		if err != nil {
-			return nil, errors.Wrapf(err, "decode progress at key %s", item.Key)
+		all[workflow.ID(item.Key[len(progressPrefix):])] = StoredProgress{
+			progress, item.Revision, errors.Wrapf(err, "decode progress at key %s", item.Key),
 		}
-		all[workflow.ID(item.Key[len(progressPrefix):])] = StoredProgress{progress, item.Revision}
 	}
 	return all, nil
 }
@@ -135,8 +137,9 @@
 	return deleted, nil
 }
 
-// SavePending stores the number of jobs without a started task, by queue.
-func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, pending map[string]int) error {
+// SavePending stores the number of jobs without a started task, by queue, until the
+// lease ends, which is that of the term.
+func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, lease keyvalue.LeaseID, pending map[string]int) error {
 	text, err := st.EncodePending(pending)
 	if err != nil {
 		return err
@@ -145,7 +148,7 @@
 	defer cancel()
 	_, err = st.Store.Commit(ctx, keyvalue.Change{
 		Conditions: []keyvalue.Condition{term},
-		Puts:       []keyvalue.Put{{Key: pendingKey, Value: text}},
+		Puts:       []keyvalue.Put{{Key: pendingKey, Value: text, Lease: lease}},
 	})
 	return err
 }
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -125,6 +125,10 @@
 	select {
 	case <-t.loaded:
 		loaded := t.progress[job.ID]
+		if loaded.Err != nil {
+			t.instance.log.Error().Str("event", "progressUnreadable").Str("request", string(job.ID)).Err(loaded.Err).Send()
+			return
+		}
 		t.scheduler.Load(job, loaded.Progress, loaded.Revision)
 	default:
 	}
@@ -169,8 +173,8 @@
 	var last map[string]int
 	for t.ctx.Err() == nil {
 		pending := t.scheduler.Pending()
-		if !maps.Equal(pending, last) && i.candidate.Valid(t.condition.Revision) {
-			if err := i.plannerJobStore.SavePending(t.ctx, t.condition, pending); err == nil {
+		if (last == nil || !maps.Equal(pending, last)) && i.candidate.Valid(t.condition.Revision) {
+			if err := i.plannerJobStore.SavePending(t.ctx, t.condition, i.candidate.Lease(), pending); err == nil {
 				last = pending
 			} else if t.ctx.Err() == nil {
 				i.log.Warn().Str("event", "pendingNotRecorded").Err(err).Send()
--- a/state/reason.go
+++ b/state/reason.go
@@ -33,6 +33,7 @@
 	RetryBudgetSpent    Reason = "retryBudgetSpent"
 	FailsEverywhere     Reason = "failsEverywhere"
 	AmbiguousStart      Reason = "ambiguousStart"
+	NoPlanner           Reason = "noPlanner"
 )
 
 // The reasons for which an attempt is given up or retried.
@@ -57,7 +58,7 @@
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
 	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
-	AmbiguousStart, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
+	AmbiguousStart, NoPlanner, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
 }
 
