Refuse jobs that no planner could hold, and check stored records

Cause: a submission of 2,000 million tasks, or of 1,000 million occurrences due at once, was accepted; each planner in turn would create all their groups, run out of memory and end, and so the whole service. Amounts and run times beyond what sums hold overflowed. A stored record that named a step, an occurrence or a task that its job does not have ended the planner by an index out of range.

--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -125,8 +125,12 @@
 	select {
 	case <-t.loaded:
 		loaded := t.progress[job.ID]
-		if loaded.Err != nil {
-			t.instance.log.Error().Str("event", "progressUnreadable").Str("request", string(job.ID)).Err(loaded.Err).Send()
+		err := loaded.Err
+		if err == nil {
+			err = loaded.Progress.ValidateFor(job)
+		}
+		if err != nil {
+			t.instance.log.Error().Str("event", "progressUnreadable").Str("request", string(job.ID)).Err(err).Send()
 			return
 		}
 		t.scheduler.Load(job, loaded.Progress, loaded.Revision)
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -79,7 +79,7 @@
 	for _, s := range r.Steps {
 		job.Steps = append(job.Steps, workflow.Step(s))
 	}
-	return job, nil
+	return job, errors.Wrapf(job.Validate(), "decode job %s", id)
 }
 
 // progressRecord is the stored form of a job's workflow.Progress.
