Do not take a worker's silence for a stall of its tasks

Cause: a worker that was suspended or cut off for some seconds reports the same percentage when it is back; the time since its last change then exceeded the limit for stalls, and its running work was stopped and started again elsewhere.

Change: after a gap in a worker's reports, the time of its tasks' last progress begins anew.

Result: TestStall's row "none, and the worker was silent" fails without it; a task that stands still after the silence is found as before.

--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -138,6 +138,7 @@
 	} else {
 		w.lastAckedEnd = max(w.lastAckedEnd, r.order.Acknowledged)
 	}
+	wasSilent := now.Sub(w.reportedAt) > p.maxReportAge()
 	w.reportedAt, w.reportedClock = now, report.Clock
 	for _, end := range report.Ended {
 		p.applyEnd(w, end)
@@ -152,7 +153,7 @@
 			p.stopUnknownAttempt(w, task, now)
 			continue
 		}
-		p.applyRunning(m, task, now)
+		p.applyRunning(m, task, now, wasSilent)
 	}
 	for key, m := range w.members {
 		if !reported[key] && m.cannotRun(report.Clock, r.sentAt) {
@@ -216,12 +217,13 @@
 	p.endMember(m, end.Outcome, end.Checkpoint)
 }
 
-// applyRunning updates a member that the worker reports as running.
-func (p *pool) applyRunning(m *member, task workflow.RunningTask, now time.Time) {
+// applyRunning updates a member that the worker reports as running. The time during
+// which the worker was silent does not count as a stall: it may have been suspended.
+func (p *pool) applyRunning(m *member, task workflow.RunningTask, now time.Time, wasSilent bool) {
 	if m.phase != running {
 		m.phase, m.confirmedAt, m.percentChangedAt = running, now, now
 	}
-	if task.Percent != m.percent {
+	if task.Percent != m.percent || wasSilent {
 		m.percent, m.percentChangedAt = task.Percent, now
 	}
 	g := m.group
