Keep the longest of the pauses for which a worker is avoided

Cause: a refusal for lack of room, or an unanswered start, replaced the 5 s pause of a quarantined worker by 0.3 or 1 s, so that it soon broke the next gang.

Change: a pause only ever lengthens the time that a worker is avoided.

Ruled out: a pause of 1.5 s after the first failure; in a test that hands in gangs while one of 12 or three of 24 workers fail everything, as many attempts failed with it as without.

Result: TestAvoidedLongest fails without the change in both rows.

--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -30,7 +30,7 @@
 
 // quarantine excludes the worker from placement for the length of the pause.
 func (p *pool) quarantine(w *worker, cause string, pause time.Duration) {
-	w.avoidUntil = p.scheduler.Now().Add(pause)
+	w.avoidFor(p.scheduler.Now(), pause)
 	p.scheduler.Count(workerQuarantined)
 	p.scheduler.Log.Warn().Str("event", "workerQuarantined").Str("worker", string(w.id)).
 		Str("cause", cause).Int("failures", w.failures).Dur("pause", pause).Send()
--- a/coordination/scheduling/health_test.go
+++ b/coordination/scheduling/health_test.go
@@ -53,3 +53,26 @@
 		})
 	}
 }
+
+// TestAvoidedLongest checks that a short pause does not end a longer one.
+func TestAvoidedLongest(t *testing.T) {
+	tests := []struct {
+		name   string
+		result StartResult
+		want   time.Duration
+	}{
+		{"refused for lack of room", RefusedRoom, unhealthyPause},
+		{"refused as unhealthy", RefusedUnhealthy, time.Second + unhealthyPause},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := fullPool(1, 0)
+			w, now := p.ordered[0], time.Now()
+			w.avoidFor(now, unhealthyPause)
+			w.recordRefusal(test.result, now.Add(time.Second))
+			if got := w.avoidUntil.Sub(now); got != test.want {
+				t.Errorf("avoided for %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -157,7 +157,7 @@
 	defer p.mu.Unlock()
 	p.endPendingStart()
 	if sent {
-		m.worker.avoidUntil = p.scheduler.Now().Add(unansweredPause)
+		m.worker.avoidFor(p.scheduler.Now(), unansweredPause)
 	}
 	if m.phase != starting || ambiguous {
 		return
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -156,5 +156,12 @@
 	if result == RefusedUnhealthy {
 		pause = unhealthyPause
 	}
-	w.avoidUntil = now.Add(pause)
+	w.avoidFor(now, pause)
+}
+
+// avoidFor excludes the worker from placement for at least the pause.
+func (w *worker) avoidFor(now time.Time, pause time.Duration) {
+	if until := now.Add(pause); until.After(w.avoidUntil) {
+		w.avoidUntil = until
+	}
 }
