Log and measure how much the planner has to do

Cause: a planner under strain looked like one that is cut off; nothing told how long its rounds took, or how many starts and workers waited for it.

Result: go test ./coordination/scheduling ./metrics ./instance/... passes.

--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -18,7 +18,7 @@
 		b.Run(fmt.Sprintf("waiting=%d", waits), func(b *testing.B) {
 			p := fullPool(1250, 27)
 			for i := range waits {
-				p.load(&workflow.Job{
+				p.addJob(&workflow.Job{
 					ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", Organisation: "o", Priority: 1 + i%2, MaxAttempts: 3, Stretch: 3,
 					Steps: []workflow.Step{{Tasks: 1 + i%3, Accelerators: 8, Gang: true, SameRack: i%2 == 0, Estimate: time.Hour}}, Accepted: time.Now(),
 				}, workflow.Progress{}, 0)
@@ -38,7 +38,7 @@
 // fullPool returns a pool whose workers are filled with tasks of one accelerator.
 func fullPool(workers, tasks int) *pool {
 	s := &Scheduler{
-		Now: time.Now, WallClock: time.Now, Guarantee: func(string) int { return 0 }, Count: func(string) {},
+		Now: time.Now, WallClock: time.Now, Guarantee: func(string) int { return 0 }, Count: func(string) {}, ObserveRound: func(time.Duration) {},
 		Authorised: func() bool { return false }, Log: zerolog.Nop(),
 		Bounds: Bounds{LeaseLimit: time.Hour, ReclaimLimit: 3400 * time.Millisecond, StopLimit: 900 * time.Millisecond, FarFactor: 3},
 	}
@@ -88,7 +88,7 @@
 				if urgent {
 					j.Priority, j.Stretch, j.StartAllowance = 0, 1, time.Hour
 				}
-				p.load(j, workflow.Progress{}, 0)
+				p.addJob(j, workflow.Progress{}, 0)
 				if urgent {
 					p.jobs[j.ID].objective = time.Hour // adjusted to the slack in each round
 				}
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -152,7 +152,7 @@
 			defer h.mu.Unlock()
 			h.counts[event]++
 		},
-		Log: zerolog.Nop(),
+		ObserveRound: func(time.Duration) {}, Log: zerolog.Nop(),
 	}
 	s.Open()
 	for _, j := range h.jobs {
--- /dev/null
+++ b/coordination/scheduling/load.go
@@ -0,0 +1,56 @@
+package scheduling
+
+import "time"
+
+// Load is how much the planner has to do for one service.
+type Load struct {
+	Service string
+	// Workers counts the registered workers, Silent those of them whose newest report
+	// is too old for placing tasks there.
+	Workers, Silent int
+	// Waiting counts the groups that wait to be placed, StartsPending the starts
+	// without an answer, Unsaved the jobs whose progress is not stored yet.
+	Waiting, StartsPending, Unsaved int
+	// LongestRound is the longest planning round since the last call of Loads.
+	LongestRound time.Duration
+	// RenewWait is how long a worker may wait before it answers a renewal.
+	RenewWait time.Duration
+}
+
+// Loads returns the load of each service.
+func (s *Scheduler) Loads() (loads []Load) {
+	for _, p := range s.allPools() {
+		loads = append(loads, p.load())
+	}
+	return loads
+}
+
+func (p *pool) load() Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, maxReportAge := p.scheduler.Now(), p.maxReportAge()
+	l := Load{
+		Service: p.service, Workers: p.registered, StartsPending: p.startsPending, Unsaved: len(p.dirty),
+		LongestRound: p.longestRound, RenewWait: p.renewWait(),
+	}
+	p.longestRound = 0
+	for _, w := range p.ordered {
+		if w.info.registered && now.Sub(w.reportedAt) > maxReportAge {
+			l.Silent++
+		}
+	}
+	for g := range p.work.unstarted {
+		if g.phase == waiting {
+			l.Waiting++
+		}
+	}
+	return l
+}
+
+// recordRound notes how long a planning round took.
+func (p *pool) recordRound(took time.Duration) {
+	p.scheduler.ObserveRound(took)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longestRound = max(p.longestRound, took)
+}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -39,7 +39,9 @@
 		if p.scheduler.Authorised() {
 			began := p.scheduler.Now()
 			p.planRound()
-			took = min(p.scheduler.Now().Sub(began), planInterval/planRestFactor)
+			round := p.scheduler.Now().Sub(began)
+			p.recordRound(round)
+			took = min(round, planInterval/planRestFactor)
 		}
 	}
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -25,6 +25,8 @@
 	// start was ordered but not yet answered or given up.
 	registered    int
 	startsPending int
+	// longestRound is that since the load was last asked for.
+	longestRound time.Duration
 	// dirty holds the jobs with unsaved changes.
 	dirty map[*job]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
@@ -111,7 +113,7 @@
 	}
 }
 
-func (p *pool) load(w *workflow.Job, progress workflow.Progress, revision keyvalue.Revision) {
+func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revision keyvalue.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, known := p.jobs[w.ID]; known {
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -35,7 +35,9 @@
 	OnTermEnded func()
 	// Count increments the counter of one of Events.
 	Count func(event string)
-	Log   zerolog.Logger
+	// ObserveRound is called with the duration of each planning round.
+	ObserveRound func(took time.Duration)
+	Log          zerolog.Logger
 
 	termBegan  time.Time
 	ctx        context.Context
@@ -69,7 +71,7 @@
 // Load adds a job with its stored progress, or does nothing if the job is
 // already known.
 func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revision keyvalue.Revision) {
-	s.pool(job.Service).load(job, progress, revision)
+	s.pool(job.Service).addJob(job, progress, revision)
 }
 
 // Cancel cancels a job and stops its tasks.
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -26,6 +26,8 @@
 	// pendingInterval is the time between checks whether the numbers of waiting jobs
 	// have changed and must be stored.
 	pendingInterval = time.Second
+	// loadInterval is the time between log lines on the planner's load.
+	loadInterval = 5 * time.Second
 	// deleteInterval is the time between deletions of ended jobs.
 	deleteInterval = 15 * time.Second
 	// deleteMargin is how long ended jobs are kept beyond the platform's retention.
@@ -67,8 +69,8 @@
 		},
 		Guarantee:   i.guarantee,
 		OnTermEnded: func() { i.candidate.GiveUp(revision) },
-		Count:       i.metrics.CountPlannerEvent,
-		Log:         i.log,
+		Count:       i.metrics.CountPlannerEvent, ObserveRound: i.metrics.ObservePlanningRound,
+		Log: i.log,
 	}
 	t.scheduler.Open()
 	i.term.Store(t)
@@ -112,6 +114,7 @@
 				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Send()
 				t.loops.Go(t.followWorkers)
 				t.loops.Go(t.savePending)
+				t.loops.Go(t.logLoad)
 				t.loops.Go(t.deleteEnded)
 			})
 		},
@@ -188,6 +191,18 @@
 	}
 }
 
+// logLoad logs how much the planner has to do, so that a planner under strain can be
+// told from one that is cut off.
+func (t *term) logLoad() {
+	for pause.For(t.ctx, loadInterval) {
+		for _, l := range t.scheduler.Loads() {
+			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
+				Int("workers", l.Workers).Int("silent", l.Silent).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
+				Int("unsaved", l.Unsaved).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
+		}
+	}
+}
+
 // deleteEnded deletes the stored state of jobs whose retention has passed.
 func (t *term) deleteEnded() {
 	i := t.instance
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -100,7 +100,12 @@
 	m.Root.Tagged(tags).Histogram("request_seconds", requestBuckets).RecordDuration(took)
 }
 
-// requestBuckets are the upper bounds of the latency histogram, from 1 ms to 4 s.
+// ObservePlanningRound records the duration of one planning round.
+func (m *Metrics) ObservePlanningRound(took time.Duration) {
+	m.Root.Histogram("planning_round_seconds", requestBuckets).RecordDuration(took)
+}
+
+// requestBuckets are the upper bounds of the latency histograms, from 1 ms to 4 s.
 var requestBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 
 // Refusals returns how many jobs were refused or failed so far, by reason.
