Send nothing while neither the store nor the relaying entry answers

Change: once a relayed call got no answer, changes and reads are refused at once, not run; listing and watching, which the entry does all the time, are relayed on and find out when the relay answers again.

--- a/coordination/keyvalue/failover.go
+++ b/coordination/keyvalue/failover.go
@@ -31,6 +31,10 @@
 	unreachable bool
 	// answered is when the latest direct call that got an answer was sent.
 	answered time.Time
+	// relaySilent is set while relayed calls get no answer, relayAnswered is when the
+	// latest that got one was sent.
+	relaySilent   bool
+	relayAnswered time.Time
 }
 
 // DirectStore returns the store without relaying. The outcomes of its calls decide
@@ -153,12 +157,16 @@
 }
 
 // list and watch do not fall back from one way to the other within a call, as
-// they may take long: their callers list again after a failure.
+// they may take long: their callers list again after a failure. They are relayed
+// even while relayed calls get no answer, and so find out when that is over.
 
 func (f *Failover) list(ctx context.Context, prefix string) ([]Item, Revision, error) {
 	if f.isUnreachable() {
 		f.CountRelayed()
-		return f.Relay.List(ctx, prefix)
+		sent := time.Now()
+		items, asOf, err := f.Relay.List(ctx, prefix)
+		f.recordRelayed(ctx, sent, err)
+		return items, asOf, err
 	}
 	return f.listDirect(ctx, prefix)
 }
@@ -166,15 +174,19 @@
 func (f *Failover) watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Item, Revision, error) {
 	if f.isUnreachable() {
 		f.CountRelayed()
-		return f.Relay.Watch(ctx, prefix, after, wait)
+		sent := time.Now()
+		items, asOf, err := f.Relay.Watch(ctx, prefix, after, wait)
+		f.recordRelayed(ctx, sent, err)
+		return items, asOf, err
 	}
 	return f.watchDirect(ctx, prefix, after, wait)
 }
 
 // callWithFailover calls the store directly and relays the call if that fails. While
-// the store is unreachable it only relays, as the outcome of a change stays unknown
-// if it was sent and not answered. The error is ambiguous if one of the calls may
-// have been applied.
+// the store is unreachable it only relays, and while relayed calls get no answer
+// either it sends nothing, as the outcome of a change stays unknown if it was sent
+// and not answered. The error is ambiguous if one of the calls may have been
+// applied.
 func callWithFailover[Answer any](ctx context.Context, f *Failover, call func(ctx context.Context, s *Store) (Answer, error)) (Answer, error) {
 	var direct error
 	if !f.isUnreachable() {
@@ -184,8 +196,7 @@
 		}
 		direct = err
 	}
-	f.CountRelayed()
-	answer, err := call(ctx, f.Relay)
+	answer, err := callRelayed(ctx, f, call)
 	if !isAnswer(err) && direct != nil && state.IsAmbiguous(direct) {
 		err = direct
 	}
@@ -201,6 +212,18 @@
 	return answer, err
 }
 
+// callRelayed relays a call unless the last ones got no answer.
+func callRelayed[Answer any](ctx context.Context, f *Failover, call func(ctx context.Context, s *Store) (Answer, error)) (answer Answer, err error) {
+	if f.isRelaySilent() {
+		return answer, errUnreachable
+	}
+	f.CountRelayed()
+	sent := time.Now()
+	answer, err = call(ctx, f.Relay)
+	f.recordRelayed(ctx, sent, err)
+	return answer, err
+}
+
 // isAnswer reports whether err is an answer of the store, not a failure to reach it.
 func isAnswer(err error) bool {
 	var conflict *ConflictError
@@ -233,6 +256,29 @@
 	}
 }
 
+// recordRelayed updates from a relayed call whether such calls get an answer; a
+// refusal is one.
+func (f *Failover) recordRelayed(ctx context.Context, sent time.Time, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	silent := !isAnswer(err) && state.IsAmbiguous(err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !silent && sent.After(f.relayAnswered) {
+		f.relayAnswered = sent
+	}
+	if !silent || !f.relayAnswered.After(sent) {
+		f.relaySilent = silent
+	}
+}
+
+func (f *Failover) isRelaySilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.relaySilent
+}
+
 func (f *Failover) isUnreachable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
