Depose a planner as cut off only after it could have renewed again

Change: an entry that is told "cut" reads the key itself, leaves the planner time for one more renewal and asks again. A failed renewal is repeated after 0.1 s instead of 0.4 s, so that a shorter outage ends no term. A held status request is looked at again when the planner would be cut off, not at fixed times.

Result: TestHandOver's row "the store answers nobody, then the others first" fails without the second question.

--- a/coordination/election/candidate.go
+++ b/coordination/election/candidate.go
@@ -18,7 +18,8 @@
 	// LeaseTTL bounds how long there is no planner after one has stopped without
 	// releasing the key, and how long a deposed planner may still give orders.
 	LeaseTTL = 2 * time.Second
-	// renewInterval lets three renewals fail before the lease expires.
+	// renewInterval lets two renewals fail before the lease expires, each for
+	// callTimeout and repeated after retryPause.
 	renewInterval = 400 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 600 * time.Millisecond
@@ -264,6 +265,7 @@
 // if a later renewal succeeds, the lease never expired and nobody else became
 // the planner.
 func (c *Candidate) renewLease(ctx context.Context, term keyvalue.Revision, lease keyvalue.LeaseID, givenUp chan struct{}) string {
+	wait := renewInterval
 	for {
 		waiting := c.Now()
 		select {
@@ -271,15 +273,17 @@
 			return "closed"
 		case <-givenUp:
 			return "givenUp"
-		case <-time.After(renewInterval):
+		case <-time.After(wait):
 		}
 		sent := c.Now()
 		calling, cancel := context.WithTimeout(ctx, callTimeout)
 		err := c.Store.KeepAlive(calling, lease)
 		cancel()
-		late := max(sent-waiting-renewInterval, c.Now()-sent-callTimeout)
+		late := max(sent-waiting-wait, c.Now()-sent-callTimeout)
+		wait = retryPause
 		switch {
 		case err == nil:
+			wait = renewInterval
 			c.recordRenewal(term, sent)
 		case errors.Is(err, keyvalue.ErrLeaseEnded):
 			return "leaseEnded"
--- a/coordination/election/candidate_test.go
+++ b/coordination/election/candidate_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"comfreystream/coordination/keyvalue"
@@ -24,6 +25,8 @@
 	began             []time.Time
 	ended             []time.Time
 	refuseConnections bool
+	// exited is closed when the process exits, which cuts open requests.
+	exited chan struct{}
 	// late is how long after the time limit of a renewal the process goes on.
 	late time.Duration
 }
@@ -34,7 +37,7 @@
 	began := time.Now()
 	all := make([]*testCandidate, len(cores))
 	for i := range all {
-		c := &testCandidate{}
+		c := &testCandidate{exited: make(chan struct{})}
 		calls := withFaults(store, c)
 		c.Candidate = &Candidate{
 			Store: &calls, Identity: []byte{byte('a' + i)}, Cores: cores[i], Now: func() time.Duration { return time.Since(began) },
@@ -43,7 +46,20 @@
 				if planner.refusesConnections() {
 					return "", ErrRefused
 				}
-				return planner.Status(ctx, request), nil
+				asking, cancel := context.WithCancel(ctx)
+				defer cancel()
+				go func() {
+					select {
+					case <-planner.exited:
+						cancel()
+					case <-asking.Done():
+					}
+				}()
+				status := planner.Status(asking, request)
+				if planner.refusesConnections() {
+					return "", errors.New("connection reset")
+				}
+				return status, nil
 			},
 			StartTerm: func(keyvalue.Revision) { c.recordTime(&c.began) },
 			EndTerm:   func() { c.recordTime(&c.ended) },
@@ -236,30 +252,39 @@
 func TestHandOver(t *testing.T) {
 	tests := []struct {
 		name  string
-		fail  func(store *standin.Store, planner *testCandidate)
+		fail  func(store *standin.Store, planner *testCandidate, others []*testCandidate)
 		bound time.Duration
 		// keepsTerm is set if the same planner continues.
 		keepsTerm bool
 	}{
-		{"it resigns", func(_ *standin.Store, c *testCandidate) { c.Resign() }, 50 * time.Millisecond, false},
-		{"its process has exited", func(_ *standin.Store, c *testCandidate) {
+		{"it resigns", func(_ *standin.Store, c *testCandidate, _ []*testCandidate) { c.Resign() }, 50 * time.Millisecond, false},
+		{"its process has exited", func(_ *standin.Store, c *testCandidate, _ []*testCandidate) {
 			c.setFault(silent)
 			c.mu.Lock()
 			c.refuseConnections = true
+			close(c.exited)
 			c.mu.Unlock()
-		}, 1600 * time.Millisecond, false},
-		{"it loses the connection to the store", func(_ *standin.Store, c *testCandidate) { c.setFault(silent) }, 1900 * time.Millisecond, false},
-		{"it hangs", func(_ *standin.Store, c *testCandidate) {
+		}, 500 * time.Millisecond, false},
+		{"it loses the connection to the store", func(_ *standin.Store, c *testCandidate, _ []*testCandidate) { c.setFault(silent) }, 1900 * time.Millisecond, false},
+		{"it hangs", func(_ *standin.Store, c *testCandidate, _ []*testCandidate) {
 			c.setFault(silent)
 			c.AskStatus = nil
 		}, LeaseTTL + 100*time.Millisecond, false},
-		{"it is late itself", func(_ *standin.Store, c *testCandidate) {
+		{"it is late itself", func(_ *standin.Store, c *testCandidate, _ []*testCandidate) {
 			c.mu.Lock()
 			c.late = 400 * time.Millisecond
 			c.fault = failFirst("KeepAlive")
 			c.mu.Unlock()
 		}, 0, true},
-		{"the store drops its history", func(store *standin.Store, _ *testCandidate) { store.Compact() }, 0, true},
+		{"the store answers nobody, then the others first", func(_ *standin.Store, c *testCandidate, others []*testCandidate) {
+			for _, other := range others {
+				other.setFault(silent)
+				time.AfterFunc(1100*time.Millisecond, func() { other.setFault(nil) })
+			}
+			c.setFault(silent)
+			time.AfterFunc(1200*time.Millisecond, func() { c.setFault(nil) })
+		}, 0, true},
+		{"the store drops its history", func(store *standin.Store, _ *testCandidate, _ []*testCandidate) { store.Compact() }, 0, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -268,7 +293,7 @@
 				all := startCandidates(store, 1, 1, 1)
 				time.Sleep(5 * time.Second)
 				failedAt := time.Now()
-				test.fail(store, all[0])
+				test.fail(store, all[0], all[1:])
 				time.Sleep(5 * time.Second)
 				successor := all[0]
 				for _, c := range all[1:] {
--- a/coordination/election/monitor.go
+++ b/coordination/election/monitor.go
@@ -71,32 +71,32 @@
 				Float64("cores", c.Cores).Float64("askerCores", request.Cores).Send()
 			c.GiveUp(request.Term)
 		}
-		status, changed := c.statusNow(request.Term)
+		status, recheck, changed := c.statusNow(request.Term)
 		if status == CutOff || status == NotLeading || ctx.Err() != nil {
 			return status
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-time.After(cutOffAfter):
+		case <-time.After(recheck):
 		}
 	}
 }
 
-// statusNow returns the status in the term, and a channel that is closed when
-// the term is given up.
-func (c *Candidate) statusNow(term keyvalue.Revision) (status TermStatus, givenUp <-chan struct{}) {
+// statusNow returns the status in the term, when it may be another unless a renewal
+// succeeds, and a channel that is closed when the term is given up.
+func (c *Candidate) statusNow(term keyvalue.Revision) (status TermStatus, recheck time.Duration, givenUp <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.term != term || !c.holdsTerm():
-		return NotLeading, nil
+		return NotLeading, 0, nil
 	case c.renewedWithin(term, cutOffAfter):
-		return Leading, c.givenUp
+		return Leading, c.renewed + cutOffAfter - c.Now(), c.givenUp
 	case c.failedOnTime > 0:
-		return CutOff, nil
+		return CutOff, 0, nil
 	default:
-		return Late, c.givenUp
+		return Late, retryPause, c.givenUp
 	}
 }
 
@@ -122,15 +122,33 @@
 		case err != nil:
 			refused = 0
 			pause.For(ctx, retryPause)
-		case status == CutOff || status == NotLeading:
+		case status == NotLeading || status == CutOff && c.confirmCutOff(ctx, held):
 			c.depose(ctx, held, string(status))
 			pause.For(ctx, renewInterval)
+		case status == CutOff:
+			pause.For(ctx, retryPause)
 		default:
 			refused = 0
 		}
 	}
 }
 
+// confirmCutOff reports whether the planner is still cut off after it had time for
+// another renewal while this candidate reaches the store. The store may have been
+// away for both.
+func (c *Candidate) confirmCutOff(ctx context.Context, held keyvalue.Item) bool {
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	_, _, _, err := c.Store.Get(calling, Key)
+	cancel()
+	if err != nil || !pause.For(ctx, callTimeout+retryPause) {
+		return false
+	}
+	calling, cancel = context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	status, err := c.AskStatus(calling, held.Value, StatusRequest{held.Revision, 0, c.Cores})
+	return err == nil && status == CutOff
+}
+
 // depose revokes the planner's lease, which also deletes its key.
 func (c *Candidate) depose(ctx context.Context, held keyvalue.Item, cause string) {
 	c.mu.Lock()
