Have the garbage collector keep within the platform's memory limit

Result: go test ./platform -run TestDecodeSettings passes; the effect on a planner at its limit was not measured.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,10 @@
 // reader; further ones are dropped.
 const logBufferLines = 4096
 
+// collectAbovePercent is the part of the platform's memory limit from which the
+// garbage collector works harder, so that a burst does not get the process killed.
+const collectAbovePercent = 70
+
 var hostCommand = command{
 	name:    "host",
 	help:    "Run one entry instance on the hosting platform until it is told to stop.",
@@ -46,6 +51,9 @@
 	if err != nil {
 		return &usageError{err}
 	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryBytes / 100 * collectAbovePercent)
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
