Start no attempt while another of the task runs unknown to the planner

An earlier planner may give orders for 2 s after its successor began; a worker that restarts in that time has seen no term and carries them out. The successor had taken the task for one that cannot start any more, and started it elsewhere: two runs at once. If the unknown run ended first, its end was acknowledged and the work done again.

Change: a task of which a worker reports an unknown attempt gets no other attempt until that is gone or its lease has run out; an unknown attempt that is done completes its group, and one that failed counts, before its end is acknowledged.

Ruled out: a longer wait after a take-over; the restart may come at any time.

--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -12,7 +12,7 @@
 
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
-	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled,
+	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -29,6 +29,8 @@
 	listedAt time.Time
 	// longestRound is that since the load was last asked for.
 	longestRound time.Duration
+	// unknownRuns counts the unknown attempts that workers report, by task.
+	unknownRuns map[workflow.Task]int
 	// dirty holds the jobs with unsaved changes.
 	dirty map[*job]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
@@ -97,6 +99,11 @@
 	avoidedWorkers map[workflow.WorkerID]bool
 	// victims holds the preempted attempts that must end before the members start.
 	victims []victim
+	// brokenAt is when a member was last reported to have ended because another had.
+	brokenAt time.Time
+	// assumedEnds holds the attempts that are over although the end of a member is
+	// not known; it may still turn out to be a failure.
+	assumedEnds map[int]bool
 	// startsSent is set once the start orders of the attempt were sent.
 	startsSent bool
 	// done is set once the work is complete.
@@ -107,9 +114,9 @@
 	return &pool{
 		scheduler: s, service: service,
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
-		jobs:     make(map[workflow.ID]*job),
-		workers:  make(map[workflow.WorkerID]*worker),
-		dirty:    make(map[*job]struct{}),
+		jobs:    make(map[workflow.ID]*job),
+		workers: make(map[workflow.WorkerID]*worker),
+		dirty:   make(map[*job]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64),
 		work:     newWorklist(),
 	}
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -96,6 +96,11 @@
 			seed: 0x6fbb, jobs: 3, faultRate: 0.4, failRate: 0.1, overlap: 1629 * time.Millisecond,
 			takeovers: milliseconds([]int64{246}), restarts: milliseconds([]int64{1908}), storeOutage: 15 * time.Millisecond, cores: 0.001,
 		}},
+		{"an earlier planner's order reached a worker that restarted during the overlap", scenario{
+			seed: 0x2517, jobs: 5, faultRate: 0.15, failRate: 0.1, overlap: 818 * time.Millisecond,
+			takeovers: milliseconds([]int64{11882, 209, 9478, 202}), restarts: milliseconds([]int64{220, 319}),
+			storeOutage: 28 * time.Millisecond, cores: 0.001,
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -161,13 +161,13 @@
 		p.applyEnd(w, end)
 	}
 	reported := make(map[attemptKey]bool, len(report.Running))
-	w.runsUnknown = false
+	p.forgetUnknown(w)
 	for _, task := range report.Running {
 		key := attemptKey{task.Task, task.Attempt}
 		reported[key] = true
 		m, known := w.members[key]
 		if !known {
-			p.stopUnknownAttempt(w, task, now)
+			p.reportUnknown(w, task, now)
 			continue
 		}
 		p.applyRunning(m, task, now, wasSilent)
@@ -225,6 +225,7 @@
 	wake(p.saveDue)
 	m, known := w.members[attemptKey{end.Task, end.Attempt}]
 	if !known {
+		p.applyUnknownEnd(end)
 		return
 	}
 	p.scheduler.Log.Info().Str("event", "taskEnded").Str("request", string(m.task.Job)).
@@ -265,27 +266,13 @@
 	}
 }
 
-// stopUnknownAttempt stops an attempt that belongs to no group of this planner.
-func (p *pool) stopUnknownAttempt(w *worker, task workflow.RunningTask, now time.Time) {
-	w.runsUnknown = true
-	unknown := &member{task: task.Task, attempt: task.Attempt, worker: w}
-	if now.Sub(w.unknownStopSentAt) < stopRetryInterval {
-		return
-	}
-	w.unknownStopSentAt = now
-	p.scheduler.Count(unknownAttemptStopped)
-	p.scheduler.Log.Warn().Str("event", "strangerStopped").Stringer("task", task.Task).
-		Int("attempt", task.Attempt).Str("worker", string(w.id)).Send()
-	target := w.info.Worker
-	p.scheduler.goroutines.Go(func() { p.stopMember(unknown, target) })
-}
-
 // expireLeases marks members as lost whose worker's lease has run out.
 func (p *pool) expireLeases(now time.Time) {
 	for _, w := range p.workers {
-		if len(w.members) == 0 || now.Before(w.leaseExpiry) {
+		if now.Before(w.leaseExpiry) {
 			continue
 		}
+		p.forgetUnknown(w)
 		for _, m := range w.members {
 			p.endMember(m, workflow.Lost, "")
 		}
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -15,6 +15,8 @@
 	reasonIncomplete = "stopIncomplete"
 	reasonReclaimed  = "stopReclaimed"
 	reasonStalled    = "stopStalled"
+	// reasonAlreadyDone: an attempt that was taken for lost has done the work.
+	reasonAlreadyDone = "stopAlreadyDone"
 )
 
 const (
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -52,9 +52,9 @@
 	lastAppliedEnd int64
 	lastSavedEnd   int64
 	lastAckedEnd   int64
-	// runsUnknown is set while the worker reports attempts that this planner does
-	// not know.
-	runsUnknown  bool
+	// unknownTasks holds the tasks of the attempts in the newest report that this
+	// planner does not know.
+	unknownTasks []workflow.Task
 	registration registration
 	// leftAt is when the worker was found to have left; 0 if it may be there.
 	leftAt time.Time
@@ -153,7 +153,7 @@
 // acceptsTasks reports whether tasks can be placed on the worker, leaving aside
 // its health.
 func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration) bool {
-	return w.info.registered && !w.info.Draining && !w.runsUnknown &&
+	return w.info.registered && !w.info.Draining && len(w.unknownTasks) == 0 &&
 		!w.reportedAt.IsZero() && now.Sub(w.reportedAt) <= maxReportAge
 }
 
--- a/state/workflow/progress.go
+++ b/state/workflow/progress.go
@@ -64,6 +64,15 @@
 	return ids
 }
 
+// GroupOf returns the group of a task.
+func (j *Job) GroupOf(task Task) GroupID {
+	id := GroupID{Occurrence: task.Occurrence, Step: task.Step, Index: task.Index}
+	if j.Steps[task.Step].Gang {
+		id.Index = 0
+	}
+	return id
+}
+
 // Members returns the tasks of the group.
 func (j *Job) Members(id GroupID) []Task {
 	if !j.Steps[id.Step].Gang {
