Start a gang again once the member that broke it must have ended

Cause: workers that go at short notice leave their registry entries behind until they have been silent for 4.5 s.

Change: if all other members of a gang ended because another had, the one that is left must have ended first. Once a renewal of its silent worker has failed, it counts as lost. It may have failed by itself, so that this is done only if one more attempt is allowed all the same, and its failure counts when it is reported.

Ruled out: the same for several members that are left; only one of them is known to have ended.

Result: TestBrokenGang's row "one silent worker" fails without the change.

--- a/coordination/scheduling/departure.go
+++ b/coordination/scheduling/departure.go
@@ -42,16 +42,42 @@
 		!w.registration.beatAfter.IsZero() && now.Sub(w.registration.beatAfter) < limit
 }
 
-// endIfLeft marks the members of a worker that has left as lost, once a renewal
-// has failed after its entry was removed. Its lease need not run out.
-func (p *pool) endIfLeft(w *worker, renewal time.Time) {
+// endSilent marks those members of a silent worker as lost that have certainly
+// ended, once a renewal sent at the given time has failed. The worker's lease need
+// not run out for them.
+func (p *pool) endSilent(w *worker, renewal time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w.leftAt.IsZero() || renewal.Before(w.leftAt) || len(w.members) == 0 {
-		return
-	}
-	p.scheduler.Log.Info().Str("event", "workerLeft").Str("worker", string(w.id)).Int("members", len(w.members)).Send()
+	left := !w.leftAt.IsZero() && !renewal.Before(w.leftAt)
 	for _, m := range w.members {
+		broke := m.brokeGang() && renewal.After(m.group.brokenAt)
+		if !left && !broke {
+			continue
+		}
+		p.scheduler.Log.Info().Str("event", "silentTaskEnded").Str("request", string(m.task.Job)).Stringer("task", m.task).
+			Int("attempt", m.attempt).Str("worker", string(w.id)).Bool("workerLeft", left).Send()
+		m.group.assumeEnd(m.attempt)
 		p.endMember(m, workflow.Lost, "")
 	}
 }
+
+// brokeGang reports whether the member must have ended, although its worker has not
+// reported it: all others ended because another member had. If it has failed, one
+// more attempt must be allowed all the same.
+func (m *member) brokeGang() bool {
+	g := m.group
+	for _, other := range g.members {
+		if other != m && (other.phase != ended || other.outcome != workflow.Broken) {
+			return false
+		}
+	}
+	return len(g.members) > 1 && g.failures+1 < g.job.MaxAttempts
+}
+
+// assumeEnd notes an attempt that is over with an end that is not known.
+func (g *group) assumeEnd(attempt int) {
+	if g.assumedEnds == nil {
+		g.assumedEnds = make(map[int]bool)
+	}
+	g.assumedEnds[attempt] = true
+}
--- a/coordination/scheduling/departure_test.go
+++ b/coordination/scheduling/departure_test.go
@@ -116,3 +116,67 @@
 		})
 	}
 }
+
+// TestBrokenGang has a gang's member fail on a worker that is silent for a while, so
+// that the other members end and say so. It checks when the gang starts again, and
+// that the failure counts once the worker is back.
+func TestBrokenGang(t *testing.T) {
+	tests := []struct {
+		name string
+		// silent lists the silent workers; the member on the first fails.
+		silent      []workflow.WorkerID
+		maxAttempts int
+		// restarted says whether the gang starts again before the silence is over,
+		// starts counts the attempts after that, and want is the job's status.
+		restarted bool
+		starts    int
+		want      workflow.Status
+	}{
+		{"one silent worker", []workflow.WorkerID{"w0"}, 3, true, 2, workflow.Completed},
+		{"the failure could be the last attempt", []workflow.WorkerID{"w0"}, 1, false, 1, workflow.Failed},
+		{"two silent workers", []workflow.WorkerID{"w0", "w1"}, 3, false, 2, workflow.Completed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silentFrom, silentUntil = time.Second, 5 * time.Second
+				h := newHarness(6)
+				h.fleet.LeaseLimit = 10 * time.Second
+				j := job(1, workflow.Step{Tasks: 3, Accelerators: 8, Gang: true, SameRack: true})
+				j.MaxAttempts = test.maxAttempts
+				h.addJob(j)
+				fails := func(attempt int, w workflow.WorkerID) bool { return attempt == 1 && w == test.silent[0] }
+				h.fleet.Outcome = func(_ workflow.Task, attempt int, w workflow.WorkerID) workflow.Outcome {
+					if fails(attempt, w) {
+						return workflow.Faulted
+					}
+					return workflow.Done
+				}
+				h.fleet.RunTime = func(_ workflow.Task, attempt int, w workflow.WorkerID) time.Duration {
+					if fails(attempt, w) {
+						return 2 * time.Second
+					}
+					return 6 * time.Second
+				}
+				h.fleet.Fault = loseCallsBetween(silentFrom, silentUntil, test.silent...)
+				s := h.startPlanner()
+				defer s.Close()
+				time.Sleep(silentUntil - 100*time.Millisecond)
+				if restarted := len(h.fleet.Runs()) > 3; restarted != test.restarted {
+					t.Errorf("started again during the silence: %v, want %v", restarted, test.restarted)
+				}
+				time.Sleep(20 * time.Second)
+				runs := h.fleet.Runs()
+				if len(runs) != 3*test.starts || h.store.status(j.ID) != test.want {
+					t.Errorf("%d attempts of three members, status %q; want %d, %q", len(runs), h.store.status(j.ID), 3*test.starts, test.want)
+				}
+				for _, v := range runner.Violations(runs, test.maxAttempts) {
+					t.Error(v)
+				}
+				if failures := h.store.failures(j.ID); failures != 1 {
+					t.Errorf("%d failures are stored, want 1", failures)
+				}
+			})
+		})
+	}
+}
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -49,6 +49,16 @@
 	return revisions, nil
 }
 
+// failures returns the failures of a job's gang or single task.
+func (m *memoryStore) failures(id workflow.ID) (count int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, g := range m.records[id].Progress.Groups {
+		count += g.Failures
+	}
+	return count
+}
+
 func (m *memoryStore) status(id workflow.ID) workflow.Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -74,8 +74,11 @@
 	if checkpoint != "" && m.group.attempt == m.attempt {
 		m.group.checkpoint = checkpoint
 	}
-	if outcome == workflow.Faulted {
+	switch outcome {
+	case workflow.Faulted:
 		p.countFailure(m)
+	case workflow.Broken:
+		m.group.brokenAt = p.scheduler.Now()
 	}
 	p.advanceGroup(m.group)
 	wake(p.planDue)
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -45,7 +45,7 @@
 			p.scheduler.Count(workerSilent)
 			p.scheduler.Log.Warn().Str("event", "workerLost").Str("worker", string(w.id)).Err(err).Send()
 		}
-		p.endIfLeft(w, sent)
+		p.endSilent(w, sent)
 		if p.endRenewals(w) {
 			return
 		}
