Let leases of leaving workers and of failed renewals run out sooner

Change: a renewal that was certainly not sent extends nothing; a worker that is about to leave is renewed for half the longest lease.

--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/pause"
+	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
 
@@ -88,7 +89,7 @@
 	}
 	p.mu.Lock()
 	now := p.scheduler.Now()
-	wait := p.renewWait()
+	wait, leaseExpiry := p.renewWait(), w.leaseExpiry
 	order := RenewOrder{Term: p.scheduler.Term, Wait: wait}
 	if now.Sub(w.reportedAt) <= maxAcknowledgeAge && w.lastSavedEnd > w.lastAckedEnd {
 		order.Acknowledged, order.Wait = w.lastSavedEnd, minRenewWait
@@ -99,25 +100,49 @@
 	if now.Sub(w.reportedAt) <= p.maxReportAge() {
 		// The lease of a silent worker is left to run out, so that leaseExpiry stays
 		// a known time.
-		order.Until = w.estimateClock(now) + p.scheduler.Bounds.LeaseLimit
-		w.leaseExpiry = p.latestLeaseExpiry(now)
+		lease := p.leaseOf(w)
+		order.Until = w.estimateClock(now) + lease
+		w.leaseExpiry = latest(w.leaseExpiry, latestLeaseExpiry(now, lease))
 	} else {
 		order.Wait = 0
 	}
 	target := w.info.Worker
 	w.renewals++
 	r := renewal{number: w.renewals, sentAt: now, order: order}
+	extended := w.leaseExpiry
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.scheduler.ctx, wait+renewTransit)
 	defer cancel()
 	report, err := p.scheduler.Workers.Renew(ctx, target, order)
 	if err != nil {
+		if !state.IsAmbiguous(err) {
+			p.restoreLease(w, extended, leaseExpiry)
+		}
 		return err
 	}
 	p.applyReport(w, report, r)
 	return nil
 }
 
+// leaseOf returns how long the worker's lease is renewed for: less for one that is
+// about to leave, whose tasks are started elsewhere once it has run out.
+func (p *pool) leaseOf(w *worker) time.Duration {
+	if w.info.Draining {
+		return p.scheduler.Bounds.LeaseLimit / 2
+	}
+	return p.scheduler.Bounds.LeaseLimit
+}
+
+// restoreLease takes back the extension of a lease by a renewal that was not sent,
+// unless another renewal has extended it since.
+func (p *pool) restoreLease(w *worker, extended, before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.leaseExpiry.Equal(extended) {
+		w.leaseExpiry = before
+	}
+}
+
 // renewal is a renewal that was sent to a worker; number counts those to it.
 type renewal struct {
 	number int
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -88,7 +88,7 @@
 		// An earlier planner may have renewed the lease during the overlap.
 		w = &worker{
 			id: id, info: workerInfo{Worker: workflow.Worker{ID: id}}, members: make(map[attemptKey]*member),
-			leaseExpiry: p.latestLeaseExpiry(p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap)), renewDue: make(chan struct{}, 1),
+			leaseExpiry: latestLeaseExpiry(p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap), p.scheduler.Bounds.LeaseLimit), renewDue: make(chan struct{}, 1),
 		}
 		p.workers[id] = w
 		i, _ := slices.BinarySearchFunc(p.ordered, id, func(w *worker, id workflow.WorkerID) int { return cmp.Compare(w.id, id) })
@@ -99,9 +99,15 @@
 
 // latestLeaseExpiry returns when a lease whose renewal was sent at the given time
 // has run out, even by the slowest clock.
-func (p *pool) latestLeaseExpiry(sent time.Time) time.Time {
-	limit := float64(p.scheduler.Bounds.LeaseLimit)
-	return sent.Add(time.Duration(limit*(1+maxClockDrift)) + renewalTransitLimit)
+func latestLeaseExpiry(sent time.Time, lease time.Duration) time.Time {
+	return sent.Add(time.Duration(float64(lease)*(1+maxClockDrift)) + renewalTransitLimit)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func (p *pool) setWorkers(list []workflow.Worker, listedAt time.Time) {
