Place guaranteed jobs while starts without an answer pile up

Cause: found by reading: with 512 starts pending nothing more was placed, so that a guaranteed job could have waited behind a burst of others.

Change: only jobs without a guarantee wait for the starts before them.

Result: TestStartBacklog's row "an urgent job within its guarantee" fails without the change.

--- a/coordination/scheduling/pacing.go
+++ b/coordination/scheduling/pacing.go
@@ -24,8 +24,8 @@
 	// Some workers do not answer, so that even the smallest has minConcurrentStarts.
 	startsPerCore       = 160
 	minConcurrentStarts = 32
-	// startBacklog is the number of placed members without an answer at which no
-	// more groups are placed. The smallest planner starts that many within
+	// startBacklog is the number of placed members without an answer at which only
+	// guaranteed groups are placed. The smallest planner starts that many within
 	// startValidity.
 	startBacklog = 512
 )
@@ -50,6 +50,10 @@
 // holds the lock.
 func (p *pool) stallTimeout() time.Duration { return max(minStallTimeout, p.maxReportAge()) }
 
+// tooManyUnsent reports whether the placed members without an answer are as many as
+// the planner can start in time.
+func (p *pool) tooManyUnsent() bool { return p.startsPending+p.round.unsent >= startBacklog }
+
 // concurrentStarts returns how many starts may be without an answer at a time.
 func (s *Scheduler) concurrentStarts() int {
 	if s.Cores <= 0 {
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -172,7 +172,7 @@
 // placeOrReclaim begins an attempt if the group fits, or if it is worthwhile to
 // preempt others for it.
 func (p *pool) placeOrReclaim(g *group, now time.Time, guaranteed map[*job]bool) {
-	if p.startsPending+p.round.unsent >= startBacklog || p.shouldDefer(g, now) {
+	if p.tooManyUnsent() && !guaranteed[g.job] || p.shouldDefer(g, now) {
 		return
 	}
 	choice := p.placeUnlessTried(g, now)
