--- a/coordination/scheduling/departure_test.go
+++ b/coordination/scheduling/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,11 +48,12 @@
 					fleet.Add(w)
 					entries = append(entries, w)
 				}
-				silent := workflow.WorkerID("")
+				var silent atomic.Value
+				silent.Store(workflow.WorkerID(""))
 				calls := fleet.Calls()
 				renew := calls.Renew
 				calls.Renew = func(ctx context.Context, w workflow.Worker, order scheduling.RenewOrder) (workflow.Report, error) {
-					if w.ID == silent {
+					if w.ID == silent.Load() {
 						return workflow.Report{}, state.NewStepError("renew", w.Address, state.ConnectionLost, nil)
 					}
 					return renew(ctx, w, order)
@@ -71,7 +73,7 @@
 				list := func(entries []workflow.Worker, from, until time.Duration) {
 					for at := from; at < until; at += 500 * time.Millisecond {
 						for i := range entries {
-							if entries[i].ID != silent || test.beats {
+							if entries[i].ID != silent.Load() || test.beats {
 								entries[i].Beat = int64(at / (1500 * time.Millisecond))
 							}
 						}
@@ -89,12 +91,12 @@
 					entries[i].Draining = entries[i].ID == gone && test.draining
 				}
 				if !test.beats {
-					silent = gone
+					silent.Store(gone)
 				}
 				list(entries, 3*time.Second, 8*time.Second)
 				time.Sleep(test.outage)
 				if !test.answers {
-					silent = gone
+					silent.Store(gone)
 				}
 				time.Sleep(10 * time.Millisecond)
 				removedAt := time.Now()
--- a/coordination/scheduling/pacing_test.go
+++ b/coordination/scheduling/pacing_test.go
@@ -22,14 +22,14 @@
 		jobs     int
 		within   time.Duration
 	}{
-		{"single tasks", 0.2, 2 * time.Millisecond, workflow.Step{Tasks: 100, Accelerators: 1, Estimate: time.Second}, 4, 5 * time.Second},
-		{"gangs", 0.2, 2 * time.Millisecond, workflow.Step{Tasks: 60, Accelerators: 1, Gang: true, Estimate: time.Second}, 7, 5 * time.Second},
-		{"a larger planner", 0.8, 500 * time.Microsecond, workflow.Step{Tasks: 100, Accelerators: 1, Estimate: time.Second}, 4, 3 * time.Second},
+		{"single tasks", 0.2, 4 * time.Millisecond, workflow.Step{Tasks: 50, Accelerators: 1, Estimate: time.Second}, 4, 5 * time.Second},
+		{"gangs", 0.2, 4 * time.Millisecond, workflow.Step{Tasks: 30, Accelerators: 1, Gang: true, Estimate: time.Second}, 7, 5 * time.Second},
+		{"a larger planner", 0.8, time.Millisecond, workflow.Step{Tasks: 50, Accelerators: 1, Estimate: time.Second}, 4, 3 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				h := newHarness(60)
+				h := newHarness(30)
 				h.cores = test.cores
 				for i := range test.jobs {
 					h.addJob(job(i, test.step))
--- a/standin/runner/advance.go
+++ b/standin/runner/advance.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -22,7 +21,7 @@
 
 // nextEnd returns the running attempt that ends first, with its outcome and time.
 func (f *Fleet) nextEnd() (first *Run, outcome workflow.Outcome, at time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+	for _, id := range f.ordered {
 		w := f.workers[id]
 		for _, r := range w.running {
 			o, ends := f.predictEnd(w, r)
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -55,6 +55,8 @@
 
 	mu      sync.Mutex
 	workers map[workflow.WorkerID]*worker
+	// ordered holds the IDs of the workers, sorted.
+	ordered []workflow.WorkerID
 	runs    []*Run
 }
 
@@ -111,6 +113,9 @@
 		for len(old.running) > 0 {
 			f.endAttempt(old.running[0], workflow.Lost, time.Now())
 		}
+	} else {
+		i, _ := slices.BinarySearch(f.ordered, info.ID)
+		f.ordered = slices.Insert(f.ordered, i, info.ID)
 	}
 	f.workers[info.ID] = &worker{info: info, startedAt: time.Now(), lastEnded: make(map[workflow.Task]int)}
 }
