Keep a spread-limited group's rack search out of what others share

The answer for a group with a limit was stored all the same, and decided for others of its shape, which then could run away from their rack.

Change: only answers for groups without a limit are stored.

Result: TestRackFits's row "the limited group asks first" fails without the change.

--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -94,15 +94,17 @@
 // someRackFits reports whether the group would fit on some rack if it were empty,
 // or on its preferred rack if it has one.
 func (p *pool) someRackFits(g *group) bool {
-	fits, known := p.round.rackFits[g.shape()]
-	if known && g.step.SpreadLimit == 0 {
+	shapeOnly := g.step.SpreadLimit == 0
+	if fits, known := p.round.rackFits[g.shape()]; known && shapeOnly {
 		return fits
 	}
-	fits = slices.ContainsFunc(groupByRack(p.schedulableWorkers()), func(r rack) bool {
+	fits := slices.ContainsFunc(groupByRack(p.schedulableWorkers()), func(r rack) bool {
 		return (g.step.PreferredRack == "" || r.name == g.step.PreferredRack) &&
 			g.fill(r.workers, func(w *worker) workflow.Capacity { return w.info.Capacity }) != nil
 	})
-	p.round.rackFits[g.shape()] = fits
+	if shapeOnly {
+		p.round.rackFits[g.shape()] = fits
+	}
 	return fits
 }
 
--- a/coordination/scheduling/plan_test.go
+++ b/coordination/scheduling/plan_test.go
@@ -38,3 +38,30 @@
 		})
 	}
 }
+
+// TestRackFits asks in one round whether groups of the same shape would fit on an
+// empty rack of one worker; a spread limit of one must not decide for the others.
+func TestRackFits(t *testing.T) {
+	tests := []struct {
+		name   string
+		limits []int
+		want   []bool
+	}{
+		{"the limited group asks first", []int{1, 0}, []bool{false, true}},
+		{"the limited group asks last", []int{0, 1}, []bool{true, false}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := fullPool(1, 0)
+			p.ordered[0].info.Capacity.Accelerators = 8
+			p.round = p.newRound(time.Now())
+			for i, limit := range test.limits {
+				j := &job{Job: &workflow.Job{ID: "a"}}
+				g := &group{job: j, step: &workflow.Step{Tasks: 2, Accelerators: 4, Gang: true, SameRack: true, SpreadLimit: limit}}
+				if fits := p.someRackFits(g); fits != test.want[i] {
+					t.Errorf("spread limit %d: fits %v, want %v", limit, fits, test.want[i])
+				}
+			}
+		})
+	}
+}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -56,7 +56,7 @@
 	// planner does not know.
 	unknownTasks []workflow.Task
 	registration registration
-	// leftAt is when the worker was found to have left; 0 if it may be there.
+	// leftAt is when the worker was found to have left; zero if it may be there.
 	leftAt time.Time
 	// renewing is set once renewLoop runs.
 	renewing bool
