--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -214,7 +214,7 @@
 // another kind, under their old ids and addresses, while jobs wait for their kind.
 func playKind(d *deployment, trouble bool) (breaches []string) {
 	const down = 2 * time.Second
-	for range 12 {
+	for range 13 {
 		d.addWorker("a", fullWorker)
 	}
 	special := []*worker{d.addWorker("b", fullWorker), d.addWorker("b", fullWorker)}
@@ -320,3 +320,84 @@
 	var body pendingBody
 	return body.Pending, status == http.StatusOK && json.Unmarshal([]byte(text), &body) == nil
 }
+
+// playFlood hands in one job of many small tasks, then small jobs of another tenant,
+// for which there is room.
+func playFlood(d *deployment, trouble bool) (breaches []string) {
+	const workers, tasks, small = 48, 30000, 6
+	for range workers {
+		d.addWorker("a", fullWorker)
+	}
+	d.startHosts()
+	if trouble {
+		flood := &job{
+			id: "aa0e7a21d94b36f8", queue: "bulk", key: "key-beta", work: constant(9500 * time.Millisecond * 10),
+			steps: []step{{Count: tasks, amounts: amounts{CPU: 20, Memory: 60}, Estimate: 95000, Saves: true}},
+		}
+		d.submit(flood)
+		for range 80 {
+			time.Sleep(500 * time.Millisecond)
+			d.store.mu.Lock()
+			refused, largest, begun := d.store.tooLarge, d.store.largest, len(d.attempts)
+			d.store.mu.Unlock()
+			if refused > 10 {
+				d.note("the store has refused %d changes, with values of up to %d bytes; %d tasks begun", refused, largest, begun)
+				break
+			}
+		}
+		time.Sleep(4 * time.Second)
+	}
+	var jobs []*job
+	for n := range small {
+		j := &job{
+			id: fmt.Sprintf("bb0e7a21d94b36%02x", n), queue: "urgent", key: "key-alfa", work: constant(2500 * time.Millisecond),
+			steps: []step{{Count: 1, amounts: amounts{CPU: 3700, Memory: 15000, GPU: 1}, Estimate: 2500}},
+		}
+		d.submit(j)
+		jobs = append(jobs, j)
+	}
+	time.Sleep(30 * time.Second)
+	for _, j := range jobs {
+		if state := d.status(j); len(d.attemptsOf(j)) == 0 {
+			breaches = append(breaches, fmt.Sprintf("LOST job %s accepted at %s has had no run by %s, its state is %q", j.id, d.at(j.ackedAt), d.at(time.Now()), state))
+		}
+	}
+	return breaches
+}
+
+// playSilent lets all open connections to the workers go silent some seconds after the
+// tasks of a job that lasts were started. New connections work.
+func playSilent(d *deployment, trouble bool) (breaches []string) {
+	const workers, mayMiss = 2, 1
+	d.holdMax = 6 * time.Second
+	for range workers {
+		d.addWorker("a", fullWorker)
+	}
+	d.startHosts()
+	count := workers * fullWorker.GPU
+	j := &job{
+		id: "aa0e7a21d94b36f8", queue: "plain", key: "key-beta", work: constant(forever),
+		steps: []step{{Count: count, amounts: amounts{CPU: 2000, Memory: 8000, GPU: 1}, Estimate: 9500, Persistent: true, MayMiss: mayMiss}},
+	}
+	d.submit(j)
+	d.await("the tasks run", 20*time.Second, func() bool { return len(d.attemptsOf(j)) >= count })
+	time.Sleep(3 * time.Second)
+	quietAt := time.Now()
+	if trouble {
+		for _, w := range d.workers {
+			d.note("worker %s: %d connections go silent", w.id, w.life.listener.silence())
+		}
+	}
+	time.Sleep(25 * time.Second)
+	lapsed := 0
+	for _, a := range d.attemptsOf(j) {
+		if a.how != "lapsed" {
+			continue
+		}
+		if lapsed++; lapsed > mayMiss {
+			breaches = append(breaches, fmt.Sprintf("AVAIL %s: its lease lapsed on %s at %s, %.1f s after the connections went silent, while %d others of its step were away",
+				a.task, a.worker, d.at(a.ended), a.ended.Sub(quietAt).Seconds(), lapsed-1))
+		}
+	}
+	return breaches
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -44,6 +44,7 @@
 	Persistent bool   `json:"persistent,omitempty"`
 	MayMiss    int    `json:"may_miss,omitempty"`
 	Requires   string `json:"requires,omitempty"`
+	Saves      bool   `json:"saves_progress,omitempty"`
 }
 
 // job is a job of a client, and how long each task of it works.
@@ -62,6 +63,8 @@
 	store   *store
 	hosts   []*host
 	workers []*worker
+	// holdMax is the longest lease of a worker.
+	holdMax time.Duration
 
 	noteMu sync.Mutex
 	record *os.File
@@ -80,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{began: time.Now(), folder: folder, store: s, record: record, jobs: make(map[string]*job)}
+	d := &deployment{began: time.Now(), folder: folder, store: s, holdMax: 10 * time.Second, record: record, jobs: make(map[string]*job)}
 	s.put("op/config", d.configuration())
 	return d, nil
 }
@@ -163,7 +166,7 @@
 			fmt.Sprintf("port_range=%d,%d", peer, peer), "bootstrap=true", "limits.cpu_share=0.4", "limits.cores=1",
 			"limits.memory_mb=284", "limits.max_fds=4100", "discovery=platform", "entry=vip", "heartbeat_ms=1500",
 			"bounds.stable_window_ms=3000", "bounds.ack_ms=4000", "bounds.drain_ms=2000", "bounds.grace_s=6",
-			"bounds.config_ms=2000", "bounds.hold_max_ms=10000", "bounds.stop_ms=900", "bounds.gang_timeout_ms=3000",
+			"bounds.config_ms=2000", fmt.Sprintf("bounds.hold_max_ms=%d", d.holdMax.Milliseconds()), "bounds.stop_ms=900", "bounds.gang_timeout_ms=3000",
 			"bounds.cancel_ms=3000", "bounds.visible_ms=3000", "bounds.early_ms=250", "bounds.finish_s=14",
 			"bounds.status_s=120", "bounds.far_x=3", "bounds.reclaim_ms=3400", "orders=invoke",
 			"platform.address=" + d.store.address, "platform.form=kv", "platform.writes_per_s=400",
@@ -304,7 +307,8 @@
 		return nil
 	}
 	return &attempt{
-		task: o.Task, run: o.Run, worker: w.id, kind: w.kind, started: time.Now(), needs: j.steps[number].amounts, work: j.work(index),
+		task: o.Task, run: o.Run, worker: w.id, kind: w.kind, started: time.Now(), needs: j.steps[number].amounts,
+		saves: j.steps[number].Saves, lasts: j.steps[number].Persistent, work: j.work(index),
 	}
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,8 @@
 	"replaced": playReplaced,
 	"kind":     playKind,
 	"pending":  playPending,
+	"flood":    playFlood,
+	"silent":   playSilent,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -17,6 +17,8 @@
 	storeDelay = 4 * time.Millisecond
 	// pageItems is how many items a page of a range holds.
 	pageItems = 500
+	// valueBytes is the most bytes of a value.
+	valueBytes = 1 << 20
 )
 
 type item struct {
@@ -44,6 +46,9 @@
 	history  []item
 	leases   map[int64]*lease
 	changed  chan struct{}
+	// tooLarge counts the changes that were refused for a value over valueBytes,
+	// largest is the largest such value.
+	tooLarge, largest int
 }
 
 func newStore() (*store, error) {
@@ -168,6 +173,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, put := range change.Puts {
+		if len(put.Value) > valueBytes {
+			s.tooLarge++
+			s.largest = max(s.largest, len(put.Value))
+			reply(w, http.StatusBadRequest, map[string]string{"reason": "value"})
+			return
+		}
+	}
 	for _, condition := range change.IfRev {
 		if s.items[condition.Key].Revision != condition.Revision {
 			current := []item{}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,9 +14,12 @@
 	heartbeat = 1500 * time.Millisecond
 	// silentBeats is after how many missed heartbeats a worker's entry is removed.
 	silentBeats = 3
-	holdMax     = 10 * time.Second
 	// stopTime is how long a stop takes; the platform allows 900 ms.
 	stopTime = 300 * time.Millisecond
+	// checkpointTime is the work between two checkpoints.
+	checkpointTime = 2 * time.Second
+	// startup is how long a task that lasts takes until it is at work.
+	startup = 500 * time.Millisecond
 	// listedEnds is how many ends one answer lists.
 	listedEnds = 500
 	// zoneDelay is the way between two zones: the workers are in another zone than
@@ -45,10 +50,37 @@
 	lapsed   bool
 	stopping bool
 	needs    amounts
+	saves    bool
+	lasts    bool
 	work     time.Duration
 	fails    bool
 }
 
+// checkpoint returns the newest checkpoint of the run, or "".
+func (a *attempt) checkpoint() string {
+	saved := int64(time.Since(a.started) / checkpointTime)
+	if !a.saves || saved == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%08x%s", saved, a.task[:8])
+}
+
+// pace is how long the run takes to 100 percent.
+func (a *attempt) pace() time.Duration {
+	if a.lasts {
+		return startup
+	}
+	return a.work
+}
+
+// fullPercent is what a run reports in the end: tasks that last are at work at 100.
+func (a *attempt) fullPercent() int {
+	if a.lasts && time.Since(a.started) > startup {
+		return 100
+	}
+	return 99
+}
+
 // life is what one incarnation of a worker knows.
 type life struct {
 	born    int64
@@ -59,9 +91,10 @@
 	ended   []*attempt
 	number  int64
 	// newest holds the newest run of each task that was stopped or has ended.
-	newest  map[string]int
-	changed chan struct{}
-	server  *http.Server
+	newest   map[string]int
+	changed  chan struct{}
+	server   *http.Server
+	listener *quietListener
 }
 
 // worker is a machine that runs tasks; life is nil while it is down.
@@ -109,7 +142,8 @@
 	w.mu.Unlock()
 	w.beat(l)
 	w.d.note("worker %s up, kind %s, born %d", w.id, w.kind, l.born)
-	go func() { _ = l.server.Serve(listener) }()
+	l.listener = &quietListener{Listener: listener}
+	go func() { _ = l.server.Serve(l.listener) }()
 	go w.beats(l)
 	go w.checkLease(l)
 }
@@ -216,9 +250,9 @@
 }
 
 // extend prolongs the lease to a time of the worker's clock; it never shortens it.
-func (l *life) extend(deadline int64) {
+func (l *life) extend(deadline int64, longest time.Duration) {
 	until := l.began.Add(time.Duration(deadline) * time.Millisecond)
-	if latest := time.Now().Add(holdMax); until.After(latest) {
+	if latest := time.Now().Add(longest); until.After(latest) {
 		until = latest
 	}
 	if until.After(l.lease) {
@@ -237,7 +271,7 @@
 	if o.Deadline <= time.Since(l.began).Milliseconds() {
 		return http.StatusConflict, "late"
 	}
-	l.extend(o.Deadline)
+	l.extend(o.Deadline, w.d.holdMax)
 	if present, found := l.running[o.Task]; found && present.run == o.Run {
 		return http.StatusOK, ""
 	} else if found || o.Run <= l.newest[o.Task] {
@@ -328,7 +362,7 @@
 		}
 		l.fence = o.Fence
 		if o.Deadline > 0 {
-			l.extend(o.Deadline)
+			l.extend(o.Deadline, w.d.holdMax)
 		}
 		w.forgetEnds(l, o.SeenUpTo)
 		for o.Wait > 0 && len(l.ended) == 0 {
@@ -352,8 +386,8 @@
 		report := l.answer("")
 		report.Running, report.Ended = [][]any{}, [][]any{}
 		for _, a := range l.running {
-			percent := min(99, int(100*time.Since(a.started)/max(a.work, 1)))
-			report.Running = append(report.Running, []any{a.task, a.run, "", percent, a.needs.CPU})
+			percent := min(a.fullPercent(), int(100*time.Since(a.started)/max(a.pace(), 1)))
+			report.Running = append(report.Running, []any{a.task, a.run, a.checkpoint(), percent, a.needs.CPU})
 		}
 		for _, a := range l.ended[:min(len(l.ended), listedEnds)] {
 			report.Ended = append(report.Ended, []any{a.number, a.task, a.run, a.how, ""})
@@ -393,3 +427,57 @@
 		w.mu.Unlock()
 	}
 }
+
+// quietListener accepts connections that can go silent for good.
+type quietListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*quietConn
+}
+
+// Accept implements net.Listener.
+func (l *quietListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &quietConn{Conn: conn}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+// silence makes all open connections silent and returns how many there were.
+func (l *quietListener) silence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.quiet.Store(true)
+	}
+	return len(l.conns)
+}
+
+// quietConn is a connection that neither delivers nor sends anything once it is quiet.
+type quietConn struct {
+	net.Conn
+	quiet atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *quietConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.quiet.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *quietConn) Write(p []byte) (int, error) {
+	if c.quiet.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
