--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -401,3 +401,41 @@
 	}
 	return breaches
 }
+
+// playFragment lets ordinary jobs fill seven of eight GPUs of each worker, then a tenant
+// with a guarantee use the rest, and then another such tenant ask for eight GPUs.
+func playFragment(d *deployment, trouble bool) (breaches []string) {
+	const reclaim, workers = 3400 * time.Millisecond, 3
+	for range workers {
+		d.addWorker("a", fullWorker)
+	}
+	d.startHosts()
+	if trouble {
+		count := workers * (fullWorker.GPU - 1)
+		flood := &job{
+			id: "aa0e7a21d94b36f8", queue: "urgent", key: "key-beta", work: constant(90 * time.Second),
+			steps: []step{{Count: count, amounts: amounts{CPU: 1000, Memory: 2048, GPU: 1}, Estimate: 90000, PerWorker: fullWorker.GPU - 1}},
+		}
+		d.submit(flood)
+		d.await("the workers are nearly full", 20*time.Second, func() bool { return len(d.attemptsOf(flood)) >= count })
+		time.Sleep(4 * time.Second)
+	}
+	other := &job{
+		id: "cc0e7a21d94b36f8", queue: "urgent", key: "key-gama", work: constant(60 * time.Second),
+		steps: []step{{Count: 3, amounts: amounts{CPU: 1000, Memory: 2048, GPU: 1}, Estimate: 60000}},
+	}
+	d.submit(other)
+	d.await("the other guaranteed job runs", 20*time.Second, func() bool { return len(d.attemptsOf(other)) >= 3 })
+	time.Sleep(4 * time.Second)
+	j := &job{
+		id: "bb0e7a21d94b36f8", queue: "urgent", key: "key-alfa", work: constant(2500 * time.Millisecond),
+		steps: []step{{Count: 1, amounts: amounts{CPU: 3700, Memory: 15000, GPU: 8}, Estimate: 2500}},
+	}
+	d.submit(j)
+	time.Sleep(20 * time.Second)
+	if runs := d.attemptsOf(j); len(runs) == 0 || runs[0].started.Sub(j.ackedAt) > reclaim {
+		breaches = append(breaches, fmt.Sprintf("RECLAIM job %s needs 8 of 8 guaranteed GPUs, accepted at %s: %d of 1 tasks begun by %s; its state is %q",
+			j.id, d.at(j.ackedAt), len(runs), d.at(time.Now()), d.status(j)))
+	}
+	return breaches
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -45,6 +45,7 @@
 	MayMiss    int    `json:"may_miss,omitempty"`
 	Requires   string `json:"requires,omitempty"`
 	Saves      bool   `json:"saves_progress,omitempty"`
+	PerWorker  int    `json:"max_per_server,omitempty"`
 }
 
 // job is a job of a client, and how long each task of it works.
@@ -109,7 +110,7 @@
 			"admission_check": true, "spare": false,
 		}},
 		"limits":  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{tenant("alfa", "key-alfa", 8), tenant("beta", "key-beta", 0)},
+		"tenants": []any{tenant("alfa", "key-alfa", 8), tenant("beta", "key-beta", 0), tenant("gama", "key-gama", 8)},
 	}
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"pending":  playPending,
 	"flood":    playFlood,
 	"silent":   playSilent,
+	"fragment": playFragment,
 }
 
 func main() { os.Exit(run()) }
