--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -155,6 +155,37 @@
 	return d.idleTooLong(j, sound)
 }
 
+// playNoGPU lets the only worker of a kind fail what it starts for some seconds, in a
+// service whose workers have no GPU and are idle. An ordinary task must be tried again.
+func playNoGPU(d *deployment, trouble bool) (breaches []string) {
+	const plain, failing = 9, 6500 * time.Millisecond
+	capacity := amounts{CPU: 16000, Memory: 32 << 10}
+	for range plain {
+		d.addWorker("a", capacity)
+	}
+	only := d.addWorker("b", capacity)
+	d.startHosts()
+	only.mu.Lock()
+	only.failsAll = trouble
+	only.mu.Unlock()
+	j := &job{
+		id: "bb0e7a21d94b36f8", queue: "urgent", key: "key-alfa", work: constant(2500 * time.Millisecond),
+		steps: []step{{Count: 1, amounts: amounts{CPU: 500, Memory: 256}, Estimate: 2500, Requires: "b"}},
+	}
+	d.submit(j)
+	time.Sleep(failing)
+	only.mu.Lock()
+	only.failsAll = false
+	only.mu.Unlock()
+	d.note("worker %s is sound", only.id)
+	time.Sleep(30 * time.Second)
+	if state := d.status(j); state != "completed" {
+		breaches = append(breaches, fmt.Sprintf("LOST job %s accepted at %s has had %d run and nothing running at %s on an idle service; its state is %q",
+			j.id, d.at(j.ackedAt), len(d.attemptsOf(j)), d.at(time.Now()), state))
+	}
+	return breaches
+}
+
 // idleTooLong reports whether a lasting task had no run for 3 s, from 6 s after its last
 // run on, with no disruption in those 3 s and the 4 s before.
 func (d *deployment) idleTooLong(j *job, disrupted time.Time) (breaches []string) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"ends":     playEnds,
 	"reclaim":  playReclaim,
 	"avoided":  playAvoided,
+	"nogpu":    playNoGPU,
 	"replaced": playReplaced,
 	"kind":     playKind,
 	"pending":  playPending,
