--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -128,7 +129,7 @@
 func (d *deployment) addWorker(kind string, capacity amounts) *worker {
 	number := len(d.workers)
 	w := &worker{
-		d: d, id: fmt.Sprintf("i-%08x", 0x7f3a0000+number), address: "127.0.0.1:0", kind: kind,
+		d: d, id: fmt.Sprintf("i-%08x", 0x7f3a0000+number), address: fmt.Sprintf("127.0.0.1:%d", freePort()), kind: kind,
 		rack: fmt.Sprintf("r1-%d", 1+number/6), capacity: capacity,
 	}
 	d.workers = append(d.workers, w)
@@ -138,13 +139,23 @@
 
 var fullWorker = amounts{CPU: 32000, Memory: 128 << 10, GPU: 8}
 
+// Processes and workers keep their ports when they restart, so these are below the
+// range that the system uses for outgoing connections.
+const firstPort, portCount = 10000, 20000
+
+var lastPort = rand.IntN(portCount)
+
+// freePort returns a port on which nothing listens.
 func freePort() int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(unable(err.Error()))
+	for range portCount {
+		lastPort = (lastPort + 1) % portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort))
+		if err == nil {
+			_ = listener.Close()
+			return firstPort + lastPort
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	panic(unable("no free port"))
 }
 
 // startHosts starts the entries and waits until they are ready.
