--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # build line of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -o ../bin/standin .
+go build -buildvcs=false -o ../bin/standin .
