Log which report a task is missing from

Cause: an attempt that is taken for one that does not run left no line of its own, so a lost start and an end that the worker did not list look alike (attemptEnded, outcome void). Change: a taskMissing line with the member's phase and how many tasks and ends were listed.

--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -21,6 +21,11 @@
 	ended
 )
 
+// String returns the phase as log lines name it.
+func (m memberPhase) String() string {
+	return [...]string{"planned", "starting", "running", "recovering", "ended"}[m]
+}
+
 // member is one task of a group's current attempt, on one worker.
 type member struct {
 	group       *group
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -199,6 +199,7 @@
 	}
 	for key, m := range w.members {
 		if !reported[key] && m.cannotRun(report.Clock, r.sentAt) {
+			p.logMissing(m, report)
 			p.endMember(m, workflow.Void, "")
 		}
 	}
@@ -208,6 +209,14 @@
 	}
 }
 
+// logMissing logs that a member is taken for one that does not run, with what the
+// report that leaves it out lists.
+func (p *pool) logMissing(m *member, report workflow.Report) {
+	p.scheduler.Log.Info().Str("event", "taskMissing").Str("request", string(m.task.Job)).
+		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(m.worker.id)).Stringer("phase", m.phase).
+		Int("listedRunning", len(report.Running)).Int("listedEnds", len(report.Ended)).Send()
+}
+
 // applyRestart marks the members of the worker's earlier incarnation as lost. A
 // start order may still reach the new incarnation, whose clock begins again, so
 // that the order does not expire as planned: members that the report lists go on,
