Do not take a task for one that never began while its end may be unlisted

Cause: a worker lists at most 500 ends in an answer. A member that was in neither list of a report counted as one that never began, also where the list of ends was cut off, and was placed again. Ruled out: lost starts (the phase would be starting), leases that ran out (outcome lost) and restarts of the worker.

Change: a report says whether it may leave out ends, and while it does nothing is concluded from a missing task; the ends that are listed are saved and acknowledged, so that the next report has the others. The same conclusion was drawn in three more places: members of an earlier incarnation, attempts unknown to the planner, and tasks that seem to stall. The simulated workers keep the limit, and the property test draws it small.

--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -8,12 +8,15 @@
 	workerSilent          = "workerSilent"
 	workerQuarantined     = "workerQuarantined"
 	unknownAttemptStopped = "strangerStopped"
+	// endsLeftOut counts reports that do not list all ends.
+	endsLeftOut = "endsLeftOut"
 )
 
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
+	endsLeftOut,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
 }
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -38,6 +38,8 @@
 	storeOutage time.Duration
 	// cores is how many cores each planner may use; few make renewals rare.
 	cores float64
+	// listedEnds is the most ends that one report lists; 0 is the fleet's default.
+	listedEnds int
 }
 
 func drawScenario(t *rapid.T) scenario {
@@ -51,6 +53,7 @@
 		overlap:     time.Duration(rapid.Int64Range(0, 2000).Draw(t, "overlap")) * time.Millisecond,
 		restarts:    milliseconds(times.Draw(t, "restarts")),
 		cores:       rapid.SampledFrom([]float64{0, 0.001}).Draw(t, "cores"),
+		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
 		storeOutage: time.Duration(rapid.Int64Range(0, faultPeriod.Milliseconds()).Draw(t, "storeOutage")) * time.Millisecond,
 	}
 }
@@ -119,6 +122,9 @@
 func (s scenario) run() []string {
 	h := newHarness(3)
 	h.cores = s.cores
+	if s.listedEnds > 0 {
+		h.fleet.ListedEnds = s.listedEnds
+	}
 	began := time.Now()
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	var mu sync.Mutex
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -186,7 +186,9 @@
 		p.applyEnd(w, end)
 	}
 	reported := make(map[attemptKey]bool, len(report.Running))
-	p.forgetUnknown(w)
+	if !report.MoreEnds {
+		p.forgetUnknown(w)
+	}
 	for _, task := range report.Running {
 		key := attemptKey{task.Task, task.Attempt}
 		reported[key] = true
@@ -197,16 +199,30 @@
 		}
 		p.applyRunning(m, task, now, wasSilent)
 	}
+	p.endMissing(w, report, reported, r.sentAt)
+	if firstReport {
+		wake(p.planDue)
+		wake(p.saveDue)
+	}
+}
+
+// endMissing ends the members that the report shows not to run, as it lists them
+// neither among the running tasks nor among the ends. While it leaves out ends, a
+// missing member may have ended, and that end decides whether it is tried again.
+func (p *pool) endMissing(w *worker, report workflow.Report, reported map[attemptKey]bool, renewalSent time.Time) {
+	if report.MoreEnds {
+		p.scheduler.Count(endsLeftOut)
+	}
 	for key, m := range w.members {
-		if !reported[key] && m.cannotRun(report.Clock, r.sentAt) {
+		switch {
+		case reported[key]:
+		case report.MoreEnds:
+			m.percentChangedAt = p.scheduler.Now() // not known to stall
+		case m.cannotRun(report.Clock, renewalSent):
 			p.logMissing(m, report)
 			p.endMember(m, workflow.Void, "")
 		}
 	}
-	if firstReport {
-		wake(p.planDue)
-		wake(p.saveDue)
-	}
 }
 
 // logMissing logs that a member is taken for one that does not run, with what the
@@ -239,6 +255,7 @@
 			p.work.addStop(m)
 			m.startUntil = neverReached
 			m.stopAnsweredAt, m.stopSentAt = time.Time{}, time.Time{}
+		case report.MoreEnds: // the new incarnation may have run it
 		default:
 			p.endMember(m, workflow.Lost, "")
 		}
@@ -284,8 +301,8 @@
 	}
 }
 
-// cannotRun reports whether a member missing from a report neither runs nor can
-// still start. That holds if the report was made after the last moment at which
+// cannotRun reports whether a member missing from a complete report neither runs nor
+// can still start. That holds if the report was made after the last moment at which
 // the member could have started.
 func (m *member) cannotRun(reportedClock time.Duration, renewalSent time.Time) bool {
 	switch m.phase {
--- a/coordination/scheduling/takeover_test.go
+++ b/coordination/scheduling/takeover_test.go
@@ -37,6 +37,15 @@
 			},
 			1800 * time.Millisecond, workflow.Failed, 2,
 		},
+		{
+			"more tasks end than one report lists", single,
+			func(h *harness) {
+				// They end while the first planner hears nothing of their workers.
+				h.fleet.ListedEnds = 1
+				h.fleet.Fault = loseCallsBetween(900*time.Millisecond, 1500*time.Millisecond, "w0", "w1", "w2")
+			},
+			1400 * time.Millisecond, workflow.Completed, 1,
+		},
 		{
 			"a start is unanswered", single,
 			func(h *harness) { h.fleet.Fault = faultOnCall("Start", runner.Unanswered, 300*time.Millisecond) },
--- a/coordination/scheduling/unknown.go
+++ b/coordination/scheduling/unknown.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"slices"
 	"time"
 
 	"comfreystream/state/workflow"
@@ -12,10 +13,13 @@
 // this one.
 
 // reportUnknown stops an attempt that belongs to no group of this planner. Its task
-// gets no other attempt as long as a worker reports it.
+// gets no other attempt as long as a worker reports it, or may have an end of it that
+// its reports leave out.
 func (p *pool) reportUnknown(w *worker, task workflow.RunningTask, now time.Time) {
-	w.unknownTasks = append(w.unknownTasks, task.Task)
-	p.unknownRuns[task.Task]++
+	if !slices.Contains(w.unknownTasks, task.Task) {
+		w.unknownTasks = append(w.unknownTasks, task.Task)
+		p.unknownRuns[task.Task]++
+	}
 	unknown := &member{task: task.Task, attempt: task.Attempt, worker: w}
 	if now.Sub(w.unknownStopSentAt) < stopRetryInterval {
 		return
--- a/coordination/scheduling/unknown_test.go
+++ b/coordination/scheduling/unknown_test.go
@@ -60,3 +60,52 @@
 		})
 	}
 }
+
+// TestEndsLeftOut has reports leave out the end of a task that is done, as a worker
+// lists a limited number of ends at a time. The task must not be started again.
+func TestEndsLeftOut(t *testing.T) {
+	task := workflow.Task{Job: "a"}
+	other := workflow.EndedTask{Number: 1, Task: workflow.Task{Job: "b"}, Attempt: 1, Outcome: workflow.Done}
+	done := workflow.EndedTask{Number: 2, Task: task, Attempt: 1, Outcome: workflow.Done}
+	failed := workflow.EndedTask{Number: 2, Task: task, Attempt: 1, Outcome: workflow.Faulted}
+	leftOut := workflow.Report{Incarnation: 1, Clock: time.Second, Ended: []workflow.EndedTask{other}, MoreEnds: true}
+	listed := workflow.Report{Incarnation: 1, Clock: time.Second, Ended: []workflow.EndedTask{other, done}}
+	listedFailure := workflow.Report{Incarnation: 1, Clock: time.Second, Ended: []workflow.EndedTask{other, failed}}
+	running := workflow.Report{Incarnation: 1, Clock: time.Second, Running: []workflow.RunningTask{{Task: task, Attempt: 1}}}
+	tests := []struct {
+		name string
+		// placed are the workers of the stored attempt.
+		placed  []workflow.WorkerIncarnation
+		reports []workflow.Report
+		want    workflow.Status
+	}{
+		{"placed by an earlier planner", []workflow.WorkerIncarnation{{Worker: "i-0", Incarnation: 1}}, []workflow.Report{leftOut, listed}, workflow.Completed},
+		{"placed on the worker before it restarted", []workflow.WorkerIncarnation{{Worker: "i-0"}}, []workflow.Report{leftOut, listed}, workflow.Completed},
+		{"reported as running", []workflow.WorkerIncarnation{{Worker: "i-0", Incarnation: 1}}, []workflow.Report{running, leftOut, leftOut, listed}, workflow.Completed},
+		{"unknown to the planner", nil, []workflow.Report{running, leftOut, leftOut, listed}, workflow.Completed},
+		{"failed as often as allowed", []workflow.WorkerIncarnation{{Worker: "i-0", Incarnation: 1}}, []workflow.Report{leftOut, listedFailure}, workflow.Failed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := fullPool(2, 0)
+			for _, w := range p.ordered {
+				w.info.Capacity.Accelerators = 8
+			}
+			p.addJob(&workflow.Job{
+				ID: "a", Queue: "q", Priority: 1, MaxAttempts: 1, Stretch: 1, Accepted: time.Now(),
+				Steps: []workflow.Step{{Tasks: 1, Accelerators: 4}},
+			}, workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1, Placed: test.placed}}}, 0)
+			j := p.jobs["a"]
+			for i, report := range test.reports {
+				p.applyReport(p.ordered[0], report, renewal{number: i + 1, sentAt: time.Now()})
+				p.planRound()
+				if attempt := j.groups[workflow.GroupID{}].attempt; attempt != 1 {
+					t.Fatalf("attempt %d was begun after report %d", attempt, i+1)
+				}
+			}
+			if j.status != test.want {
+				t.Errorf("status %q after the end was listed, want %q", j.status, test.want)
+			}
+		})
+	}
+}
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -42,6 +42,9 @@
 	LeaseLimit  time.Duration
 	GangTimeout time.Duration
 	StopTime    time.Duration
+	// ListedEnds is the most ends that one report lists, the oldest first; the others
+	// are listed once these are acknowledged.
+	ListedEnds int
 	// GangSize returns the number of members of a task's gang; nil makes every
 	// task a gang of one.
 	GangSize func(task workflow.Task) int
@@ -98,7 +101,7 @@
 // New returns a fleet without workers.
 func New() *Fleet {
 	return &Fleet{
-		LeaseLimit: 6 * time.Second, GangTimeout: 3 * time.Second, StopTime: 300 * time.Millisecond,
+		LeaseLimit: 6 * time.Second, GangTimeout: 3 * time.Second, StopTime: 300 * time.Millisecond, ListedEnds: 500,
 		workers: make(map[workflow.WorkerID]*worker),
 	}
 }
@@ -290,7 +293,9 @@
 	for _, r := range w.running {
 		report.Running = append(report.Running, workflow.RunningTask{Task: r.Task, Attempt: r.Attempt, Percent: f.percent(r)})
 	}
-	for _, r := range w.unacknowledged {
+	listed := min(len(w.unacknowledged), f.ListedEnds)
+	report.MoreEnds = listed < len(w.unacknowledged)
+	for _, r := range w.unacknowledged[:listed] {
 		report.Ended = append(report.Ended, workflow.EndedTask{Number: r.endNumber, Task: r.Task, Attempt: r.Attempt, Outcome: r.Outcome})
 	}
 	return report, nil
--- a/state/workflow/worker.go
+++ b/state/workflow/worker.go
@@ -93,6 +93,9 @@
 	Clock   time.Duration
 	Running []RunningTask
 	Ended   []EndedTask
+	// MoreEnds is set if there may be later ends that Ended leaves out. A task that is
+	// in neither list may then have ended.
+	MoreEnds bool
 }
 
 // RunningTask is an attempt that is running on a worker.
