Say which record a save failed at, and how large it was

Cause: saveFailed named the status only; a store that refuses a record for its size looks like one that is away. Change: the error has the number of records, and the key and size of the largest.

--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -85,7 +86,8 @@
 	case errors.As(err, &conflict):
 		return currentRevisions(term, conflict, updates)
 	case err != nil:
-		return nil, err
+		largest := slices.MaxFunc(change.Puts, func(a, b keyvalue.Put) int { return cmp.Compare(len(a.Value), len(b.Value)) })
+		return nil, errors.Wrapf(err, "save %d records, the largest with %d bytes at key %s", len(updates), len(largest.Value), largest.Key)
 	}
 	revisions := make([]keyvalue.Revision, len(updates))
 	for i := range revisions {
