Tell a change that the store refuses from a store that is away

Callers saw: while one job's record was too large, the planner's entry lost and regained its store several times a second, and relayed other calls meanwhile.

Cause: a status 400 was an error like any other, so that Failover took the store for unreachable until the next answer. Change: 400, 403 and 413 have the reason badRequest, which counts as an answer of the store. The stand-in for the store keeps the limits of values and changes as fields. Measured: TestRefusedChange (2 calls relayed instead of 0) and TestStoreContract failed before.

--- a/coordination/keyvalue/failover.go
+++ b/coordination/keyvalue/failover.go
@@ -227,7 +227,7 @@
 // isAnswer reports whether err is an answer of the store, not a failure to reach it.
 func isAnswer(err error) bool {
 	var conflict *ConflictError
-	return err == nil || errors.As(err, &conflict) || errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrLeaseEnded)
+	return err == nil || errors.As(err, &conflict) || errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrLeaseEnded) || IsRefused(err)
 }
 
 // recordOutcome updates from a direct call whether the store is unreachable. A
--- a/coordination/keyvalue/failover_test.go
+++ b/coordination/keyvalue/failover_test.go
@@ -138,3 +138,29 @@
 	}
 	return "not written"
 }
+
+// TestRefusedChange makes changes over the store's limits. The store has answered, so
+// that other calls must not be relayed because of that.
+func TestRefusedChange(t *testing.T) {
+	tests := []struct {
+		name   string
+		change keyvalue.Change
+	}{
+		{"a value too large", keyvalue.Change{Puts: []keyvalue.Put{{Key: "k", Value: []byte("12345")}}}},
+		{"too many entries", keyvalue.Change{Deletes: []string{"k", "l", "m"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			backend := standin.New()
+			backend.ValueBytes, backend.ChangeEntries = 4, 2
+			direct, relayed := backend.Calls(), 0
+			f := &keyvalue.Failover{Direct: &direct, Relay: &direct, CountRelayed: func() { relayed++ }, Log: zerolog.Nop()}
+			if _, err := f.Store().Commit(t.Context(), test.change); !keyvalue.IsRefused(err) || state.IsAmbiguous(err) {
+				t.Errorf("the change: %v", err)
+			}
+			if _, _, _, err := f.Store().Get(t.Context(), "k"); err != nil || relayed != 0 {
+				t.Errorf("a read after it: %v, %d calls were relayed", err, relayed)
+			}
+		})
+	}
+}
--- a/coordination/keyvalue/store.go
+++ b/coordination/keyvalue/store.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/state"
 )
 
 // Revision numbers the store's changes; 0 means that a key does not exist.
@@ -70,6 +72,10 @@
 // ErrLeaseEnded means that the lease does not exist any more, nor do its keys.
 var ErrLeaseEnded = errors.New("the lease has ended")
 
+// IsRefused reports whether the error says that a call is not carried out as it is,
+// however often it is sent, for example because a value is too large.
+func IsRefused(err error) bool { return state.ReasonOf(err, "") == state.BadRequest }
+
 // ConflictError reports that a change's conditions did not hold.
 type ConflictError struct {
 	// Current holds those items of the conditions' keys that exist.
--- a/standin/keyvalue/store.go
+++ b/standin/keyvalue/store.go
@@ -39,6 +39,10 @@
 	// Fault returns the fault of each call by the call's name, such as "Commit";
 	// nil injects no faults.
 	Fault func(call string) Fault
+	// ValueBytes is the most bytes of a value, ChangeEntries the most conditions, puts
+	// and deletes of a change together; larger ones are refused.
+	ValueBytes    int
+	ChangeEntries int
 
 	mu       sync.Mutex
 	revision keyvalue.Revision
@@ -59,7 +63,7 @@
 func New() *Store {
 	return &Store{
 		items: make(map[string]keyvalue.Item), leases: make(map[keyvalue.LeaseID]*lease),
-		changed: make(chan struct{}), revision: 1,
+		changed: make(chan struct{}), revision: 1, ValueBytes: 1 << 20, ChangeEntries: 32,
 	}
 }
 
@@ -204,9 +208,8 @@
 }
 
 func (s *Store) applyChange(change keyvalue.Change) (keyvalue.Revision, error) {
-	const maxChangeEntries = 32
-	if len(change.Conditions)+len(change.Puts)+len(change.Deletes) > maxChangeEntries {
-		return 0, errors.New("a change must not have more than 32 conditions, puts and deletes together")
+	if err := s.checkLimits(change); err != nil {
+		return 0, state.NewStepError("Commit", netip.AddrPort{}, state.BadRequest, err)
 	}
 	conflict := &keyvalue.ConflictError{}
 	conditionsHold := true
@@ -236,6 +239,18 @@
 	return s.revision, nil
 }
 
+func (s *Store) checkLimits(change keyvalue.Change) error {
+	if entries := len(change.Conditions) + len(change.Puts) + len(change.Deletes); entries > s.ChangeEntries {
+		return errors.Errorf("a change of %d entries, %d are allowed", entries, s.ChangeEntries)
+	}
+	for _, put := range change.Puts {
+		if len(put.Value) > s.ValueBytes {
+			return errors.Errorf("a value of %d bytes at key %s, %d are allowed", len(put.Value), put.Key, s.ValueBytes)
+		}
+	}
+	return nil
+}
+
 func (s *Store) recordItem(item keyvalue.Item) {
 	if item.Deleted {
 		delete(s.items, item.Key)
