Save each record of progress by itself, so that a refused one holds up no other

Cause: a save of all changed progress was one outcome. Store.Save gave up at the first change that failed, and nothing counted as saved: no attempt began, no end was acknowledged, the same was tried again ten times a second. Change: Save returns a result for each record. What the store refuses is split off from the others of its change. An end is acknowledged once the records that show it and all ends before it are saved. A refused record gives back what its groups were assigned, and is tried again after 5 s (recordRefused). Records over the limit of the settings are not sent.

--- a/coordination/jobstore/jobstore.go
+++ b/coordination/jobstore/jobstore.go
@@ -19,7 +19,9 @@
 
 // Store reads and writes the stored state of jobs; every field must be set.
 type Store struct {
-	Store          *keyvalue.Store
+	Store *keyvalue.Store
+	// ValueBytes returns the most bytes of a value in the store; 0 is no limit.
+	ValueBytes     func() int
 	EncodeJob      func(job *workflow.Job) ([]byte, error)
 	DecodeJob      func(id workflow.ID, text []byte) (*workflow.Job, error)
 	EncodeProgress func(progress workflow.Progress) ([]byte, error)
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -29,6 +29,9 @@
 	},
 }
 
+// valueBytes is the platform's usual limit.
+func valueBytes() int { return 1 << 20 }
+
 // TestSave checks that a save repeated after a failure distinguishes an earlier save
 // whose answer was lost from the end of the term.
 func TestSave(t *testing.T) {
@@ -52,7 +55,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := standin.New()
 				calls := store.Calls()
-				st := record.NewJobStore(&calls)
+				st := record.NewJobStore(&calls, valueBytes)
 				revision, err := calls.Commit(t.Context(), keyvalue.Change{Puts: []keyvalue.Put{{Key: "seat"}}})
 				if err != nil {
 					t.Fatal(err)
@@ -60,8 +63,7 @@
 				term := keyvalue.Condition{Key: "seat", Revision: revision}
 				updates := []scheduling.ProgressUpdate{{Job: "a", Progress: progress}}
 				store.Fault = func(string) standin.Fault { return test.fault }
-				_, err = st.Save(t.Context(), term, updates)
-				if (err != nil) != (test.fault != standin.None) {
+				if err := st.Save(t.Context(), term, updates)[0].Err; (err != nil) != (test.fault != standin.None) {
 					t.Fatalf("the first save: %v", err)
 				}
 				store.Fault = nil
@@ -69,14 +71,14 @@
 					return
 				}
 				test.between(&calls)
-				revisions, err := st.Save(t.Context(), term, updates)
-				if !errors.Is(err, test.want) {
-					t.Fatalf("the second save: %v, want %v", err, test.want)
+				second := st.Save(t.Context(), term, updates)[0]
+				if !errors.Is(second.Err, test.want) {
+					t.Fatalf("the second save: %v, want %v", second.Err, test.want)
 				}
-				if errors.Is(err, jobstore.ErrStaleRevision) {
-					updates[0].Revision = revisions[0]
-					if _, err = st.Save(t.Context(), term, updates); err != nil {
-						t.Errorf("the save with the revisions returned: %v", err)
+				if errors.Is(second.Err, jobstore.ErrStaleRevision) {
+					updates[0].Revision = second.Revision
+					if err := st.Save(t.Context(), term, updates)[0].Err; err != nil {
+						t.Errorf("the save with the revision returned: %v", err)
 					}
 				}
 			})
@@ -84,19 +86,58 @@
 	}
 }
 
+// mustSave saves all updates as the first planner, before which there is no key "seat".
+func mustSave(t *testing.T, st *jobstore.Store, updates []scheduling.ProgressUpdate) {
+	t.Helper()
+	for i, result := range st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, updates) {
+		if result.Err != nil || result.Revision == 0 {
+			t.Fatalf("job %s: revision %d, %v", updates[i].Job, result.Revision, result.Err)
+		}
+	}
+}
+
+// TestSaveRefused saves records of which some cannot be stored. The others are, as
+// their jobs would come to a stop otherwise.
+func TestSaveRefused(t *testing.T) {
+	large := workflow.Progress{Status: workflow.Running, Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1, Checkpoint: strings.Repeat("c", 900)}}}
+	tests := []struct {
+		name string
+		// knownBytes is the limit that the settings name; the store's is 500.
+		knownBytes int
+	}{
+		{"over the limit", 500},
+		{"refused by the store", 1 << 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			backend := standin.New()
+			backend.ValueBytes = 500
+			calls := backend.Calls()
+			st := record.NewJobStore(&calls, func() int { return test.knownBytes })
+			updates := []scheduling.ProgressUpdate{{Job: "A", Progress: progress}, {Job: "B", Progress: large}, {Job: "C", Progress: progress}}
+			for i, result := range st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, updates) {
+				if refused := updates[i].Job == "B"; refused != keyvalue.IsRefused(result.Err) || refused == (result.Err == nil) {
+					t.Errorf("job %s: %v", updates[i].Job, result.Err)
+				}
+			}
+			if all, err := st.Load(t.Context()); err != nil || len(all) != 2 {
+				t.Errorf("%d loaded, %v", len(all), err)
+			}
+		})
+	}
+}
+
 // TestLoad reads back progress whose save took several changes.
 func TestLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New()
 		calls := store.Calls()
-		st := record.NewJobStore(&calls)
+		st := record.NewJobStore(&calls, valueBytes)
 		var updates []scheduling.ProgressUpdate
 		for i := range 40 {
 			updates = append(updates, scheduling.ProgressUpdate{Job: workflow.ID(rune('A' + i)), Progress: progress})
 		}
-		if revisions, err := st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, updates); err != nil || len(revisions) != len(updates) {
-			t.Fatalf("%d revisions, %v", len(revisions), err)
-		}
+		mustSave(t, st, updates)
 		all, err := st.Load(t.Context())
 		if err != nil || len(all) != len(updates) {
 			t.Fatalf("%d loaded, %v", len(all), err)
@@ -121,10 +162,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			store := standin.New()
 			calls := store.Calls()
-			st := record.NewJobStore(&calls)
-			if _, err := st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, []scheduling.ProgressUpdate{{Job: "A", Progress: progress}, {Job: "B", Progress: progress}}); err != nil {
-				t.Fatal(err)
-			}
+			st := record.NewJobStore(&calls, valueBytes)
+			mustSave(t, st, []scheduling.ProgressUpdate{{Job: "A", Progress: progress}, {Job: "B", Progress: progress}})
 			items, _, err := calls.List(t.Context(), "")
 			if err != nil || len(items) != 2 {
 				t.Fatalf("%d items, %v", len(items), err)
@@ -171,7 +210,7 @@
 				calls := store.Calls()
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				if err := test.read(ctx, record.NewJobStore(&calls)); err == nil || state.IsAmbiguous(err) {
+				if err := test.read(ctx, record.NewJobStore(&calls, valueBytes)); err == nil || state.IsAmbiguous(err) {
 					t.Errorf("error %v, ambiguous %v", err, state.IsAmbiguous(err))
 				}
 			})
@@ -184,7 +223,7 @@
 func TestPendingEndsWithTerm(t *testing.T) {
 	store := standin.New()
 	calls := store.Calls()
-	st := record.NewJobStore(&calls)
+	st := record.NewJobStore(&calls, valueBytes)
 	lease, err := calls.Grant(t.Context(), time.Minute)
 	if err != nil {
 		t.Fatal(err)
@@ -218,7 +257,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			store := standin.New()
 			calls := store.Calls()
-			st := record.NewJobStore(&calls)
+			st := record.NewJobStore(&calls, valueBytes)
 			var ids []workflow.ID
 			for i := range 12 {
 				id := workflow.ID(rune('A' + i))
@@ -246,7 +285,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.New()
 		calls := store.Calls()
-		st := record.NewJobStore(&calls)
+		st := record.NewJobStore(&calls, valueBytes)
 		ctx, stop := context.WithCancel(t.Context())
 		var mu sync.Mutex
 		reported := make(map[workflow.ID]bool)
--- a/coordination/jobstore/linearizability_test.go
+++ b/coordination/jobstore/linearizability_test.go
@@ -121,7 +121,7 @@
 		return standin.Fault(1 + randomInt(4))
 	}
 	calls := store.Calls()
-	st := record.NewJobStore(&calls)
+	st := record.NewJobStore(&calls, valueBytes)
 	began := time.Now()
 	var group sync.WaitGroup
 	for caller := range callers {
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -1,8 +1,8 @@
 package jobstore
 
 import (
-	"cmp"
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -10,6 +10,7 @@
 
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
+	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
 
@@ -52,67 +53,126 @@
 }
 
 // Save stores progress while the term's condition holds, which is that the planner's
-// key is unchanged. It returns the new revisions of the jobs saved, in order, and
-// scheduling.ErrTermEnded if the key has changed.
-func (st *Store) Save(ctx context.Context, term keyvalue.Condition, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
-	revisions := make([]keyvalue.Revision, 0, len(updates))
-	for chunk := range slices.Chunk(updates, jobsPerSave) {
-		saved, err := st.saveChunk(ctx, term, chunk)
-		revisions = append(revisions, saved...)
+// key is unchanged; else the results have scheduling.ErrTermEnded. What the store
+// refuses does not keep the rest from being stored; once the store cannot be
+// reached, the rest is not tried.
+func (st *Store) Save(ctx context.Context, term keyvalue.Condition, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
+	s := saver{store: st, term: term, updates: updates, results: make([]scheduling.SaveResult, len(updates))}
+	var encoded []encodedUpdate
+	for i, update := range updates {
+		s.results[i].Revision = update.Revision
+		value, err := st.encode(update)
 		if err != nil {
-			return revisions, err
+			s.results[i].Err = err
+			continue
 		}
+		encoded = append(encoded, encodedUpdate{i, value})
 	}
-	return revisions, nil
+	for chunk := range slices.Chunk(encoded, jobsPerSave) {
+		s.save(ctx, chunk)
+	}
+	return s.results
 }
 
-// saveChunk saves the progress of up to jobsPerSave jobs in one change. The
-// conditions on the jobs' own keys keep a delayed write from overwriting a newer one.
-func (st *Store) saveChunk(ctx context.Context, term keyvalue.Condition, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
-	change := keyvalue.Change{Conditions: []keyvalue.Condition{term}}
-	for _, s := range updates {
-		text, err := st.EncodeProgress(s.Progress)
-		if err != nil {
-			return nil, err
-		}
-		change.Conditions = append(change.Conditions, keyvalue.Condition{Key: progressKey(s.Job), Revision: s.Revision})
-		change.Puts = append(change.Puts, keyvalue.Put{Key: progressKey(s.Job), Value: text})
+// encode returns the update's record, or an error with the reason badRequest if it
+// can't be stored.
+func (st *Store) encode(update scheduling.ProgressUpdate) ([]byte, error) {
+	value, err := st.EncodeProgress(update.Progress)
+	if limit := st.ValueBytes(); err == nil && limit > 0 && len(value) > limit {
+		err = errors.Errorf("%d bytes, the store takes %d", len(value), limit)
 	}
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
-	defer cancel()
-	revision, err := st.Store.Commit(ctx, change)
+	if err != nil {
+		return nil, state.NewStepError("encode the progress of job "+string(update.Job), netip.AddrPort{}, state.BadRequest, err)
+	}
+	return value, nil
+}
+
+// encodedUpdate is the record of the update at the index.
+type encodedUpdate struct {
+	index int
+	value []byte
+}
+
+// saver saves a list of updates.
+type saver struct {
+	store   *Store
+	term    keyvalue.Condition
+	updates []scheduling.ProgressUpdate
+	results []scheduling.SaveResult
+	// failure is the error of the first change that did not reach the store, or the end
+	// of the term.
+	failure error
+}
+
+// save saves some updates in one change. If the store refuses it, each is saved by
+// itself.
+func (s *saver) save(ctx context.Context, chunk []encodedUpdate) {
+	if s.failure != nil {
+		s.setErrors(chunk, s.failure)
+		return
+	}
+	revision, err := s.commit(ctx, chunk)
 	var conflict *keyvalue.ConflictError
 	switch {
+	case err == nil:
+		for _, u := range chunk {
+			s.results[u.index].Revision = revision
+		}
 	case errors.As(err, &conflict):
-		return currentRevisions(term, conflict, updates)
-	case err != nil:
-		largest := slices.MaxFunc(change.Puts, func(a, b keyvalue.Put) int { return cmp.Compare(len(a.Value), len(b.Value)) })
-		return nil, errors.Wrapf(err, "save %d records, the largest with %d bytes at key %s", len(updates), len(largest.Value), largest.Key)
+		s.applyConflict(chunk, conflict)
+	case keyvalue.IsRefused(err) && len(chunk) > 1:
+		for i := range chunk {
+			s.save(ctx, chunk[i:i+1])
+		}
+	case keyvalue.IsRefused(err):
+		s.setErrors(chunk, err)
+	default:
+		s.failure = err
+		s.setErrors(chunk, err)
+	}
+}
+
+func (s *saver) setErrors(chunk []encodedUpdate, err error) {
+	for _, u := range chunk {
+		s.results[u.index].Err = err
 	}
-	revisions := make([]keyvalue.Revision, len(updates))
-	for i := range revisions {
-		revisions[i] = revision
+}
+
+// commit makes one change. The conditions on the records' own keys keep a delayed
+// write from overwriting a newer one.
+func (s *saver) commit(ctx context.Context, chunk []encodedUpdate) (keyvalue.Revision, error) {
+	change := keyvalue.Change{Conditions: []keyvalue.Condition{s.term}}
+	largest := chunk[0]
+	for _, u := range chunk {
+		update := s.updates[u.index]
+		change.Conditions = append(change.Conditions, keyvalue.Condition{Key: progressKey(update.Job), Revision: update.Revision})
+		change.Puts = append(change.Puts, keyvalue.Put{Key: progressKey(update.Job), Value: u.value})
+		if len(u.value) > len(largest.value) {
+			largest = u
+		}
 	}
-	return revisions, nil
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	revision, err := s.store.Store.Commit(ctx, change)
+	return revision, errors.Wrapf(err, "save %d records, the largest with %d bytes of job %s", len(chunk), len(largest.value), s.updates[largest.index].Job)
 }
 
 // ErrStaleRevision means that an earlier save took effect although its answer was
-// lost. The save can be repeated with the revisions returned with this error.
+// lost. The save can be repeated with the revision in the result.
 var ErrStaleRevision = errors.New("an earlier save without an answer has changed the revision")
 
-// currentRevisions returns the stored revisions of the updates' jobs and
-// ErrStaleRevision, or scheduling.ErrTermEnded if the planner's key has changed.
-func currentRevisions(term keyvalue.Condition, conflict *keyvalue.ConflictError, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
-	if item, found := conflict.Find(term.Key); !found || item.Revision != term.Revision {
-		return nil, scheduling.ErrTermEnded
+// applyConflict sets the stored revisions and ErrStaleRevision, or
+// scheduling.ErrTermEnded if the planner's key has changed.
+func (s *saver) applyConflict(chunk []encodedUpdate, conflict *keyvalue.ConflictError) {
+	if item, found := conflict.Find(s.term.Key); !found || item.Revision != s.term.Revision {
+		s.failure = scheduling.ErrTermEnded
+		s.setErrors(chunk, s.failure)
+		return
 	}
-	revisions := make([]keyvalue.Revision, len(updates))
-	for i, s := range updates {
-		if item, found := conflict.Find(progressKey(s.Job)); found {
-			revisions[i] = item.Revision
-		}
+	for _, u := range chunk {
+		item, _ := conflict.Find(progressKey(s.updates[u.index].Job))
+		s.results[u.index] = scheduling.SaveResult{Revision: item.Revision, Err: ErrStaleRevision}
 	}
-	return revisions, ErrStaleRevision
 }
 
 // jobsPerDelete keeps a change within the store's limit of 32 entries: three keys
--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -59,6 +59,7 @@
 			status: workflow.Running, acceptedAt: time.Now(), groups: make(map[workflow.GroupID]*group),
 			doneGroups: make(map[[2]int]int), created: map[[2]int]bool{{0, 0}: true}, objective: 12 * time.Hour,
 		}
+		j.record = &record{job: j}
 		p.jobs[j.ID] = j
 		for index := range tasks {
 			g := p.addGroup(j, workflow.GroupID{Index: index})
@@ -129,6 +130,7 @@
 			status: workflow.Running, acceptedAt: time.Now().Add(-time.Hour), groups: make(map[workflow.GroupID]*group),
 			doneGroups: make(map[[2]int]int), created: map[[2]int]bool{{0, 0}: true}, objective: 12 * time.Hour,
 		}
+		j.record = &record{job: j}
 		p.jobs[j.ID] = j
 		for index := range j.Steps[0].Tasks {
 			g := p.addGroup(j, workflow.GroupID{Index: index})
--- a/coordination/scheduling/calls.go
+++ b/coordination/scheduling/calls.go
@@ -87,6 +87,15 @@
 	Revision keyvalue.Revision
 }
 
+// SaveResult is the outcome of saving one ProgressUpdate.
+type SaveResult struct {
+	// Revision is that of the stored record, as far as it is known.
+	Revision keyvalue.Revision
+	// Err is nil if the update is stored. It is ErrTermEnded if a newer planner has
+	// taken over, and keyvalue.IsRefused if the record can never be stored as it is.
+	Err error
+}
+
 // Bounds holds the platform's limits that decisions depend on.
 type Bounds struct {
 	// LeaseLimit is the longest lease that a worker grants.
--- a/coordination/scheduling/departure_test.go
+++ b/coordination/scheduling/departure_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/standin/runner"
 	"comfreystream/state"
@@ -61,8 +60,8 @@
 				s := &scheduling.Scheduler{
 					Term: 1, Now: time.Now, WallClock: time.Now, Workers: calls, Authorised: func() bool { return true },
 					Bounds: scheduling.Bounds{LeaseLimit: 10 * time.Second, Heartbeat: 1500 * time.Millisecond, ReclaimLimit: time.Minute, FarFactor: 3},
-					Save: func(_ context.Context, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
-						return make([]keyvalue.Revision, len(updates)), nil
+					Save: func(_ context.Context, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
+						return make([]scheduling.SaveResult, len(updates))
 					},
 					Guarantee: func(string) int { return 0 }, OnTermEnded: func() {}, Count: func(string) {},
 					ObserveRound: func(time.Duration) {}, Log: zerolog.Nop(),
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -8,6 +8,7 @@
 	workerSilent          = "workerSilent"
 	workerQuarantined     = "workerQuarantined"
 	unknownAttemptStopped = "strangerStopped"
+	recordRefused         = "recordRefused"
 	// endsLeftOut counts reports that do not list all ends.
 	endsLeftOut = "endsLeftOut"
 )
@@ -16,7 +17,7 @@
 var Events = []string{
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
-	endsLeftOut,
+	endsLeftOut, recordRefused,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
 }
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -12,6 +12,7 @@
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/standin/runner"
+	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
 
@@ -25,28 +26,32 @@
 	records  map[workflow.ID]scheduling.ProgressUpdate
 	// unavailable makes every save fail.
 	unavailable bool
+	// refused holds the jobs whose records are not accepted.
+	refused map[workflow.ID]bool
 }
 
-func (m *memoryStore) save(term scheduling.Term, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
+func (m *memoryStore) save(term scheduling.Term, updates []scheduling.ProgressUpdate) (results []scheduling.SaveResult) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.term != term {
-		return nil, scheduling.ErrTermEnded
-	}
-	if m.unavailable {
-		return nil, context.DeadlineExceeded
-	}
-	revisions := make([]keyvalue.Revision, 0, len(updates))
 	for _, update := range updates {
-		if m.records[update.Job].Revision != update.Revision {
-			return revisions, fmt.Errorf("job %s: revision %d, not %d", update.Job, m.records[update.Job].Revision, update.Revision)
+		result := scheduling.SaveResult{Revision: update.Revision}
+		switch {
+		case m.term != term:
+			result.Err = scheduling.ErrTermEnded
+		case m.unavailable:
+			result.Err = context.DeadlineExceeded
+		case m.refused[update.Job]:
+			result.Err = state.NewStepError("save", netip.AddrPort{}, state.BadRequest, nil)
+		case m.records[update.Job].Revision != update.Revision:
+			result.Err = fmt.Errorf("job %s: revision %d, not %d", update.Job, m.records[update.Job].Revision, update.Revision)
+		default:
+			m.revision++
+			result.Revision, update.Revision = m.revision, m.revision
+			m.records[update.Job] = update
 		}
-		m.revision++
-		update.Revision = m.revision
-		m.records[update.Job] = update
-		revisions = append(revisions, m.revision)
+		results = append(results, result)
 	}
-	return revisions, nil
+	return results
 }
 
 // failures returns the failures of a job's gang or single task.
@@ -152,7 +157,7 @@
 			ReclaimLimit: 3400 * time.Millisecond, FarFactor: 3, Overlap: 2 * time.Second,
 		},
 		Authorised: func() bool { return true },
-		Save: func(_ context.Context, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
+		Save: func(_ context.Context, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
 			return h.store.save(term, updates)
 		},
 		Guarantee:   func(string) int { return h.guaranteed },
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -100,7 +100,7 @@
 	}
 	g.failedAttempt = m.attempt
 	g.failures++
-	p.markDirty(g.job)
+	p.markDirty(g.record)
 }
 
 // advanceGroup completes, stops or retries a group after a member has ended.
@@ -148,7 +148,7 @@
 	g.done = true
 	j := g.job
 	j.doneGroups[[2]int{g.id.Occurrence, g.id.Step}]++
-	p.markDirty(j)
+	p.markDirty(g.record)
 	if j.status.Final() {
 		return
 	}
@@ -172,7 +172,7 @@
 		Int("failures", g.failures).Str("outcomes", outcomes).Send()
 	if g.job.status.Final() {
 		p.closeGroup(g)
-		p.markDirty(g.job) // remove its workers from the stored progress
+		p.markDirty(g.record) // remove its workers from the stored progress
 		return
 	}
 	if g.failures >= g.job.MaxAttempts && !g.step.LongRunning {
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -62,7 +62,7 @@
 	for g := range p.work.unstarted {
 		switch {
 		case g.job.status.Final():
-		case g.phase == waiting && p.runsUnknown(g):
+		case g.phase == waiting && (g.held(now) || p.runsUnknown(g)):
 		case g.phase == waiting:
 			candidates = append(candidates, g)
 		case g.phase == placed:
@@ -244,5 +244,5 @@
 	p.round.free -= g.size() * g.step.Accelerators
 	p.round.unsent += g.size()
 	clear(p.round.firstOptions)
-	p.markDirty(g.job)
+	p.markDirty(g.record)
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -31,8 +31,8 @@
 	longestRound time.Duration
 	// unknownRuns counts the unknown attempts that workers report, by task.
 	unknownRuns map[workflow.Task]int
-	// dirty holds the jobs with unsaved changes.
-	dirty map[*job]struct{}
+	// dirty holds the records with unsaved changes.
+	dirty map[*record]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
 	// round is what the current planning round knows.
@@ -45,7 +45,7 @@
 	*workflow.Job
 	acceptedAt time.Time
 	status     workflow.Status
-	revision   keyvalue.Revision
+	record     *record
 	groups     map[workflow.GroupID]*group
 	// doneGroups counts the completed groups by occurrence and step.
 	doneGroups map[[2]int]int
@@ -55,9 +55,6 @@
 	objective time.Duration
 	// endedAt is when the job reached its final status.
 	endedAt time.Time
-	// changeCount counts the changes of the progress; it tells whether one came
-	// during a save.
-	changeCount int
 }
 
 // groupPhase is the state of a group's current attempt.
@@ -81,6 +78,7 @@
 type group struct {
 	id       workflow.GroupID
 	job      *job
+	record   *record
 	step     *workflow.Step
 	phase    groupPhase
 	attempt  int
@@ -116,7 +114,7 @@
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
 		jobs:    make(map[workflow.ID]*job),
 		workers: make(map[workflow.WorkerID]*worker),
-		dirty:   make(map[*job]struct{}), unknownRuns: make(map[workflow.Task]int),
+		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64),
 		work:     newWorklist(),
 	}
@@ -129,12 +127,13 @@
 		return
 	}
 	j := &job{
-		Job: w, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued, revision: revision,
+		Job: w, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
 		groups:     make(map[workflow.GroupID]*group),
 		doneGroups: make(map[[2]int]int),
 		created:    make(map[[2]int]bool),
 		objective:  w.Objective(),
 	}
+	j.record = &record{job: j, revision: revision}
 	if progress.Status != "" {
 		j.status, j.endedAt = progress.Status, p.scheduler.Now()
 	}
@@ -188,7 +187,8 @@
 
 // addGroup adds a group that waits for its first attempt.
 func (p *pool) addGroup(j *job, id workflow.GroupID) *group {
-	g := &group{id: id, job: j, step: &j.Steps[id.Step], waitingSince: p.scheduler.Now()}
+	g := &group{id: id, job: j, record: j.record, step: &j.Steps[id.Step], waitingSince: p.scheduler.Now()}
+	g.record.groups = append(g.record.groups, g)
 	j.groups[id] = g
 	p.work.addUnstarted(g)
 	return g
@@ -278,7 +278,7 @@
 func (p *pool) endJob(j *job, status workflow.Status) {
 	j.status, j.endedAt = status, p.scheduler.Now()
 	p.work.removeJob(j)
-	p.markDirty(j)
+	p.markDirty(j.record)
 	p.scheduler.Log.Info().Str("event", "jobEnded").Str("request", string(j.ID)).
 		Str("status", string(status)).Dur("age", j.endedAt.Sub(j.acceptedAt)).Dur("objective", j.objective).Send()
 	for _, g := range j.groups {
@@ -304,7 +304,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, j := range p.jobs {
-		if _, dirty := p.dirty[j]; j.status.Final() && !dirty && j.endedAt.Before(endedBefore) && j.idle() {
+		if _, dirty := p.dirty[j.record]; j.status.Final() && !dirty && j.endedAt.Before(endedBefore) && j.idle() {
 			ids = append(ids, j.ID)
 		}
 	}
@@ -329,13 +329,6 @@
 	}
 }
 
-// markDirty has the job's progress saved.
-func (p *pool) markDirty(j *job) {
-	j.changeCount++
-	p.dirty[j] = struct{}{}
-	wake(p.saveDue)
-}
-
 // wake makes sure that a value is in the channel, whose capacity is 1.
 func wake(signal chan struct{}) {
 	select {
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -276,7 +276,9 @@
 	wake(p.saveDue)
 	m, known := w.members[attemptKey{end.Task, end.Attempt}]
 	if !known {
-		p.applyUnknownEnd(end)
+		if g := p.applyUnknownEnd(end); g != nil {
+			p.noteEnd(g.record, w, end.Number)
+		}
 		return
 	}
 	p.scheduler.Log.Info().Str("event", "taskEnded").Str("request", string(m.task.Job)).
@@ -284,6 +286,7 @@
 		Int64("number", end.Number).Str("outcome", string(end.Outcome)).Send()
 	p.updateWorkerHealth(w, m, end.Outcome)
 	p.endMember(m, end.Outcome, end.Checkpoint)
+	p.noteEnd(m.group.record, w, end.Number)
 }
 
 // applyRunning updates a member that the worker reports as running. The time during
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/keyvalue"
 	"comfreystream/state/workflow"
 )
 
@@ -13,6 +14,9 @@
 	saveBatchDelay = 3 * time.Millisecond
 	// saveRetryDelay is the time between a failed save and the next try.
 	saveRetryDelay = 100 * time.Millisecond
+	// refusedRetryDelay is the time between two saves of a record that the store
+	// refuses.
+	refusedRetryDelay = 5 * time.Second
 )
 
 // saveLoop saves the progress of jobs whenever it changes.
@@ -38,109 +42,136 @@
 	}
 }
 
-// saveBatch is the content of one save: the changed jobs, and by worker the last
-// end that their progress includes.
+// saveBatch is the content of one save: the changed records, and by worker the last
+// end that they include.
 type saveBatch struct {
-	jobs []*job
-	// changeCounts holds the jobs' change counts when they were collected.
+	records []*record
+	// changeCounts holds the records' change counts when they were collected.
 	changeCounts []int
 	updates      []ProgressUpdate
-	ends         map[*worker]int64
-	incarnations map[*worker]workflow.Incarnation
+	ends         map[endSource]int64
 }
 
-// save stores all changed progress and reports whether that succeeded.
+// save stores the changed progress and reports whether nothing is left to be tried
+// again soon.
 func (p *pool) save() bool {
 	if !p.scheduler.Authorised() {
 		return false
 	}
 	b := p.collectChanges()
+	var results []SaveResult
 	if len(b.updates) > 0 {
-		revisions, err := p.scheduler.Save(p.scheduler.ctx, b.updates)
-		p.mu.Lock()
-		for i, revision := range revisions {
-			b.jobs[i].revision = revision
-		}
-		p.mu.Unlock()
-		if errors.Is(err, ErrTermEnded) {
-			p.scheduler.endTerm(err)
-			return false
-		}
-		if err != nil {
-			if p.scheduler.ctx.Err() == nil {
-				p.scheduler.Count(retrySave)
-				p.scheduler.Log.Warn().Str("event", "saveFailed").Int("jobs", len(b.updates)).Err(err).Send()
-			}
+		results = p.scheduler.Save(p.scheduler.ctx, b.updates)
+	}
+	for _, result := range results {
+		if errors.Is(result.Err, ErrTermEnded) {
+			p.scheduler.endTerm(result.Err)
 			return false
 		}
 	}
-	p.applySaved(b)
-	return true
+	return p.applySaved(b, results)
 }
 
 // collectChanges snapshots the unsaved progress and the unsaved ends.
 func (p *pool) collectChanges() saveBatch {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := saveBatch{ends: make(map[*worker]int64), incarnations: make(map[*worker]workflow.Incarnation)}
-	for j := range p.dirty {
-		b.jobs = append(b.jobs, j)
-		b.changeCounts = append(b.changeCounts, j.changeCount)
-		b.updates = append(b.updates, ProgressUpdate{Job: j.ID, Progress: j.progress(), Revision: j.revision})
+	now := p.scheduler.Now()
+	b := saveBatch{ends: make(map[endSource]int64)}
+	for r := range p.dirty {
+		if now.Before(r.retryAt) {
+			continue
+		}
+		b.records = append(b.records, r)
+		b.changeCounts = append(b.changeCounts, r.changeCount)
+		b.updates = append(b.updates, ProgressUpdate{Job: r.job.ID, Progress: r.progress(), Revision: r.revision})
 	}
 	for _, w := range p.workers {
 		if w.lastAppliedEnd > w.lastSavedEnd {
-			b.ends[w], b.incarnations[w] = w.lastAppliedEnd, w.incarnation
+			b.ends[endSource{w, w.incarnation}] = w.lastAppliedEnd
 		}
 	}
 	return b
 }
 
-// applySaved marks the batch's ends as saved and starts the groups whose attempt
-// is now stored.
-func (p *pool) applySaved(b saveBatch) {
+// applySaved starts the groups whose attempt is now stored, and marks ends as saved.
+// A record that could not be saved holds up no other.
+func (p *pool) applySaved(b saveBatch, results []SaveResult) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for w, end := range b.ends {
-		if w.incarnation == b.incarnations[w] {
-			w.lastSavedEnd = end
-			wake(w.renewDue)
+	failed, failure := 0, error(nil)
+	for i, r := range b.records {
+		r.revision = results[i].Revision
+		switch err := results[i].Err; {
+		case err == nil:
+			p.applySavedRecord(r, b.changeCounts[i], b.updates[i].Progress, b.ends)
+		case keyvalue.IsRefused(err):
+			p.holdRecord(r, err)
+		default:
+			failed, failure = failed+1, err
 		}
 	}
-	for i, j := range b.jobs {
-		if j.changeCount == b.changeCounts[i] {
-			delete(p.dirty, j)
-		}
-		for id, record := range b.updates[i].Progress.Groups {
-			g := j.groups[id]
-			if g.phase == saving && g.attempt == record.Attempt {
-				g.phase = placed
-				p.startGroup(g)
-			}
-		}
+	p.applySavedEnds(b.ends)
+	if failed > 0 && p.scheduler.ctx.Err() == nil {
+		p.scheduler.Count(retrySave)
+		p.scheduler.Log.Warn().Str("event", "saveFailed").Int("records", failed).Err(failure).Send()
 	}
-	if len(p.dirty) > 0 {
-		wake(p.saveDue)
+	for r := range p.dirty {
+		if !p.scheduler.Now().Before(r.retryAt) {
+			wake(p.saveDue)
+			break
+		}
 	}
+	return failed == 0
 }
 
-// progress returns the job's progress in the form that is stored.
-func (j *job) progress() workflow.Progress {
-	progress := workflow.Progress{Status: j.status, Groups: make(map[workflow.GroupID]workflow.Group, len(j.groups))}
-	for id, g := range j.groups {
-		if g.attempt == 0 {
-			continue
+// applySavedRecord marks a record as saved, unless it has changed meanwhile, and
+// starts its groups whose attempt is now stored.
+func (p *pool) applySavedRecord(r *record, changeCount int, saved workflow.Progress, ends map[endSource]int64) {
+	if r.changeCount == changeCount {
+		delete(p.dirty, r)
+		clear(r.unsavedEnds)
+	}
+	for source, first := range r.unsavedEnds {
+		r.unsavedEnds[source] = max(first, ends[source]+1)
+	}
+	for id, stored := range saved.Groups {
+		g := r.job.groups[id]
+		if g.phase == saving && g.attempt == stored.Attempt {
+			g.phase = placed
+			p.startGroup(g)
 		}
-		record := workflow.Group{
-			Attempt: g.attempt, Failures: g.failures, FailedAttempt: g.failedAttempt, Done: g.done,
-			Checkpoint: g.checkpoint,
+	}
+}
+
+// holdRecord releases what the groups of a refused record were assigned: they cannot
+// start. The record is saved again later, since what it holds may shrink.
+func (p *pool) holdRecord(r *record, cause error) {
+	r.retryAt = p.scheduler.Now().Add(refusedRetryDelay)
+	time.AfterFunc(refusedRetryDelay, func() { wake(p.saveDue) })
+	p.scheduler.Count(recordRefused)
+	p.scheduler.Log.Error().Str("event", "recordRefused").Str("request", string(r.job.ID)).Int("groups", len(r.groups)).Err(cause).Send()
+	for _, g := range r.groups {
+		if g.phase == saving {
+			p.stopGroup(g, reasonIncomplete)
 		}
-		if !record.Done {
-			for _, m := range g.members {
-				record.Placed = append(record.Placed, workflow.WorkerIncarnation{Worker: m.worker.id, Incarnation: m.incarnation})
+	}
+}
+
+// applySavedEnds marks the ends as saved whose effect is in no record that is still
+// to be saved.
+func (p *pool) applySavedEnds(ends map[endSource]int64) {
+	for r := range p.dirty {
+		for source, first := range r.unsavedEnds {
+			if last, found := ends[source]; found && last >= first {
+				ends[source] = first - 1
 			}
 		}
-		progress.Groups[id] = record
 	}
-	return progress
+	for source, last := range ends {
+		if w := source.worker; w.incarnation == source.incarnation && last > w.lastSavedEnd {
+			w.lastSavedEnd = last
+			wake(w.renewDue)
+		}
+	}
 }
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -26,9 +26,8 @@
 	Workers   WorkerCalls
 	// Authorised reports whether the planner certainly still holds its term.
 	Authorised func() bool
-	// Save stores the progress of jobs and returns the revisions of their records
-	// in the same order. On an error, the list may end early.
-	Save func(ctx context.Context, updates []ProgressUpdate) ([]keyvalue.Revision, error)
+	// Save stores the progress of jobs and returns a result for each update.
+	Save func(ctx context.Context, updates []ProgressUpdate) []SaveResult
 	// Guarantee returns the number of accelerators guaranteed to an organisation.
 	Guarantee func(organisation string) int
 	// OnTermEnded is called once, when a worker or the store reports a newer planner.
--- a/coordination/scheduling/unknown.go
+++ b/coordination/scheduling/unknown.go
@@ -57,15 +57,16 @@
 }
 
 // applyUnknownEnd applies the end of an unknown attempt before it is acknowledged:
-// work that is done is not done again, and a failure counts.
-func (p *pool) applyUnknownEnd(end workflow.EndedTask) {
+// work that is done is not done again, and a failure counts. It returns the group that
+// the end may have changed, or nil.
+func (p *pool) applyUnknownEnd(end workflow.EndedTask) *group {
 	j, known := p.jobs[end.Task.Job]
 	if !known || j.status.Final() || end.Task.Step < 0 || end.Task.Step >= len(j.Steps) {
-		return
+		return nil
 	}
 	g := j.groups[j.GroupOf(end.Task)]
 	if g == nil || g.done || g.step.LongRunning {
-		return
+		return nil
 	}
 	switch end.Outcome {
 	case workflow.Done:
@@ -74,6 +75,7 @@
 	case workflow.Faulted:
 		p.countUnknownFailure(g, end.Attempt)
 	}
+	return g
 }
 
 func (p *pool) countUnknownFailure(g *group, attempt int) {
@@ -83,7 +85,7 @@
 	delete(g.assumedEnds, attempt)
 	g.failedAttempt = max(g.failedAttempt, attempt)
 	g.failures++
-	p.markDirty(g.job)
+	p.markDirty(g.record)
 	if g.phase == waiting && g.failures >= g.job.MaxAttempts {
 		p.closeGroup(g)
 		p.endJob(g.job, workflow.Failed)
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -64,7 +64,7 @@
 		},
 		Now: time.Now, WallClock: time.Now, Workers: i.workers.Calls(),
 		Authorised: func() bool { return i.candidate.Valid(revision) },
-		Save: func(ctx context.Context, updates []scheduling.ProgressUpdate) ([]keyvalue.Revision, error) {
+		Save: func(ctx context.Context, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
 			return i.plannerJobStore.Save(ctx, t.condition, updates)
 		},
 		Guarantee:   i.guarantee,
