--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -168,6 +168,9 @@
 	if err == nil {
 		return nil
 	}
+	if reason := state.ReasonOf(err, ""); !state.IsAmbiguous(err) && (reason == state.BodyTooLarge || reason == state.BadRequest) {
+		return i.refuse(step, reason, err)
+	}
 	i.Count(state.StoreUnavailable)
 	if state.IsAmbiguous(err) {
 		return state.NewAmbiguousStepError(step, netip.AddrPort{}, state.StoreUnavailable, err)
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -24,18 +24,45 @@
 )
 
 // Accept stores the job; a job whose ID is stored already is left as it is. The
-// error is ambiguous if the job may have been stored or may still be.
+// error is ambiguous if the job may have been stored or may still be. It has the
+// reason bodyTooLarge if the store cannot hold the job or its progress.
 func (st *Store) Accept(ctx context.Context, job *workflow.Job) error {
+	job.RecordBytes = st.recordBytes()
 	text, err := st.EncodeJob(job)
 	if err != nil {
 		return err
 	}
+	if err := st.checkSize(job, len(text)); err != nil {
+		return state.NewStepError("store a job", netip.AddrPort{}, state.BodyTooLarge, err)
+	}
 	return st.create(ctx, keyvalue.Change{
 		Conditions: []keyvalue.Condition{{Key: jobKey(job.ID)}},
 		Puts:       []keyvalue.Put{{Key: jobKey(job.ID), Value: text}},
 	})
 }
 
+// recordBytes returns how large the records of a job's progress are by estimate: half
+// of a value, as the last group of a record may exceed its share.
+func (st *Store) recordBytes() int { return st.ValueBytes() / 2 }
+
+// checkSize reports why the store cannot hold the job's own record, or the record of
+// the progress of its largest gang.
+func (st *Store) checkSize(job *workflow.Job, jobBytes int) error {
+	limit := st.ValueBytes()
+	if limit <= 0 {
+		return nil
+	}
+	if jobBytes > limit {
+		return errors.Errorf("the job's description takes %d bytes, the store has room for %d", jobBytes, limit)
+	}
+	for i := range job.Steps {
+		if s := &job.Steps[i]; s.PlacementBytes() > st.recordBytes() {
+			return errors.Errorf("step %d: the store has no room for the workers of a gang of %d", i, s.Tasks)
+		}
+	}
+	return nil
+}
+
 // Cancel stores a cancellation of the job; known is false if there is no such job.
 func (st *Store) Cancel(ctx context.Context, id workflow.ID) (known bool, err error) {
 	_, known, err = st.get(ctx, jobKey(id))
@@ -50,7 +77,7 @@
 
 // Status returns the status of a job; known is false if there is no such job.
 func (st *Store) Status(ctx context.Context, id workflow.ID) (status workflow.Status, known bool, err error) {
-	item, known, err := st.get(ctx, progressKey(id))
+	item, known, err := st.get(ctx, progressKey(id, 0))
 	if err != nil {
 		return "", false, err
 	}
@@ -101,8 +128,8 @@
 	})
 }
 
-// retry repeats a call until it succeeds, the context ends, or retryLimit has passed
-// and no try can have had an effect. The error is ambiguous if that of any try was.
+// retry repeats a call until it succeeds, the store refuses it, the context ends, or
+// retryLimit has passed and no try can have had an effect. The error is ambiguous if that of any try was.
 func (st *Store) retry(ctx context.Context, call func(ctx context.Context) error) error {
 	began := time.Now()
 	var ambiguous error
@@ -116,7 +143,7 @@
 		if state.IsAmbiguous(err) {
 			ambiguous = err
 		}
-		if ambiguous == nil && time.Since(began) >= retryLimit {
+		if ambiguous == nil && (keyvalue.IsRefused(err) || time.Since(began) >= retryLimit) {
 			return err
 		}
 		if pause.For(ctx, retryPause) {
--- a/coordination/jobstore/jobstore.go
+++ b/coordination/jobstore/jobstore.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"strconv"
 	"strings"
 
 	"comfreystream/coordination/keyvalue"
@@ -31,9 +32,27 @@
 	DecodePending  func(text []byte) (map[string]int, error)
 }
 
-func jobKey(id workflow.ID) string      { return intakePrefix + string(id) + jobSuffix }
-func cancelKey(id workflow.ID) string   { return intakePrefix + string(id) + cancelSuffix }
-func progressKey(id workflow.ID) string { return progressPrefix + string(id) }
+func jobKey(id workflow.ID) string    { return intakePrefix + string(id) + jobSuffix }
+func cancelKey(id workflow.ID) string { return intakePrefix + string(id) + cancelSuffix }
+
+// progressKey returns the key of a record of the job's progress.
+func progressKey(id workflow.ID, record int) string {
+	if record == 0 {
+		return progressPrefix + string(id)
+	}
+	return progressPrefix + string(id) + "/" + strconv.Itoa(record)
+}
+
+// parseProgressKey returns the job and the number of the record at a key with
+// progressPrefix; known is false for a key of another form.
+func parseProgressKey(key string) (id workflow.ID, record int, known bool) {
+	name, number, numbered := strings.Cut(strings.TrimPrefix(key, progressPrefix), "/")
+	if !numbered {
+		return workflow.ID(name), 0, true
+	}
+	record, err := strconv.Atoi(number)
+	return workflow.ID(name), record, err == nil && progressKey(workflow.ID(name), record) == key
+}
 
 // parseIntakeKey returns the job of a key with intakePrefix and whether the key
 // holds its cancellation; known is false for any other key.
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -99,7 +100,8 @@
 // TestSaveRefused saves records of which some cannot be stored. The others are, as
 // their jobs would come to a stop otherwise.
 func TestSaveRefused(t *testing.T) {
-	large := workflow.Progress{Status: workflow.Running, Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1, Checkpoint: strings.Repeat("c", 900)}}}
+	placed := []workflow.WorkerIncarnation{{Worker: workflow.WorkerID(strings.Repeat("w", 900))}}
+	large := workflow.Progress{Status: workflow.Running, Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1, Placed: placed}}}
 	tests := []struct {
 		name string
 		// knownBytes is the limit that the settings name; the store's is 500.
@@ -127,6 +129,24 @@
 	}
 }
 
+// TestSaveLargeCheckpoints saves a record that is too large with its checkpoints. The
+// attempts must be stored without them, or the tasks would come to a stop.
+func TestSaveLargeCheckpoints(t *testing.T) {
+	backend := standin.New()
+	backend.ValueBytes = 500
+	calls := backend.Calls()
+	st := record.NewJobStore(&calls, func() int { return backend.ValueBytes })
+	large := workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 4, Checkpoint: strings.Repeat("c", 900)}}}
+	result := st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, []scheduling.ProgressUpdate{{Job: "A", Progress: large}})[0]
+	if result.Err != nil || !result.CheckpointsLeftOut {
+		t.Fatalf("saved: %+v", result)
+	}
+	all, err := st.Load(t.Context())
+	if g := all["A"].Progress.Groups[workflow.GroupID{}]; err != nil || g.Attempt != 4 || g.Checkpoint != "" {
+		t.Errorf("loaded %+v, %v", g, err)
+	}
+}
+
 // TestLoad reads back progress whose save took several changes.
 func TestLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -258,23 +278,32 @@
 			store := standin.New()
 			calls := store.Calls()
 			st := record.NewJobStore(&calls, valueBytes)
-			var ids []workflow.ID
+			var jobs []scheduling.StoredJob
 			for i := range 12 {
-				id := workflow.ID(rune('A' + i))
-				ids = append(ids, id)
-				if err := st.Accept(t.Context(), &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
+				job := scheduling.StoredJob{ID: workflow.ID(rune('A' + i))}
+				if err := st.Accept(t.Context(), &workflow.Job{ID: job.ID, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
 					t.Fatal(err)
 				}
+				var updates []scheduling.ProgressUpdate
+				for number := range 5 * i {
+					job.Records = append(job.Records, number)
+					updates = append(updates, scheduling.ProgressUpdate{Job: job.ID, Record: number, Progress: progress})
+				}
+				mustSave(t, st, updates)
+				jobs = append(jobs, job)
 			}
-			deleted, err := st.Delete(t.Context(), keyvalue.Condition{Key: "seat", Revision: test.term}, ids)
+			deleted, err := st.Delete(t.Context(), keyvalue.Condition{Key: "seat", Revision: test.term}, jobs)
 			if len(deleted) != test.want || (err != nil) != (test.want == 0) {
 				t.Fatalf("%d deleted, %v", len(deleted), err)
 			}
-			for _, id := range ids {
-				if _, known, err := st.Status(t.Context(), id); err != nil || known == (test.want > 0) {
-					t.Errorf("job %s: known %v, %v", id, known, err)
+			for _, job := range jobs {
+				if _, known, err := st.Status(t.Context(), job.ID); err != nil || known == (test.want > 0) {
+					t.Errorf("job %s: known %v, %v", job.ID, known, err)
 				}
 			}
+			if items, _, err := calls.List(t.Context(), ""); err != nil || (len(items) == 0) != (test.want > 0) {
+				t.Errorf("%d keys are left, %v", len(items), err)
+			}
 		})
 	}
 }
@@ -327,3 +356,35 @@
 		}
 	})
 }
+
+// TestAcceptLimits submits jobs that may be too large for the store. One that could
+// never be stored, or started, must be refused at once.
+func TestAcceptLimits(t *testing.T) {
+	tests := []struct {
+		name    string
+		job     workflow.Job
+		refused bool
+	}{
+		{"small", workflow.Job{Steps: []workflow.Step{{Tasks: 1}}}, false},
+		{"many tasks", workflow.Job{Steps: []workflow.Step{{Tasks: workflow.MaxTasks}}}, false},
+		{"a gang", workflow.Job{Steps: []workflow.Step{{Tasks: 100, Gang: true}}}, false},
+		{"a gang too large", workflow.Job{Steps: []workflow.Step{{Tasks: 1}, {Tasks: 200, Gang: true}}}, true},
+		{"too many steps", workflow.Job{Steps: slices.Repeat([]workflow.Step{{Tasks: 1, Label: "a"}}, 2000)}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			backend := standin.New()
+			backend.ValueBytes = 8 << 10
+			calls := backend.Calls()
+			st := record.NewJobStore(&calls, func() int { return backend.ValueBytes })
+			test.job.ID = "a"
+			err := st.Accept(t.Context(), &test.job)
+			if refused := state.ReasonOf(err, "") == state.BodyTooLarge && !state.IsAmbiguous(err); refused != test.refused || !refused && err != nil {
+				t.Errorf("refused %v: %v", refused, err)
+			}
+			if _, known, err := st.Status(t.Context(), "a"); err != nil || known == test.refused {
+				t.Errorf("known %v, %v", known, err)
+			}
+		})
+	}
+}
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -1,7 +1,9 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,9 +17,9 @@
 )
 
 const (
-	// jobsPerSave keeps a change within the store's limit of 32 entries: a
-	// condition and a put for each job, and the condition of the term.
-	jobsPerSave = 15
+	// recordsPerSave keeps a change within the store's limit of 32 entries: a
+	// condition and a put for each record, and the condition of the term.
+	recordsPerSave = 15
 	// saveTimeout bounds the commit of one change.
 	saveTimeout = time.Second
 	// loadTimeout bounds the listing of all progress.
@@ -27,9 +29,10 @@
 // StoredProgress is a job's progress in the store.
 type StoredProgress struct {
 	Progress workflow.Progress
-	Revision keyvalue.Revision
-	// Err is set if the progress cannot be decoded; nothing may be started then, as
-	// the job's tasks may have run.
+	// Revisions holds the revisions of the records by number.
+	Revisions map[int]keyvalue.Revision
+	// Err is set if a record cannot be decoded; nothing may be started then, as the
+	// job's tasks may have run.
 	Err error
 }
 
@@ -44,47 +47,77 @@
 	}
 	all := make(map[workflow.ID]StoredProgress, len(items))
 	for _, item := range items {
-		progress, err := st.DecodeProgress(item.Value)
-		all[workflow.ID(item.Key[len(progressPrefix):])] = StoredProgress{
-			progress, item.Revision, errors.Wrapf(err, "decode progress at key %s", item.Key),
+		if id, number, known := parseProgressKey(item.Key); known {
+			all[id] = st.addRecord(all[id], number, item)
 		}
 	}
 	return all, nil
 }
 
+// addRecord adds the record in the item to the job's progress.
+func (st *Store) addRecord(job StoredProgress, number int, item keyvalue.Item) StoredProgress {
+	if job.Revisions == nil {
+		job.Revisions = make(map[int]keyvalue.Revision)
+	}
+	job.Revisions[number] = item.Revision
+	part, err := st.DecodeProgress(item.Value)
+	switch {
+	case err != nil:
+		job.Err = errors.Wrapf(err, "decode progress at key %s", item.Key)
+	case job.Progress.Groups == nil:
+		status := job.Progress.Status
+		job.Progress = part
+		job.Progress.Status = cmp.Or(part.Status, status)
+	default:
+		job.Progress.Status = cmp.Or(part.Status, job.Progress.Status)
+		maps.Copy(job.Progress.Groups, part.Groups)
+	}
+	return job
+}
+
 // Save stores progress while the term's condition holds, which is that the planner's
 // key is unchanged; else the results have scheduling.ErrTermEnded. What the store
 // refuses does not keep the rest from being stored; once the store cannot be
 // reached, the rest is not tried.
 func (st *Store) Save(ctx context.Context, term keyvalue.Condition, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
-	s := saver{store: st, term: term, updates: updates, results: make([]scheduling.SaveResult, len(updates))}
-	var encoded []encodedUpdate
+	s := saver{store: st, term: term, updates: updates, results: make([]scheduling.SaveResult, len(updates)), statusUnsaved: make(map[workflow.ID]error)}
+	var chunk []encodedUpdate
+	chunkBytes, limit := 0, st.ValueBytes()
 	for i, update := range updates {
 		s.results[i].Revision = update.Revision
-		value, err := st.encode(update)
+		value, leftOut, err := st.encode(update)
 		if err != nil {
-			s.results[i].Err = err
+			s.setError(i, err)
 			continue
 		}
-		encoded = append(encoded, encodedUpdate{i, value})
-	}
-	for chunk := range slices.Chunk(encoded, jobsPerSave) {
-		s.save(ctx, chunk)
+		s.results[i].CheckpointsLeftOut = leftOut
+		if len(chunk) == recordsPerSave || limit > 0 && len(chunk) > 0 && chunkBytes+len(value) > limit {
+			s.save(ctx, chunk)
+			chunk, chunkBytes = nil, 0
+		}
+		chunk, chunkBytes = append(chunk, encodedUpdate{i, value}), chunkBytes+len(value)
 	}
+	s.save(ctx, chunk)
 	return s.results
 }
 
-// encode returns the update's record, or an error with the reason badRequest if it
-// can't be stored.
-func (st *Store) encode(update scheduling.ProgressUpdate) ([]byte, error) {
-	value, err := st.EncodeProgress(update.Progress)
-	if limit := st.ValueBytes(); err == nil && limit > 0 && len(value) > limit {
+// encode returns the update's record. It leaves out the checkpoints if the record is
+// too large with them: the work may be done again from its start. The error has
+// the reason badRequest.
+func (st *Store) encode(update scheduling.ProgressUpdate) (value []byte, checkpointsLeftOut bool, err error) {
+	limit := st.ValueBytes()
+	value, err = st.EncodeProgress(update.Progress)
+	if err == nil && limit > 0 && len(value) > limit {
+		checkpointsLeftOut = true
+		value, err = st.EncodeProgress(update.Progress.WithoutCheckpoints())
+	}
+	if err == nil && limit > 0 && len(value) > limit {
 		err = errors.Errorf("%d bytes, the store takes %d", len(value), limit)
 	}
 	if err != nil {
-		return nil, state.NewStepError("encode the progress of job "+string(update.Job), netip.AddrPort{}, state.BadRequest, err)
+		return nil, false, state.NewStepError("encode the progress of job "+string(update.Job), netip.AddrPort{}, state.BadRequest, err)
 	}
-	return value, nil
+	return value, checkpointsLeftOut, nil
 }
 
 // encodedUpdate is the record of the update at the index.
@@ -99,6 +132,8 @@
 	term    keyvalue.Condition
 	updates []scheduling.ProgressUpdate
 	results []scheduling.SaveResult
+	// statusUnsaved holds the errors of jobs whose record 0 was not saved.
+	statusUnsaved map[workflow.ID]error
 	// failure is the error of the first change that did not reach the store, or the end
 	// of the term.
 	failure error
@@ -111,6 +146,10 @@
 		s.setErrors(chunk, s.failure)
 		return
 	}
+	chunk = slices.DeleteFunc(chunk, s.waitsForStatus)
+	if len(chunk) == 0 {
+		return
+	}
 	revision, err := s.commit(ctx, chunk)
 	var conflict *keyvalue.ConflictError
 	switch {
@@ -132,9 +171,26 @@
 	}
 }
 
+// waitsForStatus reports whether the update must not be saved yet, because its job's
+// record 0 was not.
+func (s *saver) waitsForStatus(u encodedUpdate) bool {
+	err, unsaved := s.statusUnsaved[s.updates[u.index].Job]
+	if unsaved {
+		s.results[u.index].Err = err
+	}
+	return unsaved
+}
+
 func (s *saver) setErrors(chunk []encodedUpdate, err error) {
 	for _, u := range chunk {
-		s.results[u.index].Err = err
+		s.setError(u.index, err)
+	}
+}
+
+func (s *saver) setError(index int, err error) {
+	s.results[index].Err = err
+	if s.updates[index].Record == 0 {
+		s.statusUnsaved[s.updates[index].Job] = err
 	}
 }
 
@@ -145,8 +201,8 @@
 	largest := chunk[0]
 	for _, u := range chunk {
 		update := s.updates[u.index]
-		change.Conditions = append(change.Conditions, keyvalue.Condition{Key: progressKey(update.Job), Revision: update.Revision})
-		change.Puts = append(change.Puts, keyvalue.Put{Key: progressKey(update.Job), Value: u.value})
+		change.Conditions = append(change.Conditions, keyvalue.Condition{Key: progressKey(update.Job, update.Record), Revision: update.Revision})
+		change.Puts = append(change.Puts, keyvalue.Put{Key: progressKey(update.Job, update.Record), Value: u.value})
 		if len(u.value) > len(largest.value) {
 			largest = u
 		}
@@ -170,35 +226,58 @@
 		return
 	}
 	for _, u := range chunk {
-		item, _ := conflict.Find(progressKey(s.updates[u.index].Job))
-		s.results[u.index] = scheduling.SaveResult{Revision: item.Revision, Err: ErrStaleRevision}
+		item, _ := conflict.Find(progressKey(s.updates[u.index].Job, s.updates[u.index].Record))
+		s.results[u.index].Revision = item.Revision
 	}
+	s.setErrors(chunk, ErrStaleRevision)
 }
 
-// jobsPerDelete keeps a change within the store's limit of 32 entries: three keys
-// for each job and the condition of the term.
-const jobsPerDelete = 10
+const (
+	// jobsPerDelete and recordsPerDelete keep a change within the store's limit of 32
+	// entries: three keys for each job or one for each record, and the condition of
+	// the term.
+	jobsPerDelete    = 10
+	recordsPerDelete = 31
+)
 
 // Delete deletes all keys of the jobs while the term's condition holds. It
 // returns the jobs deleted, which are some of them after an error.
-func (st *Store) Delete(ctx context.Context, term keyvalue.Condition, ids []workflow.ID) ([]workflow.ID, error) {
+func (st *Store) Delete(ctx context.Context, term keyvalue.Condition, jobs []scheduling.StoredJob) ([]workflow.ID, error) {
 	var deleted []workflow.ID
-	for chunk := range slices.Chunk(ids, jobsPerDelete) {
-		change := keyvalue.Change{Conditions: []keyvalue.Condition{term}}
-		for _, id := range chunk {
-			change.Deletes = append(change.Deletes, jobKey(id), cancelKey(id), progressKey(id))
+	for chunk := range slices.Chunk(jobs, jobsPerDelete) {
+		var further, last []string
+		ids := make([]workflow.ID, 0, len(chunk))
+		for _, job := range chunk {
+			ids = append(ids, job.ID)
+			last = append(last, jobKey(job.ID), cancelKey(job.ID), progressKey(job.ID, 0))
+			for _, record := range job.Records {
+				if record != 0 {
+					further = append(further, progressKey(job.ID, record))
+				}
+			}
 		}
-		deleting, cancel := context.WithTimeout(ctx, saveTimeout)
-		_, err := st.Store.Commit(deleting, change)
-		cancel()
-		if err != nil {
+		// The record with the final status goes last, so that what is left after a failure
+		// is never taken for a job to be run.
+		for keys := range slices.Chunk(further, recordsPerDelete) {
+			if err := st.deleteKeys(ctx, term, keys); err != nil {
+				return deleted, err
+			}
+		}
+		if err := st.deleteKeys(ctx, term, last); err != nil {
 			return deleted, err
 		}
-		deleted = append(deleted, chunk...)
+		deleted = append(deleted, ids...)
 	}
 	return deleted, nil
 }
 
+func (st *Store) deleteKeys(ctx context.Context, term keyvalue.Condition, keys []string) error {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	_, err := st.Store.Commit(ctx, keyvalue.Change{Conditions: []keyvalue.Condition{term}, Deletes: keys})
+	return err
+}
+
 // SavePending stores the number of jobs without a started task, by queue, until the
 // lease ends, which is that of the term.
 func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, lease keyvalue.LeaseID, pending map[string]int) error {
--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -21,7 +21,7 @@
 				p.addJob(&workflow.Job{
 					ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", Organisation: "o", Priority: 1 + i%2, MaxAttempts: 3, Stretch: 3,
 					Steps: []workflow.Step{{Tasks: 1 + i%3, Accelerators: 8, Gang: true, SameRack: i%2 == 0, Estimate: time.Hour}}, Accepted: time.Now(),
-				}, workflow.Progress{}, 0)
+				}, workflow.Progress{}, nil)
 			}
 			var took []time.Duration
 			for b.Loop() {
@@ -56,10 +56,9 @@
 				ID: workflow.ID(fmt.Sprintf("r%d", i)), Queue: "q", Priority: 1,
 				Steps: []workflow.Step{{Tasks: tasks, Accelerators: 1, Estimate: 4 * time.Hour}},
 			},
-			status: workflow.Running, acceptedAt: time.Now(), groups: make(map[workflow.GroupID]*group),
+			status: workflow.Running, acceptedAt: time.Now(), groups: make(map[workflow.GroupID]*group), records: make(map[int]*record),
 			doneGroups: make(map[[2]int]int), created: map[[2]int]bool{{0, 0}: true}, objective: 12 * time.Hour,
 		}
-		j.record = &record{job: j}
 		p.jobs[j.ID] = j
 		for index := range tasks {
 			g := p.addGroup(j, workflow.GroupID{Index: index})
@@ -89,7 +88,7 @@
 				if urgent {
 					j.Priority, j.Stretch, j.StartAllowance = 0, 1, time.Hour
 				}
-				p.addJob(j, workflow.Progress{}, 0)
+				p.addJob(j, workflow.Progress{}, nil)
 				if urgent {
 					p.jobs[j.ID].objective = time.Hour // adjusted to the slack in each round
 				}
@@ -127,10 +126,9 @@
 				ID: workflow.ID(fmt.Sprintf("r%d", i)), Queue: "q", Priority: 1,
 				Steps: []workflow.Step{{Tasks: 8 >> (i % 4), Cores: 2800, Accelerators: 1 << (i % 4), Estimate: 4 * time.Hour}},
 			},
-			status: workflow.Running, acceptedAt: time.Now().Add(-time.Hour), groups: make(map[workflow.GroupID]*group),
+			status: workflow.Running, acceptedAt: time.Now().Add(-time.Hour), groups: make(map[workflow.GroupID]*group), records: make(map[int]*record),
 			doneGroups: make(map[[2]int]int), created: map[[2]int]bool{{0, 0}: true}, objective: 12 * time.Hour,
 		}
-		j.record = &record{job: j}
 		p.jobs[j.ID] = j
 		for index := range j.Steps[0].Tasks {
 			g := p.addGroup(j, workflow.GroupID{Index: index})
--- a/coordination/scheduling/calls.go
+++ b/coordination/scheduling/calls.go
@@ -79,14 +79,23 @@
 	RefusedInvalid StartResult = "refusedInvalid"
 )
 
-// ProgressUpdate is the progress of one job to store.
+// ProgressUpdate is one record of a job's progress to store.
 type ProgressUpdate struct {
-	Job      workflow.ID
+	Job workflow.ID
+	// Record numbers the records of a job. Record 0 has the job's status, and must not
+	// be older in the store than the others.
+	Record   int
 	Progress workflow.Progress
 	// Revision is the revision of the record to replace; 0 if there is none.
 	Revision keyvalue.Revision
 }
 
+// StoredJob names a job and the records of its progress.
+type StoredJob struct {
+	ID      workflow.ID
+	Records []int
+}
+
 // SaveResult is the outcome of saving one ProgressUpdate.
 type SaveResult struct {
 	// Revision is that of the stored record, as far as it is known.
@@ -94,6 +103,9 @@
 	// Err is nil if the update is stored. It is ErrTermEnded if a newer planner has
 	// taken over, and keyvalue.IsRefused if the record can never be stored as it is.
 	Err error
+	// CheckpointsLeftOut is set if the record is stored without checkpoints, with which
+	// it would be too large.
+	CheckpointsLeftOut bool
 }
 
 // Bounds holds the platform's limits that decisions depend on.
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -9,6 +9,7 @@
 	workerQuarantined     = "workerQuarantined"
 	unknownAttemptStopped = "strangerStopped"
 	recordRefused         = "recordRefused"
+	checkpointsLeftOut    = "checkpointsLeftOut"
 	// endsLeftOut counts reports that do not list all ends.
 	endsLeftOut = "endsLeftOut"
 )
@@ -17,7 +18,7 @@
 var Events = []string{
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
-	endsLeftOut, recordRefused,
+	endsLeftOut, recordRefused, checkpointsLeftOut,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
 }
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -1,8 +1,10 @@
 package scheduling_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -23,17 +25,24 @@
 	mu       sync.Mutex
 	term     scheduling.Term
 	revision keyvalue.Revision
-	records  map[workflow.ID]scheduling.ProgressUpdate
+	records  map[recordKey]scheduling.ProgressUpdate
 	// unavailable makes every save fail.
 	unavailable bool
 	// refused holds the jobs whose records are not accepted.
 	refused map[workflow.ID]bool
 }
 
+// recordKey identifies a record of a job's progress.
+type recordKey struct {
+	job    workflow.ID
+	number int
+}
+
 func (m *memoryStore) save(term scheduling.Term, updates []scheduling.ProgressUpdate) (results []scheduling.SaveResult) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, update := range updates {
+		key := recordKey{update.Job, update.Record}
 		result := scheduling.SaveResult{Revision: update.Revision}
 		switch {
 		case m.term != term:
@@ -42,12 +51,12 @@
 			result.Err = context.DeadlineExceeded
 		case m.refused[update.Job]:
 			result.Err = state.NewStepError("save", netip.AddrPort{}, state.BadRequest, nil)
-		case m.records[update.Job].Revision != update.Revision:
-			result.Err = fmt.Errorf("job %s: revision %d, not %d", update.Job, m.records[update.Job].Revision, update.Revision)
+		case m.records[key].Revision != update.Revision:
+			result.Err = fmt.Errorf("job %s: revision %d, not %d", update.Job, m.records[key].Revision, update.Revision)
 		default:
 			m.revision++
 			result.Revision, update.Revision = m.revision, m.revision
-			m.records[update.Job] = update
+			m.records[key] = update
 		}
 		results = append(results, result)
 	}
@@ -58,8 +67,13 @@
 func (m *memoryStore) failures(id workflow.ID) (count int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, g := range m.records[id].Progress.Groups {
-		count += g.Failures
+	for key, r := range m.records {
+		if key.job != id {
+			continue
+		}
+		for _, g := range r.Progress.Groups {
+			count += g.Failures
+		}
 	}
 	return count
 }
@@ -67,7 +81,7 @@
 func (m *memoryStore) status(id workflow.ID) workflow.Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.records[id].Progress.Status
+	return m.records[recordKey{id, 0}].Progress.Status
 }
 
 // harness runs successive planners against the same workers and the same store.
@@ -95,7 +109,7 @@
 
 func newHarness(workers int) *harness {
 	h := &harness{
-		store: &memoryStore{records: make(map[workflow.ID]scheduling.ProgressUpdate), revision: 1},
+		store: &memoryStore{records: make(map[recordKey]scheduling.ProgressUpdate), revision: 1},
 		fleet: runner.New(), counts: make(map[string]int),
 	}
 	h.calls = h.fleet.Calls()
@@ -145,10 +159,7 @@
 	h.store.mu.Lock()
 	h.store.term++
 	term := h.store.term
-	records := make(map[workflow.ID]scheduling.ProgressUpdate, len(h.store.records))
-	for id, r := range h.store.records {
-		records[id] = r
-	}
+	records := maps.Clone(h.store.records)
 	h.store.mu.Unlock()
 	s := &scheduling.Scheduler{
 		Term: term, Cores: h.cores, Now: time.Now, WallClock: time.Now, Workers: h.calls,
@@ -171,7 +182,16 @@
 	}
 	s.Open()
 	for _, j := range h.jobs {
-		s.Load(j, records[j.ID].Progress, records[j.ID].Revision)
+		progress := workflow.Progress{Groups: make(map[workflow.GroupID]workflow.Group)}
+		revisions := make(map[int]keyvalue.Revision)
+		for key, r := range records {
+			if key.job == j.ID {
+				progress.Status = cmp.Or(progress.Status, r.Progress.Status)
+				maps.Copy(progress.Groups, r.Progress.Groups)
+				revisions[key.number] = r.Revision
+			}
+		}
+		s.Load(j, progress, revisions)
 	}
 	for _, id := range h.cancelled {
 		s.Cancel(id)
--- a/coordination/scheduling/placement_test.go
+++ b/coordination/scheduling/placement_test.go
@@ -34,7 +34,7 @@
 				j.Stretch = w.stretch
 			}
 			h.addJob(j)
-			s.Load(j, workflow.Progress{}, 0)
+			s.Load(j, workflow.Progress{}, nil)
 		}
 	}
 	time.Sleep(time.Until(began.Add(duration)))
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -235,6 +235,7 @@
 	}
 	if g.job.status == workflow.Queued {
 		g.job.status = workflow.Running
+		p.markDirty(g.job.recordAt(0))
 	}
 	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -1,6 +1,8 @@
 package scheduling
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,8 +47,11 @@
 	*workflow.Job
 	acceptedAt time.Time
 	status     workflow.Status
-	record     *record
-	groups     map[workflow.GroupID]*group
+	records    map[int]*record
+	// stepOffsets holds the size of the records of all steps before each one and, last,
+	// of all steps of an occurrence.
+	stepOffsets []int
+	groups      map[workflow.GroupID]*group
 	// doneGroups counts the completed groups by occurrence and step.
 	doneGroups map[[2]int]int
 	// created marks the steps whose groups were created, by occurrence and step.
@@ -120,7 +125,7 @@
 	}
 }
 
-func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revision keyvalue.Revision) {
+func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, known := p.jobs[w.ID]; known {
@@ -129,11 +134,14 @@
 	j := &job{
 		Job: w, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
 		groups:     make(map[workflow.GroupID]*group),
+		records:    make(map[int]*record),
 		doneGroups: make(map[[2]int]int),
 		created:    make(map[[2]int]bool),
 		objective:  w.Objective(),
 	}
-	j.record = &record{job: j, revision: revision}
+	for number, revision := range revisions {
+		j.recordAt(number).revision = revision
+	}
 	if progress.Status != "" {
 		j.status, j.endedAt = progress.Status, p.scheduler.Now()
 	}
@@ -187,7 +195,7 @@
 
 // addGroup adds a group that waits for its first attempt.
 func (p *pool) addGroup(j *job, id workflow.GroupID) *group {
-	g := &group{id: id, job: j, record: j.record, step: &j.Steps[id.Step], waitingSince: p.scheduler.Now()}
+	g := &group{id: id, job: j, record: j.recordOf(id), step: &j.Steps[id.Step], waitingSince: p.scheduler.Now()}
 	g.record.groups = append(g.record.groups, g)
 	j.groups[id] = g
 	p.work.addUnstarted(g)
@@ -230,11 +238,7 @@
 }
 
 func (j *job) stepDone(occurrence, step int) bool {
-	want := j.Steps[step].Tasks
-	if j.Steps[step].Gang {
-		want = 1
-	}
-	return j.doneGroups[[2]int{occurrence, step}] >= want
+	return j.doneGroups[[2]int{occurrence, step}] >= j.Steps[step].Groups()
 }
 
 func (j *job) allOccurrencesDone() bool {
@@ -278,7 +282,7 @@
 func (p *pool) endJob(j *job, status workflow.Status) {
 	j.status, j.endedAt = status, p.scheduler.Now()
 	p.work.removeJob(j)
-	p.markDirty(j.record)
+	p.markDirty(j.recordAt(0))
 	p.scheduler.Log.Info().Str("event", "jobEnded").Str("request", string(j.ID)).
 		Str("status", string(status)).Dur("age", j.endedAt.Sub(j.acceptedAt)).Dur("objective", j.objective).Send()
 	for _, g := range j.groups {
@@ -300,15 +304,15 @@
 
 // appendDeletable appends the jobs that ended before endedBefore and have
 // neither members that may still run nor unsaved changes.
-func (p *pool) appendDeletable(ids []workflow.ID, endedBefore time.Time) []workflow.ID {
+func (p *pool) appendDeletable(jobs []StoredJob, endedBefore time.Time) []StoredJob {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, j := range p.jobs {
-		if _, dirty := p.dirty[j.record]; j.status.Final() && !dirty && j.endedAt.Before(endedBefore) && j.idle() {
-			ids = append(ids, j.ID)
+		if j.status.Final() && j.endedAt.Before(endedBefore) && j.idle() && !p.unsaved(j) {
+			jobs = append(jobs, StoredJob{j.ID, slices.Sorted(maps.Keys(j.records))})
 		}
 	}
-	return ids
+	return jobs
 }
 
 // idle reports whether no member of the job may still run.
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -38,6 +38,8 @@
 	storeOutage time.Duration
 	// cores is how many cores each planner may use; few make renewals rare.
 	cores float64
+	// recordBytes is that of the jobs; 1 stores each group in a record of its own.
+	recordBytes int
 	// listedEnds is the most ends that one report lists; 0 is the fleet's default.
 	listedEnds int
 }
@@ -53,6 +55,7 @@
 		overlap:     time.Duration(rapid.Int64Range(0, 2000).Draw(t, "overlap")) * time.Millisecond,
 		restarts:    milliseconds(times.Draw(t, "restarts")),
 		cores:       rapid.SampledFrom([]float64{0, 0.001}).Draw(t, "cores"),
+		recordBytes: rapid.SampledFrom([]int{0, 1}).Draw(t, "recordBytes"),
 		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
 		storeOutage: time.Duration(rapid.Int64Range(0, faultPeriod.Milliseconds()).Draw(t, "storeOutage")) * time.Millisecond,
 	}
@@ -150,6 +153,7 @@
 	}
 	for i := range s.jobs {
 		j := job(i+1, steps[i%len(steps)])
+		j.RecordBytes = s.recordBytes
 		if i%2 == 1 {
 			next := j.Steps[0]
 			next.After = []int{0}
--- a/coordination/scheduling/record.go
+++ b/coordination/scheduling/record.go
@@ -7,10 +7,12 @@
 	"comfreystream/state/workflow"
 )
 
-// record is the part of a job's progress that is stored under one key. The pool's
-// lock guards it.
+// record is the part of a job's progress that is stored under one key: the job's
+// status in its record 0, and a number of groups, so that a value of the store holds it
+// and a change of one group does not write all others. The pool's lock guards it.
 type record struct {
 	job      *job
+	number   int
 	groups   []*group
 	revision keyvalue.Revision
 	// changeCount counts the changes; it tells whether one came during a save.
@@ -29,6 +31,43 @@
 	incarnation workflow.Incarnation
 }
 
+// recordAt returns the job's record with the number.
+func (j *job) recordAt(number int) *record {
+	r, found := j.records[number]
+	if !found {
+		r = &record{job: j, number: number}
+		j.records[number] = r
+	}
+	return r
+}
+
+// recordOf returns the record of the group. Groups fill the records in the order of
+// occurrence, step and index.
+func (j *job) recordOf(id workflow.GroupID) *record {
+	if j.RecordBytes == 0 {
+		return j.recordAt(0)
+	}
+	if j.stepOffsets == nil {
+		j.stepOffsets = append(j.stepOffsets, 0)
+		for i := range j.Steps {
+			s := &j.Steps[i]
+			j.stepOffsets = append(j.stepOffsets, j.stepOffsets[i]+s.Groups()*s.RecordBytes())
+		}
+	}
+	position := id.Occurrence*j.stepOffsets[len(j.Steps)] + j.stepOffsets[id.Step] + id.Index*j.Steps[id.Step].RecordBytes()
+	return j.recordAt(position / j.RecordBytes)
+}
+
+// unsaved reports whether the job has unsaved changes.
+func (p *pool) unsaved(j *job) bool {
+	for _, r := range j.records {
+		if _, dirty := p.dirty[r]; dirty {
+			return true
+		}
+	}
+	return false
+}
+
 // markDirty has the record saved.
 func (p *pool) markDirty(r *record) {
 	r.changeCount++
@@ -53,7 +92,10 @@
 
 // progress returns the record's content in the form that is stored.
 func (r *record) progress() workflow.Progress {
-	progress := workflow.Progress{Status: r.job.status, Groups: make(map[workflow.GroupID]workflow.Group, len(r.groups))}
+	progress := workflow.Progress{Groups: make(map[workflow.GroupID]workflow.Group, len(r.groups))}
+	if r.number == 0 {
+		progress.Status = r.job.status
+	}
 	for _, g := range r.groups {
 		if g.attempt > 0 {
 			progress.Groups[g.id] = g.stored()
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -1,6 +1,8 @@
 package scheduling
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,12 +81,14 @@
 	now := p.scheduler.Now()
 	b := saveBatch{ends: make(map[endSource]int64)}
 	for r := range p.dirty {
-		if now.Before(r.retryAt) {
-			continue
+		if !now.Before(r.retryAt) {
+			b.records = append(b.records, r)
 		}
-		b.records = append(b.records, r)
+	}
+	slices.SortFunc(b.records, func(a, b *record) int { return cmp.Compare(a.number, b.number) })
+	for _, r := range b.records {
 		b.changeCounts = append(b.changeCounts, r.changeCount)
-		b.updates = append(b.updates, ProgressUpdate{Job: r.job.ID, Progress: r.progress(), Revision: r.revision})
+		b.updates = append(b.updates, ProgressUpdate{Job: r.job.ID, Record: r.number, Progress: r.progress(), Revision: r.revision})
 	}
 	for _, w := range p.workers {
 		if w.lastAppliedEnd > w.lastSavedEnd {
@@ -104,6 +108,10 @@
 		r.revision = results[i].Revision
 		switch err := results[i].Err; {
 		case err == nil:
+			if results[i].CheckpointsLeftOut {
+				p.scheduler.Count(checkpointsLeftOut)
+				p.scheduler.Log.Warn().Str("event", "checkpointsLeftOut").Str("request", string(r.job.ID)).Int("record", r.number).Send()
+			}
 			p.applySavedRecord(r, b.changeCounts[i], b.updates[i].Progress, b.ends)
 		case keyvalue.IsRefused(err):
 			p.holdRecord(r, err)
@@ -150,7 +158,7 @@
 	r.retryAt = p.scheduler.Now().Add(refusedRetryDelay)
 	time.AfterFunc(refusedRetryDelay, func() { wake(p.saveDue) })
 	p.scheduler.Count(recordRefused)
-	p.scheduler.Log.Error().Str("event", "recordRefused").Str("request", string(r.job.ID)).Int("groups", len(r.groups)).Err(cause).Send()
+	p.scheduler.Log.Error().Str("event", "recordRefused").Str("request", string(r.job.ID)).Int("record", r.number).Int("groups", len(r.groups)).Err(cause).Send()
 	for _, g := range r.groups {
 		if g.phase == saving {
 			p.stopGroup(g, reasonIncomplete)
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -67,10 +67,10 @@
 	return nil
 }
 
-// Load adds a job with its stored progress, or does nothing if the job is
-// already known.
-func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revision keyvalue.Revision) {
-	s.pool(job.Service).addJob(job, progress, revision)
+// Load adds a job with its stored progress and the revisions of the records that
+// hold it, or does nothing if the job is already known.
+func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
+	s.pool(job.Service).addJob(job, progress, revisions)
 }
 
 // Cancel cancels a job and stops its tasks.
@@ -106,12 +106,12 @@
 
 // DeletableJobs returns the jobs that ended longer ago than minAge and need no more
 // work, so that their records can be deleted.
-func (s *Scheduler) DeletableJobs(minAge time.Duration) (ids []workflow.ID) {
+func (s *Scheduler) DeletableJobs(minAge time.Duration) (jobs []StoredJob) {
 	endedBefore := s.Now().Add(-minAge)
 	for _, p := range s.allPools() {
-		ids = p.appendDeletable(ids, endedBefore)
+		jobs = p.appendDeletable(jobs, endedBefore)
 	}
-	return ids
+	return jobs
 }
 
 // Forget removes jobs whose records were deleted.
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -136,7 +136,7 @@
 			t.instance.log.Error().Str("event", "progressUnreadable").Str("request", string(job.ID)).Err(err).Send()
 			return
 		}
-		t.scheduler.Load(job, loaded.Progress, loaded.Revision)
+		t.scheduler.Load(job, loaded.Progress, loaded.Revisions)
 	default:
 	}
 }
@@ -209,11 +209,11 @@
 func (t *term) deleteEnded() {
 	i := t.instance
 	for pause.For(t.ctx, deleteInterval) {
-		ids := t.scheduler.DeletableJobs(i.settings.Load().StatusRetention + deleteMargin)
-		if len(ids) == 0 || !i.candidate.Valid(t.condition.Revision) {
+		jobs := t.scheduler.DeletableJobs(i.settings.Load().StatusRetention + deleteMargin)
+		if len(jobs) == 0 || !i.candidate.Valid(t.condition.Revision) {
 			continue
 		}
-		deleted, err := i.plannerJobStore.Delete(t.ctx, t.condition, ids)
+		deleted, err := i.plannerJobStore.Delete(t.ctx, t.condition, jobs)
 		t.scheduler.Forget(deleted)
 		line := i.log.Info()
 		if err != nil {
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -25,6 +25,7 @@
 	FirstStart     int64         `cbor:"11,keyasint,omitempty"`
 	Interval       time.Duration `cbor:"12,keyasint,omitempty"`
 	Accepted       int64         `cbor:"13,keyasint"`
+	RecordBytes    int           `cbor:"14,keyasint,omitempty"`
 }
 
 type stepRecord struct {
@@ -51,6 +52,7 @@
 		Queue: job.Queue, Service: job.Service, Organisation: job.Organisation, Priority: job.Priority,
 		MaxAttempts: job.MaxAttempts, Stretch: job.Stretch, StartAllowance: job.StartAllowance,
 		Spec: job.Spec, Occurrences: job.Occurrences, Interval: job.Interval, Accepted: job.Accepted.UnixMilli(),
+		RecordBytes: job.RecordBytes,
 	}
 	if job.Occurrences > 0 {
 		r.FirstStart = job.FirstStart.UnixMilli()
@@ -72,6 +74,7 @@
 		ID: id, Queue: r.Queue, Service: r.Service, Organisation: r.Organisation, Priority: r.Priority,
 		MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, StartAllowance: r.StartAllowance,
 		Spec: r.Spec, Occurrences: r.Occurrences, Interval: r.Interval, Accepted: time.UnixMilli(r.Accepted),
+		RecordBytes: r.RecordBytes,
 	}
 	if r.Occurrences > 0 {
 		job.FirstStart = time.UnixMilli(r.FirstStart)
@@ -86,6 +89,20 @@
 type progressRecord struct {
 	Status workflow.Status `cbor:"1,keyasint"`
 	Groups []groupRecord   `cbor:"2,keyasint,omitempty"`
+	// Shared holds the members of large gangs, whose groups name each worker once.
+	Shared []sharedPlacement `cbor:"3,keyasint,omitempty"`
+}
+
+// minSharedMembers is from how many members on the workers of a gang are named once
+// each. Smaller ones keep the form that older versions read.
+const minSharedMembers = 513
+
+// sharedPlacement holds the positions in Workers of each member of the group at the
+// position. It is encoded as an array, so the order of its fields must not change.
+type sharedPlacement struct {
+	_       struct{} `cbor:",toarray"`
+	Group   int
+	Members []uint32
 }
 
 // groupRecord is encoded as an array, so the order of its fields must not change.
@@ -114,9 +131,12 @@
 			Attempt: g.Attempt, Failures: g.Failures, Done: g.Done, Checkpoint: g.Checkpoint,
 			FailedAttempt: g.FailedAttempt,
 		}
-		for _, placed := range g.Placed {
-			row.Workers = append(row.Workers, string(placed.Worker))
-			row.Incarnations = append(row.Incarnations, int64(placed.Incarnation))
+		if len(g.Placed) >= minSharedMembers {
+			shared := sharedPlacement{Group: len(r.Groups)}
+			shared.Members = row.addShared(g.Placed)
+			r.Shared = append(r.Shared, shared)
+		} else {
+			row.addWorkers(g.Placed)
 		}
 		r.Groups = append(r.Groups, row)
 	}
@@ -124,29 +144,80 @@
 	return data, errors.Wrap(err, "encode progress")
 }
 
+func (r *groupRecord) addWorkers(placed []workflow.WorkerIncarnation) {
+	for _, p := range placed {
+		r.Workers = append(r.Workers, string(p.Worker))
+		r.Incarnations = append(r.Incarnations, int64(p.Incarnation))
+	}
+}
+
+// addShared adds each worker once and returns the positions of the members' workers.
+func (r *groupRecord) addShared(placed []workflow.WorkerIncarnation) []uint32 {
+	positions := make(map[workflow.WorkerIncarnation]uint32)
+	members := make([]uint32, len(placed))
+	for i, p := range placed {
+		position, known := positions[p]
+		if !known {
+			position = uint32(len(positions))
+			positions[p] = position
+			r.addWorkers([]workflow.WorkerIncarnation{p})
+		}
+		members[i] = position
+	}
+	return members
+}
+
+// placement returns the workers of the row.
+func (r *groupRecord) placement() ([]workflow.WorkerIncarnation, error) {
+	if len(r.Workers) != len(r.Incarnations) {
+		return nil, errors.New("different numbers of workers and incarnations")
+	}
+	var placed []workflow.WorkerIncarnation
+	for i, worker := range r.Workers {
+		placed = append(placed, workflow.WorkerIncarnation{Worker: workflow.WorkerID(worker), Incarnation: workflow.Incarnation(r.Incarnations[i])})
+	}
+	return placed, nil
+}
+
 // DecodeProgress returns the progress in a record.
 func DecodeProgress(data []byte) (workflow.Progress, error) {
 	var r progressRecord
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return workflow.Progress{}, errors.Wrap(err, "decode progress")
 	}
+	shared := make(map[int][]uint32, len(r.Shared))
+	for _, s := range r.Shared {
+		shared[s.Group] = s.Members
+	}
 	progress := workflow.Progress{Status: r.Status, Groups: make(map[workflow.GroupID]workflow.Group, len(r.Groups))}
-	for _, row := range r.Groups {
-		g := workflow.Group{
-			Attempt: row.Attempt, Failures: row.Failures, FailedAttempt: row.FailedAttempt,
-			Done: row.Done, Checkpoint: row.Checkpoint,
+	for i, row := range r.Groups {
+		placed, err := row.placement()
+		if members, found := shared[i]; found && err == nil {
+			placed, err = expand(placed, members)
 		}
-		if len(row.Workers) != len(row.Incarnations) {
-			return workflow.Progress{}, errors.New("decode progress: different numbers of workers and incarnations")
+		if err != nil {
+			return workflow.Progress{}, errors.Wrap(err, "decode progress")
 		}
-		for i, worker := range row.Workers {
-			g.Placed = append(g.Placed, workflow.WorkerIncarnation{Worker: workflow.WorkerID(worker), Incarnation: workflow.Incarnation(row.Incarnations[i])})
+		progress.Groups[workflow.GroupID{Occurrence: row.Occurrence, Step: row.Step, Index: row.Index}] = workflow.Group{
+			Attempt: row.Attempt, Failures: row.Failures, FailedAttempt: row.FailedAttempt,
+			Done: row.Done, Checkpoint: row.Checkpoint, Placed: placed,
 		}
-		progress.Groups[workflow.GroupID{Occurrence: row.Occurrence, Step: row.Step, Index: row.Index}] = g
 	}
 	return progress, nil
 }
 
+// expand returns the worker of each member.
+func expand(workers []workflow.WorkerIncarnation, members []uint32) ([]workflow.WorkerIncarnation, error) {
+	placed := make([]workflow.WorkerIncarnation, len(members))
+	for i, position := range members {
+		if int(position) >= len(workers) {
+			return nil, errors.Errorf("member %d is on worker %d of %d", i, position, len(workers))
+		}
+		placed[i] = workers[position]
+	}
+	return placed, nil
+}
+
 // DecodeStatus returns only the status in the record of a job's progress.
 func DecodeStatus(data []byte) (workflow.Status, error) {
 	var r struct {
--- a/protocol/record/workflow_test.go
+++ b/protocol/record/workflow_test.go
@@ -1,9 +1,13 @@
 package record
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"comfreystream/state/workflow"
 )
 
@@ -62,3 +66,53 @@
 		})
 	}
 }
+
+// TestEncodeGang checks that the workers of a gang are read back, and take no more of a
+// record than the planner counts on, or jobs are accepted that cannot be started.
+func TestEncodeGang(t *testing.T) {
+	tests := []struct {
+		name             string
+		members, workers int
+	}{
+		{"of one", 1, 1},
+		{"the largest whose members are listed one by one", 512, 512},
+		{"larger, on one worker", 513, 1},
+		{"many tasks on a few workers", 30000, 48},
+		{"the largest job", workflow.MaxTasks, 7500},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := workflow.Group{Attempt: 3}
+			for i := range test.members {
+				g.Placed = append(g.Placed, workflow.WorkerIncarnation{
+					Worker:      workflow.WorkerID(fmt.Sprintf("i-%010x", i%test.workers)),
+					Incarnation: workflow.Incarnation(1_700_000_000_000 + i%test.workers),
+				})
+			}
+			id := workflow.GroupID{Step: 1}
+			data, err := EncodeProgress(workflow.Progress{Status: workflow.Running, Groups: map[workflow.GroupID]workflow.Group{id: g, {}: {Attempt: 1}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			step := workflow.Step{Tasks: test.members, Gang: true}
+			if limit := 200 + step.PlacementBytes(); len(data) > limit {
+				t.Errorf("%d bytes, counted as %d", len(data), limit)
+			}
+			p, err := DecodeProgress(data)
+			if err != nil || !slices.Equal(p.Groups[id].Placed, g.Placed) || len(p.Groups[workflow.GroupID{}].Placed) != 0 {
+				t.Errorf("%d members read back, %v", len(p.Groups[id].Placed), err)
+			}
+		})
+	}
+}
+
+// TestDecodeSharedPlacement has a member on a worker that the record does not name.
+func TestDecodeSharedPlacement(t *testing.T) {
+	data, err := cbor.Marshal(progressRecord{Groups: []groupRecord{{Attempt: 1}}, Shared: []sharedPlacement{{Members: []uint32{0}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p, err := DecodeProgress(data); err == nil {
+		t.Errorf("decoded as %+v", p)
+	}
+}
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -52,6 +52,8 @@
 	// ends; nil means one second and workflow.Done.
 	RunTime func(task workflow.Task, attempt int, worker workflow.WorkerID) time.Duration
 	Outcome func(task workflow.Task, attempt int, worker workflow.WorkerID) workflow.Outcome
+	// Checkpoint is the checkpoint of every attempt; empty is none.
+	Checkpoint string
 	// Fault returns the fault of each call by the call's name, such as "Start";
 	// nil injects no faults.
 	Fault func(call string, worker workflow.WorkerID) Fault
@@ -291,7 +293,7 @@
 	})
 	report := workflow.Report{Incarnation: w.info.Incarnation, Clock: w.clock()}
 	for _, r := range w.running {
-		report.Running = append(report.Running, workflow.RunningTask{Task: r.Task, Attempt: r.Attempt, Percent: f.percent(r)})
+		report.Running = append(report.Running, workflow.RunningTask{Task: r.Task, Attempt: r.Attempt, Checkpoint: f.Checkpoint, Percent: f.percent(r)})
 	}
 	listed := min(len(w.unacknowledged), f.ListedEnds)
 	report.MoreEnds = listed < len(w.unacknowledged)
--- a/state/workflow/job.go
+++ b/state/workflow/job.go
@@ -32,6 +32,9 @@
 	FirstStart  time.Time
 	Interval    time.Duration
 	Accepted    time.Time
+	// RecordBytes is how large the records of the job's stored progress may be, by the
+	// estimate of Step.RecordBytes; 0 means that one record holds everything.
+	RecordBytes int
 }
 
 // Step is a number of identical tasks.
--- a/state/workflow/progress.go
+++ b/state/workflow/progress.go
@@ -17,11 +17,22 @@
 
 // Progress is the stored progress of a job.
 type Progress struct {
+	// Status is empty in a part of the progress that leaves it to another part.
 	Status Status
 	// Groups holds the groups that were started at least once.
 	Groups map[GroupID]Group
 }
 
+// WithoutCheckpoints returns the progress without the groups' checkpoints.
+func (p Progress) WithoutCheckpoints() Progress {
+	groups := make(map[GroupID]Group, len(p.Groups))
+	for id, g := range p.Groups {
+		g.Checkpoint = ""
+		groups[id] = g
+	}
+	return Progress{Status: p.Status, Groups: groups}
+}
+
 // GroupID identifies a group, a set of tasks that starts and ends together: a
 // gang or a single task.
 type GroupID struct {
@@ -52,12 +63,38 @@
 	Incarnation Incarnation
 }
 
+// Groups returns the number of groups of one occurrence of the step.
+func (s *Step) Groups() int {
+	if s.Gang {
+		return 1
+	}
+	return s.Tasks
+}
+
+const (
+	// groupBytes is what the stored state of a group takes, most of it its checkpoint.
+	groupBytes = 4 << 10
+	// workerBytes is what each worker of a gang takes, placementBytes what each member
+	// does besides.
+	workerBytes, placementBytes = 32, 4
+	// largestDeployment is the most workers that a gang is spread over.
+	largestDeployment = 7500
+)
+
+// RecordBytes estimates how much of a record one group of the step takes.
+func (s *Step) RecordBytes() int { return groupBytes + s.PlacementBytes() }
+
+// PlacementBytes estimates how much of a record the workers of one gang take.
+func (s *Step) PlacementBytes() int {
+	if !s.Gang {
+		return 0
+	}
+	return workerBytes*min(s.Tasks, largestDeployment) + placementBytes*s.Tasks
+}
+
 // GroupsOf returns the groups of one occurrence of a step.
 func (j *Job) GroupsOf(occurrence, step int) []GroupID {
-	if j.Steps[step].Gang {
-		return []GroupID{{Occurrence: occurrence, Step: step}}
-	}
-	ids := make([]GroupID, j.Steps[step].Tasks)
+	ids := make([]GroupID, j.Steps[step].Groups())
 	for i := range ids {
 		ids[i] = GroupID{Occurrence: occurrence, Step: step, Index: i}
 	}
--- a/state/workflow/validate.go
+++ b/state/workflow/validate.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// MaxTasks is the most tasks of a job, over all steps and occurrences: the
-	// progress of that many fits into one record of the store, and into the memory of
-	// the smallest planner.
+	// MaxTasks is the most tasks of a job, over all steps and occurrences: that many
+	// fit into the memory of the smallest planner.
 	MaxTasks = 1 << 16
 	// maxAmount bounds what one task uses, so that sums over all tasks do not overflow.
 	maxAmount = 1 << 31
@@ -28,6 +27,9 @@
 	if j.Occurrences < 0 || j.Interval < 0 || j.Interval > maxDuration {
 		return errors.New("the number of occurrences and the interval must not be negative, and the interval at most 10 years")
 	}
+	if j.RecordBytes < 0 {
+		return errors.New("the size of records must not be negative")
+	}
 	tasks := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
@@ -70,11 +72,7 @@
 		if id.Occurrence < 0 || id.Occurrence >= j.Runs() || id.Step < 0 || id.Step >= len(j.Steps) {
 			return errors.Errorf("the job has no occurrence %d of step %d", id.Occurrence, id.Step)
 		}
-		tasks := j.Steps[id.Step].Tasks
-		if j.Steps[id.Step].Gang {
-			tasks = 1
-		}
-		if id.Index < 0 || id.Index >= tasks {
+		if id.Index < 0 || id.Index >= j.Steps[id.Step].Groups() {
 			return errors.Errorf("step %d has no group %d", id.Step, id.Index)
 		}
 	}
