Hold all records of a job while its status is refused

Cause: while record 0 was held after a refusal, later occurrences of the job were placed and stored without it; a planner that follows would find done tasks of a job without a status. Change: a record is held with its job's record 0. Found by reading the change. Measured: without it, TestRefusedRecord counts 16 records that were saved before the status ("occurrences of single tasks with a record each").

--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -28,8 +28,11 @@
 	records  map[recordKey]scheduling.ProgressUpdate
 	// unavailable makes every save fail.
 	unavailable bool
-	// refused holds the jobs whose records are not accepted.
+	// refused holds the jobs whose record 0 is not accepted. Records that come with it
+	// fail too, as those of jobstore.Store do.
 	refused map[workflow.ID]bool
+	// early counts the records that were saved before the job's record 0.
+	early int
 }
 
 // recordKey identifies a record of a job's progress.
@@ -41,6 +44,7 @@
 func (m *memoryStore) save(term scheduling.Term, updates []scheduling.ProgressUpdate) (results []scheduling.SaveResult) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	refusedNow := make(map[workflow.ID]bool)
 	for _, update := range updates {
 		key := recordKey{update.Job, update.Record}
 		result := scheduling.SaveResult{Revision: update.Revision}
@@ -49,7 +53,8 @@
 			result.Err = scheduling.ErrTermEnded
 		case m.unavailable:
 			result.Err = context.DeadlineExceeded
-		case m.refused[update.Job]:
+		case m.refused[update.Job] && update.Record == 0 || refusedNow[update.Job]:
+			refusedNow[update.Job] = true
 			result.Err = state.NewStepError("save", netip.AddrPort{}, state.BadRequest, nil)
 		case m.records[key].Revision != update.Revision:
 			result.Err = fmt.Errorf("job %s: revision %d, not %d", update.Job, m.records[key].Revision, update.Revision)
@@ -57,6 +62,9 @@
 			m.revision++
 			result.Revision, update.Revision = m.revision, m.revision
 			m.records[key] = update
+			if m.records[recordKey{update.Job, 0}].Revision == 0 {
+				m.early++
+			}
 		}
 		results = append(results, result)
 	}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -62,7 +62,7 @@
 	for g := range p.work.unstarted {
 		switch {
 		case g.job.status.Final():
-		case g.phase == waiting && (g.held(now) || p.runsUnknown(g)):
+		case g.phase == waiting && (g.record.held(now) || p.runsUnknown(g)):
 		case g.phase == waiting:
 			candidates = append(candidates, g)
 		case g.phase == placed:
--- a/coordination/scheduling/record.go
+++ b/coordination/scheduling/record.go
@@ -118,5 +118,8 @@
 	return stored
 }
 
-// held reports whether the group's record was refused a moment ago.
-func (g *group) held(now time.Time) bool { return now.Before(g.record.retryAt) }
+// held reports whether the record was refused a moment ago, or its job's record 0, which
+// is to be stored first.
+func (r *record) held(now time.Time) bool {
+	return now.Before(r.retryAt) || now.Before(r.job.recordAt(0).retryAt)
+}
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -81,7 +81,7 @@
 	now := p.scheduler.Now()
 	b := saveBatch{ends: make(map[endSource]int64)}
 	for r := range p.dirty {
-		if !now.Before(r.retryAt) {
+		if !r.held(now) {
 			b.records = append(b.records, r)
 		}
 	}
@@ -124,8 +124,9 @@
 		p.scheduler.Count(retrySave)
 		p.scheduler.Log.Warn().Str("event", "saveFailed").Int("records", failed).Err(failure).Send()
 	}
+	now := p.scheduler.Now()
 	for r := range p.dirty {
-		if !p.scheduler.Now().Before(r.retryAt) {
+		if !r.held(now) {
 			wake(p.saveDue)
 			break
 		}
