Let requests wait for a read of the configuration that takes long

Cause: a request that the known version would refuse waits while the configuration is read again, up to 0.8 s without the store; one that is sent meanwhile and allowed by the known version was answered by that at once. By the times at which they were sent, the entry went back. Change: once a read has taken 100 ms, other requests wait for its end too. Each of them needs the store itself, so that they lose little; a read that fails leaves the known version in force. Measured: TestSlowRead ("the store is slow") failed before.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -50,7 +50,7 @@
 // Resolve finds the queue and the organisation of a call. It refuses a call only
 // after reading the configuration again; its error is a *state.StepError.
 func (i *Intake) Resolve(ctx context.Context, call Call) (Target, error) {
-	p := i.Policy.Current()
+	p := i.Policy.Latest(ctx)
 	if p != nil {
 		if target, reason := matchQueue(p, call); reason == "" {
 			return target, nil
--- a/coordination/policy/watcher.go
+++ b/coordination/policy/watcher.go
@@ -15,8 +15,14 @@
 	"comfreystream/state/workflow"
 )
 
-// refreshTimeout bounds one read of the configuration.
-const refreshTimeout = 800 * time.Millisecond
+const (
+	// refreshTimeout bounds one read of the configuration.
+	refreshTimeout = 800 * time.Millisecond
+	// slowRead is after how long a read is taken for one that the store does not answer
+	// directly. It leaves most of the 250 ms within which requests may be answered
+	// by different versions in any order.
+	slowRead = 100 * time.Millisecond
+)
 
 // Watcher keeps the latest configuration in the store; it is safe for concurrent
 // use.
@@ -29,11 +35,32 @@
 	mu      sync.Mutex
 	current atomic.Pointer[workflow.Policy]
 	reads   singleflight.Group
+	// reading is the read under way, or nil.
+	reading atomic.Pointer[read]
+}
+
+// read is one read of the configuration; done is closed at its end.
+type read struct {
+	began time.Time
+	done  chan struct{}
 }
 
 // Current returns the latest known configuration, or nil before the first.
 func (w *Watcher) Current() *workflow.Policy { return w.current.Load() }
 
+// Latest returns the latest known configuration like Current. While a read takes long it
+// waits for its end, at most for refreshTimeout: the request that waits for the read
+// may be answered by a newer version, and a later one must not be by an older one.
+func (w *Watcher) Latest(ctx context.Context) *workflow.Policy {
+	if r := w.reading.Load(); r != nil && time.Since(r.began) >= slowRead {
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+		}
+	}
+	return w.Current()
+}
+
 // Run watches the configuration until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	f := keyvalue.Follower{
@@ -49,6 +76,12 @@
 // one read.
 func (w *Watcher) Refresh(ctx context.Context) (*workflow.Policy, error) {
 	done := w.reads.DoChan("", func() (any, error) {
+		r := &read{began: time.Now(), done: make(chan struct{})}
+		w.reading.Store(r)
+		defer func() {
+			w.reading.Store(nil)
+			close(r.done)
+		}()
 		reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), refreshTimeout)
 		defer cancel()
 		item, found, _, err := w.Store.Get(reading, w.Key)
--- a/coordination/policy/watcher_test.go
+++ b/coordination/policy/watcher_test.go
@@ -1,8 +1,10 @@
 package policy_test
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -87,3 +89,62 @@
 		t.Errorf("configuration %+v after %v", p, time.Since(began))
 	}
 }
+
+// TestSlowRead sends a request while another waits for a read of the configuration. One
+// that is sent later than slack must not be answered by an older version than the one
+// that waits.
+func TestSlowRead(t *testing.T) {
+	const slack = 250 * time.Millisecond
+	tests := []struct {
+		name string
+		// takes is how long the read takes; it fails if fails is set. The second request
+		// comes after the first.
+		takes time.Duration
+		fails bool
+		after time.Duration
+		// want is the version that answers the second request, within the time.
+		want   int64
+		within time.Duration
+	}{
+		{"the store answers", 5 * time.Millisecond, false, time.Millisecond, 2, 0},
+		{"the store is slow", 500 * time.Millisecond, false, slack, 3, 250 * time.Millisecond},
+		{"the store is slow, the requests come close together", 500 * time.Millisecond, false, 50 * time.Millisecond, 2, 0},
+		{"the store does not answer", 500 * time.Millisecond, true, slack, 2, 250 * time.Millisecond},
+		{"the read is over", 500 * time.Millisecond, false, 600 * time.Millisecond, 3, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := standin.New().Calls()
+				get := calls.Get
+				slow := time.Duration(0)
+				calls.Get = func(ctx context.Context, key string) (keyvalue.Item, bool, keyvalue.Revision, error) {
+					time.Sleep(slow)
+					if slow > 0 && test.fails {
+						return keyvalue.Item{}, false, 0, context.DeadlineExceeded
+					}
+					return get(ctx, key)
+				}
+				w := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Log: zerolog.Nop()}
+				write(t, calls, `{"Version":2}`)
+				if _, err := w.Refresh(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				write(t, calls, `{"Version":3}`)
+				slow = test.takes
+				first := make(chan struct{})
+				go func() {
+					defer close(first)
+					_, _ = w.Refresh(t.Context())
+				}()
+				time.Sleep(test.after)
+				began := time.Now()
+				p := w.Latest(t.Context())
+				if took := time.Since(began); p.Version != test.want || took > test.within {
+					t.Errorf("answered by version %d after %v, want %d within %v", p.Version, took, test.want, test.within)
+				}
+				<-first
+			})
+		})
+	}
+}
