Try a task again on a worker on which it has failed, with a backoff

Cause: a group avoided a worker on which it had failed for good, unless over 40 % of the accelerators were idle, of which workers without any have none. Change: it avoids such a worker for 1.5 s, then 2.5 s after each further failure, and waits 2.5 s for other workers where the deployment is busy. Cores count as idle where there are no accelerators. On an idle deployment the backoff also keeps a worker that fails for a while from using up the attempts.

--- a/coordination/scheduling/headroom.go
+++ b/coordination/scheduling/headroom.go
@@ -32,7 +32,7 @@
 // placeUnlessTried places the group, but skips the search if another group of the
 // same shape could not be placed in this round.
 func (p *pool) placeUnlessTried(g *group, now time.Time) *placement {
-	shapeOnly := len(g.avoidedWorkers) == 0 && !g.needsLocality() && g.step.SpreadLimit == 0 && now.Sub(g.waitingSince) <= maxPreferenceWait
+	shapeOnly := len(g.failedWorkers) == 0 && !g.needsLocality() && g.step.SpreadLimit == 0 && now.Sub(g.waitingSince) <= maxPreferenceWait
 	if shapeOnly && p.round.unplaceable[g.shape()] {
 		return nil
 	}
--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -69,7 +69,7 @@
 	}
 	for _, m := range g.members {
 		if now.Sub(m.percentChangedAt) > stallTimeout {
-			g.avoidWorker(m.worker.id)
+			g.noteFailure(m.worker.id, now)
 			p.quarantine(m.worker, "stalled", unhealthyPause)
 		}
 	}
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -94,7 +94,7 @@
 // count is saved before the worker's end is acknowledged and no longer reported.
 func (p *pool) countFailure(m *member) {
 	g := m.group
-	g.avoidWorker(m.worker.id)
+	g.noteFailure(m.worker.id, p.scheduler.Now())
 	if g.failedAttempt >= m.attempt {
 		return
 	}
@@ -187,11 +187,38 @@
 	p.work.remove(g)
 }
 
-func (g *group) avoidWorker(id workflow.WorkerID) {
-	if g.avoidedWorkers == nil {
-		g.avoidedWorkers = make(map[workflow.WorkerID]bool)
+// failureHistory is how often a group has failed on a worker, and when last.
+type failureHistory struct {
+	count int
+	last  time.Time
+}
+
+const (
+	// firstFailureBackoff is how long a group that failed on a worker avoids it; the
+	// time doubles with each failure there up to maxFailureBackoff, which leaves
+	// the 3 s within which a task is to run again on an idle deployment.
+	firstFailureBackoff = 1500 * time.Millisecond
+	maxFailureBackoff   = 2500 * time.Millisecond
+)
+
+// noteFailure notes that the group has failed or stalled on the worker.
+func (g *group) noteFailure(id workflow.WorkerID, now time.Time) {
+	if g.failedWorkers == nil {
+		g.failedWorkers = make(map[workflow.WorkerID]failureHistory)
+	}
+	g.failedWorkers[id] = failureHistory{g.failedWorkers[id].count + 1, now}
+}
+
+func (g *group) hasFailedOn(w *worker) bool { return g.failedWorkers[w.id].count > 0 }
+
+// hasFailedLately reports whether the group is to avoid the worker for some more time.
+func (g *group) hasFailedLately(w *worker, now time.Time) bool {
+	h := g.failedWorkers[w.id]
+	if h.count == 0 {
+		return false
 	}
-	g.avoidedWorkers[id] = true
+	backoff := min(firstFailureBackoff<<min(h.count-1, 4), maxFailureBackoff)
+	return now.Sub(h.last) < backoff
 }
 
 // outcomeSummary returns the distinct outcomes of the members, for the log.
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -15,13 +15,18 @@
 	victims []*group
 }
 
-// place returns a placement for the group, or nil. If many accelerators are idle, a
-// group that has waited for maxPreferenceWait may also use workers that it failed
-// on or that are currently avoided.
+// place returns a placement for the group, or nil. A group that has waited may also use
+// workers that it failed on a while ago, as no other may ever hold it; if many
+// accelerators are idle, it waits less and also uses workers that are currently avoided.
 func (p *pool) place(g *group, now time.Time) *placement {
-	choice := p.placeOn(g, p.round.suitable.filter(g, false), now)
-	if choice == nil && now.Sub(g.waitingSince) > maxPreferenceWait && p.idleShare() > minIdleForRemote {
-		choice = p.placeOn(g, p.round.reachable.filter(g, true), now)
+	choice := p.placeOn(g, p.round.suitable.filter(g, g.hasFailedOn), now)
+	waited, failedLately := now.Sub(g.waitingSince), func(w *worker) bool { return g.hasFailedLately(w, now) }
+	switch {
+	case choice != nil:
+	case waited > maxPreferenceWait && p.idleShare() > minIdleForRemote:
+		choice = p.placeOn(g, p.round.reachable.filter(g, failedLately), now)
+	case waited > maxFailureWait && len(g.failedWorkers) > 0:
+		choice = p.placeOn(g, p.round.suitable.filter(g, failedLately), now)
 	}
 	return choice
 }
@@ -127,8 +132,18 @@
 // that.
 const maxPreferenceWait = 1500 * time.Millisecond
 
-// idleShare returns the fraction of the accelerators that are free.
-func (p *pool) idleShare() float64 { return float64(p.round.free) / float64(max(p.round.all, 1)) }
+// maxFailureWait is how long a group on a busy deployment waits for workers on which it
+// has not failed.
+const maxFailureWait = 2500 * time.Millisecond
+
+// idleShare returns the fraction of the accelerators that are free, or of the cores on
+// workers without accelerators.
+func (p *pool) idleShare() float64 {
+	if p.round.all == 0 {
+		return float64(p.round.freeCores) / float64(max(p.round.allCores, 1))
+	}
+	return float64(p.round.free) / float64(p.round.all)
+}
 
 func freeCapacity(w *worker) workflow.Capacity { return w.free() }
 
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -243,6 +243,7 @@
 		Int("priority", g.job.Priority).Dur("slack", g.slack(g.placedAt)).Dur("estimate", g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.round.free -= g.size() * g.step.Accelerators
+	p.round.freeCores -= g.size() * g.step.Cores
 	p.round.unsent += g.size()
 	clear(p.round.firstOptions)
 	p.markDirty(g.record)
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -98,8 +98,8 @@
 	searchedAt time.Time
 	// placedAt is when the attempt was placed and, later, when its starts were sent.
 	placedAt time.Time
-	// avoidedWorkers holds the workers on which the group failed or stalled.
-	avoidedWorkers map[workflow.WorkerID]bool
+	// failedWorkers holds the workers on which the group failed or stalled.
+	failedWorkers map[workflow.WorkerID]failureHistory
 	// victims holds the preempted attempts that must end before the members start.
 	victims []victim
 	// brokenAt is when a member was last reported to have ended because another had.
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -12,7 +12,7 @@
 // more than maxCost, or nil. It prefers the group's rack; only a guaranteed job is
 // placed away from it.
 func (p *pool) reclaim(g *group, now time.Time, guaranteed map[*job]bool, maxCost float64) *placement {
-	among := p.round.suitable.filter(g, false)
+	among := p.round.suitable.filter(g, g.hasFailedOn)
 	var best *preemptionPlan
 	consider := func(workers []*worker) {
 		pp := newPreemptionPlan(g, workers, &p.round, now, guaranteed, maxCost)
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -13,8 +13,9 @@
 // during the round, the workers that accept tasks, and the searches that found
 // nothing and need not be repeated.
 type round struct {
-	// free and all count accelerators.
-	free, all int
+	// free and all count accelerators, freeCores and allCores thousandths of a core.
+	free, all           int
+	freeCores, allCores int
 	// unsent counts the members that are placed, but whose starts were not sent.
 	unsent int
 	// reachable holds the workers that accept tasks, suitable those of them that are
@@ -55,6 +56,8 @@
 		}
 		r.free += max(w.free().Accelerators, 0)
 		r.all += w.info.Capacity.Accelerators
+		r.freeCores += max(w.free().Cores, 0)
+		r.allCores += w.info.Capacity.Cores
 		if w.acceptsTasks(now, maxReportAge) {
 			r.reachable.workers = append(r.reachable.workers, w)
 		}
@@ -112,15 +115,16 @@
 	return racks
 }
 
-// filter returns the workers that have the group's label and, unless that is
-// ignored, on which the group has not failed.
-func (c *candidates) filter(g *group, ignoreFailures bool) *candidates {
-	if g.step.Label == "" && (ignoreFailures || len(g.avoidedWorkers) == 0) {
+// filter returns the workers that have the group's label and that it need not avoid;
+// avoid is asked only if it has failed.
+func (c *candidates) filter(g *group, avoid func(w *worker) bool) *candidates {
+	failed := len(g.failedWorkers) > 0
+	if g.step.Label == "" && !failed {
 		return c
 	}
 	filtered := &candidates{}
 	for _, w := range c.workers {
-		if w.info.HasLabel(g.step.Label) && (ignoreFailures || !g.avoidedWorkers[w.id]) {
+		if w.info.HasLabel(g.step.Label) && (!failed || !avoid(w)) {
 			filtered.workers = append(filtered.workers, w)
 		}
 	}
