Place tasks on a restarted worker once its new entry is listed

Cause: the planner hears of a new incarnation by its renewal, up to 0.5 s before it lists the registry, and placed by the labels and the capacity of the old one; an attempt that was planned before the restart was started after it. Change: tasks are placed where the entry's incarnation is the one that reports, and an attempt planned on another incarnation is given up.

--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -260,7 +260,10 @@
 	}
 	for key, m := range w.members {
 		switch {
-		case m.incarnation == report.Incarnation || m.phase == planned:
+		case m.incarnation == report.Incarnation:
+		case m.phase == planned:
+			p.endMember(m, workflow.Void, "") // the worker may be of another kind now
+			continue
 		case reported[key]:
 		case m.phase == starting:
 			p.work.addStop(m)
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -157,9 +157,10 @@
 }
 
 // acceptsTasks reports whether tasks can be placed on the worker, leaving aside
-// its health.
+// its health. A restarted worker may have other labels and another capacity, so that
+// its registry entry must be of the incarnation that reports.
 func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration) bool {
-	return w.info.registered && !w.info.Draining && len(w.unknownTasks) == 0 &&
+	return w.info.registered && !w.info.Draining && len(w.unknownTasks) == 0 && w.info.Incarnation == w.incarnation &&
 		!w.reportedAt.IsZero() && now.Sub(w.reportedAt) <= maxReportAge
 }
 
