Count jobs as pending until a task of theirs has started

Cause: a job counted as begun once an attempt of it was planned, and nothing took that back when no member started. Change: it counts as begun once a worker is known to have run a task of it; after a change of planner, if its record shows that a worker was given one.

--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -50,6 +50,12 @@
 	stopAnsweredAt time.Time
 }
 
+// confirm notes that the worker is known to run the task.
+func (m *member) confirm(now time.Time) {
+	m.phase, m.confirmedAt, m.percentChangedAt = running, now, now
+	m.group.job.begun = true
+}
+
 // attemptKey identifies one attempt of a task.
 type attemptKey struct {
 	task    workflow.Task
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -47,7 +47,10 @@
 	*workflow.Job
 	acceptedAt time.Time
 	status     workflow.Status
-	records    map[int]*record
+	// begun is set once a task has started, which an attempt that was placed may not
+	// have come to.
+	begun   bool
+	records map[int]*record
 	// stepOffsets holds the size of the records of all steps before each one and, last,
 	// of all steps of an occurrence.
 	stepOffsets []int
@@ -173,6 +176,9 @@
 	g := p.addGroup(j, id)
 	g.attempt, g.checkpoint = record.Attempt, record.Checkpoint
 	g.failures, g.failedAttempt = record.Failures, record.FailedAttempt
+	if record.Done || record.Failures > 0 || record.Checkpoint != "" || len(record.Placed) > 0 {
+		j.begun = true
+	}
 	if record.Done {
 		p.closeGroup(g)
 		g.done = true
@@ -296,7 +302,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, j := range p.jobs {
-		if j.status == workflow.Queued {
+		if !j.begun && !j.status.Final() {
 			pending[j.Queue]++
 		}
 	}
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -298,6 +298,7 @@
 	p.scheduler.Log.Info().Str("event", "taskEnded").Str("request", string(m.task.Job)).
 		Stringer("task", m.task).Int("attempt", m.attempt).Str("worker", string(w.id)).
 		Int64("number", end.Number).Str("outcome", string(end.Outcome)).Send()
+	m.group.job.begun = true
 	p.updateWorkerHealth(w, m, end.Outcome)
 	p.endMember(m, end.Outcome, end.Checkpoint)
 	p.noteEnd(m.group.record, w, end.Number)
@@ -307,7 +308,7 @@
 // which the worker was silent does not count as a stall: it may have been suspended.
 func (p *pool) applyRunning(m *member, task workflow.RunningTask, now time.Time, wasSilent bool) {
 	if m.phase != running {
-		m.phase, m.confirmedAt, m.percentChangedAt = running, now, now
+		m.confirm(now)
 	}
 	if task.Percent != m.percent || wasSilent {
 		m.percent, m.percentChangedAt = task.Percent, now
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// Pending returns, by queue, the number of jobs that have had no attempt yet.
+// Pending returns, by queue, the number of jobs of which no task has started yet.
 func (s *Scheduler) Pending() map[string]int {
 	pending := make(map[string]int)
 	for _, p := range s.allPools() {
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -140,8 +140,7 @@
 		return
 	}
 	if result == Started {
-		m.phase, m.confirmedAt = running, p.scheduler.Now()
-		m.percentChangedAt = m.confirmedAt
+		m.confirm(p.scheduler.Now())
 		return
 	}
 	m.worker.recordRefusal(result, p.scheduler.Now())
