Do not try the other connections of a peer after one has gone silent

Cause: a renewal that timed out closed its own connection, and the next one took the next idle connection, as silent as the first, for 0.95 s each. Change: a call on a reused connection that waits 400 ms or more in vain closes all connections to the peer that were last used before it began. Measured: TestSilentConnections ("all go silent") failed before, 3 calls in a row instead of 1.

--- a/transport/client.go
+++ b/transport/client.go
@@ -14,7 +14,9 @@
 )
 
 // Client calls HTTP/1.1 servers by IP address and port; it is safe for
-// concurrent use. A connection whose call failed is closed and never reused.
+// concurrent use. A connection whose call failed is closed and never reused; nor are
+// those that were last used before a call that timed out began, as all connections
+// to a peer may go silent at once.
 type Client struct {
 	// Dial opens a connection to a peer; if it is nil, the client dials TCP.
 	Dial func(ctx context.Context, peer netip.AddrPort) (net.Conn, error)
@@ -55,8 +57,12 @@
 	if err != nil {
 		return &CallError{Peer: peer, TimedOut: isTimeout(err), cause: err}
 	}
+	began, reused := time.Now(), !conn.idleSince.IsZero()
 	if err := conn.roundTrip(ctx, deadline, request, response, c.limits.ResponseBytes); err != nil {
 		pool.discard(conn)
+		if reused && isTimeout(err) && time.Since(began) >= minSilence {
+			pool.closeIdleBefore(began)
+		}
 		return &CallError{Peer: peer, Sent: conn.written > 0, TimedOut: isTimeout(err), cause: err}
 	}
 	if response.ConnectionClose() {
@@ -99,6 +105,10 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", peer.String())
 }
 
+// minSilence is how long a call on a reused connection waits in vain until other
+// connections of its age are taken for silent too. A lost packet takes less.
+const minSilence = 400 * time.Millisecond
+
 func isTimeout(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/transport/client_test.go
+++ b/transport/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -237,3 +238,75 @@
 		_ = client.Close()
 	})
 }
+
+// TestSilentConnections has open connections go silent while new ones work. The calls
+// after one that timed out must not try the others in turn.
+func TestSilentConnections(t *testing.T) {
+	const connections = 3
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		// usedMeanwhile has the other connections answer calls while the first call waits.
+		usedMeanwhile bool
+		// silent is how many of the connections are.
+		silent int
+		// failed is how many calls in a row fail, opened the connections opened in the end.
+		failed, opened int32
+	}{
+		{"all go silent", time.Second, false, connections, 1, connections + 1},
+		{"all go silent, a call is given up early", 200 * time.Millisecond, false, connections, connections, connections + 1},
+		{"one goes silent, the others are in use", time.Second, true, 1, 1, connections},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var opened, silent atomic.Int32 // silent counts those that still go silent
+				client := NewClient(ClientLimits{SilenceTimeout: -1})
+				client.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+					clientSide, server := net.Pipe()
+					t.Cleanup(func() { _ = server.Close() })
+					number := opened.Add(1)
+					go func() {
+						for quiet := false; readRequest(server); {
+							if quiet = quiet || number <= connections && silent.Add(-1) >= 0; quiet {
+								continue
+							}
+							wait(10 * time.Millisecond)
+							sendText(server, completeResponse)
+						}
+					}()
+					return clientSide, nil
+				}
+				callAll := func(count int) {
+					var calls sync.WaitGroup
+					for range count {
+						calls.Go(func() { _, _ = callBody(t, client, test.timeout) })
+						synctest.Wait()
+					}
+					calls.Wait()
+				}
+				callAll(connections)
+				wait(time.Second)
+				silent.Store(int32(test.silent))
+				failed := int32(0)
+				for body := ""; body == ""; {
+					if test.usedMeanwhile {
+						go func() {
+							wait(test.timeout / 2)
+							callAll(connections - test.silent)
+						}()
+					}
+					var err error
+					if body, err = callBody(t, client, test.timeout); err != nil {
+						failed++
+					}
+				}
+				if failed != test.failed || opened.Load() != test.opened {
+					t.Errorf("%d calls failed, %d connections opened; want %d, %d", failed, opened.Load(), test.failed, test.opened)
+				}
+				wait(time.Minute)
+				_ = client.Close()
+			})
+		})
+	}
+}
--- a/transport/peer_pool.go
+++ b/transport/peer_pool.go
@@ -157,6 +157,17 @@
 	return conn
 }
 
+// closeIdleBefore closes the connections that have been idle since before a time.
+func (p *peerPool) closeIdleBefore(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && p.idle[0].idleSince.Before(t) {
+		_ = p.idle[0].conn.Close()
+		p.idle[0] = nil
+		p.idle = p.idle[1:]
+	}
+}
+
 // scheduleExpiry sets the timer of closeExpired unless it is already set. The
 // caller must hold the lock.
 func (p *peerPool) scheduleExpiry(after time.Duration) {
