Take a job's status from record 0 only

Cause: an odd entry beside a job's records could have set its status. Change: merging the records is simpler, and only record 0 sets the status. Found by reading the change. Measured: tests pass.

--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -1,7 +1,6 @@
 package jobstore
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -61,17 +60,17 @@
 	}
 	job.Revisions[number] = item.Revision
 	part, err := st.DecodeProgress(item.Value)
-	switch {
-	case err != nil:
+	if err != nil {
 		job.Err = errors.Wrapf(err, "decode progress at key %s", item.Key)
-	case job.Progress.Groups == nil:
-		status := job.Progress.Status
-		job.Progress = part
-		job.Progress.Status = cmp.Or(part.Status, status)
-	default:
-		job.Progress.Status = cmp.Or(part.Status, job.Progress.Status)
-		maps.Copy(job.Progress.Groups, part.Groups)
+		return job
+	}
+	if number == 0 {
+		job.Progress.Status = part.Status
+	}
+	if job.Progress.Groups == nil {
+		job.Progress.Groups = make(map[workflow.GroupID]workflow.Group, len(part.Groups))
 	}
+	maps.Copy(job.Progress.Groups, part.Groups)
 	return job
 }
 
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -269,7 +269,7 @@
 			p.work.addStop(m)
 			m.startUntil = neverReached
 			m.stopAnsweredAt, m.stopSentAt = time.Time{}, time.Time{}
-		case report.MoreEnds: // the new incarnation may have run it
+		case report.MoreEnds: // the new incarnation may have run it, with an end not listed
 		default:
 			p.endMember(m, workflow.Lost, "")
 		}
