Send stops a few at a time to each worker

Cause: all stops were sent at once, each on a connection of its own, and again each 0.3 s, even if answered. Change: 16 stops at a time to a worker, the next one as soon as one is answered; an answered one is repeated after the time that a worker may take.

--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -25,6 +25,9 @@
 	stopRetryInterval = 300 * time.Millisecond
 	// stopTimeout bounds one stop call.
 	stopTimeout = 400 * time.Millisecond
+	// maxStopSenders is how many stops are sent to a worker at a time. It leaves most of
+	// the 64 connections that a worker accepts to starts and renewals.
+	maxStopSenders = 16
 )
 
 // stopGroup stops the current attempt of a group, or rules out further attempts if
@@ -56,17 +59,55 @@
 	wake(p.planDue)
 }
 
-// sendStops sends the stops that are due. The caller holds the lock.
+// sendStops begins to send the stops that are due, a few at a time to each worker: one
+// accepts a limited number of connections. The caller holds the lock.
 func (p *pool) sendStops(now time.Time) {
 	for m := range p.work.stops {
-		if now.Sub(m.stopSentAt) >= stopRetryInterval && !m.worker.info.isPlaceholder() {
+		w := m.worker
+		if w.stopSenders < maxStopSenders && p.stopDue(m, now) {
+			w.stopSenders++
 			m.stopSentAt = now
-			target := m.worker.info.Worker
-			p.scheduler.goroutines.Go(func() { p.stopMember(m, target) })
+			p.scheduler.goroutines.Go(func() { p.sendStopsTo(w, m) })
 		}
 	}
 }
 
+// stopDue reports whether a stop of the member is to be sent, or sent again. One that
+// was answered takes effect within StopLimit.
+func (p *pool) stopDue(m *member, now time.Time) bool {
+	interval := stopRetryInterval
+	if !m.stopAnsweredAt.IsZero() {
+		interval = max(interval, p.scheduler.Bounds.StopLimit)
+	}
+	return now.Sub(m.stopSentAt) >= interval && !m.worker.info.isPlaceholder()
+}
+
+// sendStopsTo stops the member and then others on its worker, until none is due.
+func (p *pool) sendStopsTo(w *worker, m *member) {
+	for m != nil {
+		p.mu.Lock()
+		target := w.info.Worker
+		p.mu.Unlock()
+		p.stopMember(m, target)
+		m = p.nextStop(w)
+	}
+}
+
+// nextStop returns a member on the worker whose stop is due, or ends the sender.
+func (p *pool) nextStop(w *worker) *member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.scheduler.Now()
+	for _, m := range w.members {
+		if _, wanted := p.work.stops[m]; wanted && p.scheduler.ctx.Err() == nil && p.stopDue(m, now) {
+			m.stopSentAt = now
+			return m
+		}
+	}
+	w.stopSenders--
+	return nil
+}
+
 // stopMember sends one stop. The member ends once the worker's reports show it.
 func (p *pool) stopMember(m *member, target workflow.Worker) {
 	if !p.scheduler.Authorised() {
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -69,6 +69,8 @@
 	failures          int
 	failedJob         workflow.ID
 	unknownStopSentAt time.Time
+	// stopSenders counts the goroutines that send stops to the worker.
+	stopSenders int
 }
 
 // workerInfo is a worker's registration, and whether it is still registered.
