Decode where workers are, how long they stay and what tasks use

Cause: evacuations, notices of departure and co-location need the worker's zone, its remaining time and the usage in reports; they were dropped while decoding. Change: Worker.AvailabilityZone, Remaining, WarmUp, RunningTask.Usage and Step.Image, decoded in platform and kept in the job's record.

--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -44,6 +44,7 @@
 	Speculative    bool          `cbor:"13,keyasint,omitempty"`
 	LongRunning    bool          `cbor:"14,keyasint,omitempty"`
 	Scavenging     bool          `cbor:"15,keyasint,omitempty"`
+	Image          string        `cbor:"16,keyasint,omitempty"`
 }
 
 // EncodeSubmission returns the encoded record of an accepted job.
--- a/state/workflow/job.go
+++ b/state/workflow/job.go
@@ -65,6 +65,9 @@
 	LongRunning bool
 	// Scavenging is set for tasks that only use capacity that no other task wants.
 	Scavenging bool
+	// Image names what the tasks run; tasks with the same image behave alike. Empty means
+	// that the job does not say.
+	Image string
 }
 
 // Runs returns how many times the steps run, at least once.
--- a/state/workflow/worker.go
+++ b/state/workflow/worker.go
@@ -15,14 +15,20 @@
 
 // Worker is a worker's entry in the platform's registry.
 type Worker struct {
-	ID          WorkerID
-	Incarnation Incarnation
-	Service     string
-	Address     netip.AddrPort
-	Capacity    Capacity
-	Labels      []string
+	ID               WorkerID
+	Incarnation      Incarnation
+	Service          string
+	Address          netip.AddrPort
+	Capacity         Capacity
+	Labels           []string
+	AvailabilityZone string
 	// Draining is set once the worker is about to leave; it gets no new tasks.
 	Draining bool
+	// Remaining is how long a draining worker stays at least, from the moment it wrote
+	// its entry; 0 means that it does not say.
+	Remaining time.Duration
+	// WarmUp is how much longer the worker is slow after its start.
+	WarmUp time.Duration
 	// Beat changes each time that the worker renews its entry.
 	Beat int64
 }
@@ -106,6 +112,9 @@
 	// Percent is how much of the work is done; a long-running task reports 100
 	// once it is in operation.
 	Percent int
+	// Usage is what the worker measured over about the last half second: thousandths of
+	// a core, or for a task with a latency target the tail latency in milliseconds.
+	Usage int
 }
 
 // EndedTask is an attempt that ended on a worker.
