Place work by the speed of the workers

The planner took all workers for equal. Change: the progress in each report feeds speed.Model. Work without slack goes to the lowest tier of run times, gangs to the rack whose slowest chosen worker is fastest; work with slack goes to slow workers, unless the gang would hold fast ones as long. A group that has failed avoids workers on which something failed lately. An urgent gang that misses its deadline where it runs and meets it elsewhere is moved once. The fake workers end a gang with its slowest member and report 100 percent while one waits.

--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -16,7 +16,7 @@
 
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
-	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
+	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonMoved, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
 	endsLeftOut, recordRefused, checkpointsLeftOut,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
--- a/coordination/scheduling/health.go
+++ b/coordination/scheduling/health.go
@@ -17,11 +17,13 @@
 	switch outcome {
 	case workflow.Done:
 		w.failures, w.failedJob = 0, ""
+		w.suspectUntil = time.Time{}
 	case workflow.Faulted:
 		if w.failedJob != m.task.Job {
 			w.failures++
 		}
 		w.failedJob = m.task.Job
+		w.suspect(p.scheduler.Now())
 		if w.failures >= unhealthyFailures {
 			p.quarantine(w, "failures", unhealthyPause)
 		}
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -41,6 +41,9 @@
 	// confirmedAt is when the worker was first known to run the task.
 	confirmedAt time.Time
 	percent     int
+	mark        progressMark
+	// runTime is the member's whole run time by its progress; 0 means that it is not known.
+	runTime time.Duration
 	// percentChangedAt is when percent last changed.
 	percentChangedAt time.Time
 	// stopWanted is set once the member is to be stopped. stopSentAt is when the
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,7 +39,7 @@
 		return nil
 	}
 	if g.step.PreferredRack != "" {
-		if choice := g.fill(among.onRack(g.step.PreferredRack), freeCapacity); choice != nil {
+		if choice := p.fillBySpeed(g, among.onRack(g.step.PreferredRack), now); choice != nil {
 			return choice
 		}
 		if !p.mayRunRemote(g, now) {
@@ -46,15 +47,15 @@
 		}
 	}
 	if !g.step.SameRack || g.size() == 1 {
-		return g.fill(among.workers, freeCapacity)
+		return p.fillBySpeed(g, among.workers, now)
 	}
-	if choice := g.placeOnFullestRack(among); choice != nil {
+	if choice := p.placeOnBestRack(g, among, now); choice != nil {
 		return choice
 	}
 	if !p.mayRunRemote(g, now) {
 		return nil
 	}
-	return g.fill(among.workers, freeCapacity)
+	return p.fillBySpeed(g, among.workers, now)
 }
 
 // size returns the number of members that an attempt of the group has.
@@ -65,25 +66,101 @@
 	return 1
 }
 
-// placeOnFullestRack places the group on the rack with the fewest free
-// accelerators that still holds it.
-func (g *group) placeOnFullestRack(among *candidates) (best *placement) {
-	leastRemaining := 0
+// placeOnBestRack places the group on the rack that suits its objective best; of racks that
+// are alike on the one with the fewest free accelerators that still holds it.
+func (p *pool) placeOnBestRack(g *group, among *candidates, now time.Time) (best *placement) {
+	leastRank, leastRemaining := 0, 0
 	for _, r := range among.byRack() {
 		remaining := 0
 		for _, w := range r.workers {
 			remaining += max(w.free().Accelerators, 0)
 		}
-		if remaining < g.size()*g.step.Accelerators || best != nil && remaining >= leastRemaining {
+		if remaining < g.size()*g.step.Accelerators {
 			continue
 		}
-		if choice := g.fill(r.workers, freeCapacity); choice != nil {
-			best, leastRemaining = choice, remaining
+		choice := p.fillBySpeed(g, r.workers, now)
+		if choice == nil {
+			continue
+		}
+		if rank := p.speedRank(g, choice, now); best == nil || rank < leastRank || rank == leastRank && remaining < leastRemaining {
+			best, leastRank, leastRemaining = choice, rank, remaining
 		}
 	}
 	return best
 }
 
+// suspectTiers is by how many tiers a rack with a suspected worker counts as slower for a
+// group that has failed: more than any two workers differ by.
+const suspectTiers = 100
+
+// speedRank orders placements of a group by how well the speed of their workers suits its
+// objective: by the tier of the slowest for a group without slack, else by what the
+// placement costs others.
+func (p *pool) speedRank(g *group, choice *placement, now time.Time) int {
+	tier, cost := speedOf(choice.workers)
+	switch {
+	case g.failures > 0 && slices.ContainsFunc(choice.workers, func(w *worker) bool { return w.suspected }):
+		return tier + suspectTiers
+	case g.failures > 0 || p.prefersFast(g, now):
+		return tier
+	}
+	return int(math.Floor(math.Log(cost) / tierWidth))
+}
+
+// fillBySpeed places all members on the workers, on the fastest if the group has no slack.
+// A group with slack goes to the slowest, unless the others cost less: a gang that mixes
+// slow and fast workers holds the fast ones as long as the slow ones take.
+func (p *pool) fillBySpeed(g *group, workers []*worker, now time.Time) *placement {
+	switch {
+	case g.failures > 0:
+		return g.fill(workers, freeCapacity, unsuspectedFirst)
+	case p.prefersFast(g, now):
+		return g.fill(workers, freeCapacity, fastestFirst)
+	}
+	choice := g.fill(workers, freeCapacity, slowestFirst)
+	if choice == nil || g.size() == 1 || !choice.mixed() {
+		return choice
+	}
+	other := g.fill(workers, freeCapacity, fastestFirst)
+	_, cost := speedOf(choice.workers)
+	if _, otherCost := speedOf(other.workers); otherCost < cost {
+		return other
+	}
+	return choice
+}
+
+// mixed reports whether the workers are of different speeds.
+func (c *placement) mixed() bool {
+	for _, w := range c.workers {
+		if d := w.tier - c.workers[0].tier; d > 1 || d < -1 {
+			return true
+		}
+	}
+	return false
+}
+
+// order compares two workers for a placement.
+type order func(a, b *worker) int
+
+func fastestFirst(a, b *worker) int { return cmp.Compare(a.tier, b.tier) }
+
+func slowestFirst(a, b *worker) int { return cmp.Compare(b.tier, a.tier) }
+
+// unsuspectedFirst orders workers for a group that has failed and has few attempts left: those
+// on which other work has failed lately come last.
+func unsuspectedFirst(a, b *worker) int {
+	return cmp.Or(cmp.Compare(suspicion(a), suspicion(b)), fastestFirst(a, b))
+}
+
+func suspicion(w *worker) int {
+	if w.suspected {
+		return 1
+	}
+	return 0
+}
+
+func anySpeed(_, _ *worker) int { return 0 }
+
 // mayRunRemote reports whether the group may run away from its rack or data, where
 // it is slower. It may if many accelerators are idle and it would still meet its
 // deadline or has waited for maxPreferenceWait, or if no rack could ever hold it.
@@ -105,7 +182,7 @@
 	}
 	fits := slices.ContainsFunc(groupByRack(p.schedulableWorkers()), func(r rack) bool {
 		return (g.step.PreferredRack == "" || r.name == g.step.PreferredRack) &&
-			g.fill(r.workers, func(w *worker) workflow.Capacity { return w.info.Capacity }) != nil
+			g.fill(r.workers, func(w *worker) workflow.Capacity { return w.info.Capacity }, anySpeed) != nil
 	})
 	if shapeOnly {
 		p.round.rackFits[g.shape()] = fits
@@ -147,17 +224,17 @@
 
 func freeCapacity(w *worker) workflow.Capacity { return w.free() }
 
-// fill places all members on the workers, those with the fewest free accelerators
-// first, or returns nil.
-func (g *group) fill(workers []*worker, capacity func(w *worker) workflow.Capacity) *placement {
+// fill places all members on the workers in the order of their speed and then of their
+// free accelerators, the fewest first, or returns nil.
+func (g *group) fill(workers []*worker, capacity func(w *worker) workflow.Capacity, bySpeed order) *placement {
 	if g.size() == 1 {
-		return g.fillOne(workers, capacity)
+		return g.fillOne(workers, capacity, bySpeed)
 	}
 	wanted := g.size()
 	needs := g.step.Needs()
 	ordered := slices.Clone(workers)
 	slices.SortFunc(ordered, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(capacity(a).Accelerators, capacity(b).Accelerators), cmp.Compare(a.id, b.id))
+		return cmp.Or(bySpeed(a, b), cmp.Compare(capacity(a).Accelerators, capacity(b).Accelerators), cmp.Compare(a.id, b.id))
 	})
 	choice := &placement{}
 	for _, w := range ordered {
@@ -171,15 +248,14 @@
 	return nil
 }
 
-// fillOne places a single task on the worker with the fewest free accelerators that
-// holds it.
-func (g *group) fillOne(workers []*worker, capacity func(w *worker) workflow.Capacity) *placement {
+// fillOne places a single task on the first worker in that order that holds it.
+func (g *group) fillOne(workers []*worker, capacity func(w *worker) workflow.Capacity, bySpeed order) *placement {
 	needs := g.step.Needs()
 	var best *worker
 	least := 0
 	for _, w := range workers {
 		free := capacity(w)
-		if best != nil && (free.Accelerators > least || free.Accelerators == least && w.id > best.id) {
+		if best != nil && cmp.Or(bySpeed(w, best), cmp.Compare(free.Accelerators, least), cmp.Compare(w.id, best.id)) > 0 {
 			continue
 		}
 		if needs.FitsIn(free) && g.limitBySpread(w, 1) == 1 {
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/speed"
 	"comfreystream/state/workflow"
 )
 
@@ -37,6 +38,11 @@
 	dirty map[*record]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
+	// speeds estimates how fast the workers are, fittedAt is when it was last fitted.
+	speeds   *speed.Model
+	fittedAt time.Time
+	// stragglersCheckedAt is the time of the last check for work to move off slow workers.
+	stragglersCheckedAt time.Time
 	// round is what the current planning round knows.
 	round round
 	work  worklist
@@ -112,6 +118,8 @@
 	assumedEnds map[int]bool
 	// startsSent is set once the start orders of the attempt were sent.
 	startsSent bool
+	// moves counts how often the group was moved off slow workers.
+	moves int
 	// done is set once the work is complete.
 	done bool
 }
@@ -125,6 +133,7 @@
 		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64),
 		work:     newWorklist(),
+		speeds:   speed.New(),
 	}
 }
 
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -249,6 +249,9 @@
 // that the order does not expire as planned: members that the report lists go on,
 // and the other starting ones are stopped before they can start.
 func (p *pool) applyRestart(w *worker, report workflow.Report) {
+	if w.incarnation != 0 {
+		w.suspect(p.scheduler.Now())
+	}
 	w.incarnation, w.lastAppliedEnd, w.lastSavedEnd, w.lastAckedEnd = report.Incarnation, 0, 0, 0
 	w.failures, w.failedJob, w.avoidUntil = 0, "", time.Time{}
 	reported := make(map[attemptKey]bool)
@@ -310,6 +313,7 @@
 	if m.phase != running {
 		m.confirm(now)
 	}
+	p.noteProgress(m, task.Percent)
 	if task.Percent != m.percent || wasSilent {
 		m.percent, m.percentChangedAt = task.Percent, now
 	}
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -14,7 +14,9 @@
 // nothing and need not be repeated.
 type round struct {
 	// free and all count accelerators, freeCores and allCores thousandths of a core.
-	free, all           int
+	free, all int
+	// at is when the round began.
+	at                  time.Time
 	freeCores, allCores int
 	// unsent counts the members that are placed, but whose starts were not sent.
 	unsent int
@@ -45,6 +47,7 @@
 // accept tasks.
 func (p *pool) newRound(now time.Time) round {
 	r := round{
+		at:          now,
 		unplaceable: make(map[shape]bool), rackFits: make(map[shape]bool),
 		costs: make(map[*group]float64), victims: make(map[victimsKey][]*group),
 		firstOptions: make(map[optionKey]option), searchUntil: now.Add(maxSearchTime),
@@ -58,6 +61,7 @@
 		r.all += w.info.Capacity.Accelerators
 		r.freeCores += max(w.free().Cores, 0)
 		r.allCores += w.info.Capacity.Cores
+		w.suspected = now.Before(w.suspectUntil)
 		if w.acceptsTasks(now, maxReportAge) {
 			r.reachable.workers = append(r.reachable.workers, w)
 		}
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -15,6 +15,8 @@
 	reasonIncomplete = "stopIncomplete"
 	reasonReclaimed  = "stopReclaimed"
 	reasonStalled    = "stopStalled"
+	// reasonMoved: the work finishes earlier on faster workers, after a new start.
+	reasonMoved = "stopMoved"
 	// reasonAlreadyDone: an attempt that was taken for lost has done the work.
 	reasonAlreadyDone = "stopAlreadyDone"
 )
--- /dev/null
+++ b/coordination/scheduling/straggler.go
@@ -0,0 +1,116 @@
+package scheduling
+
+import (
+	"time"
+)
+
+// maxMoves is how often one group is moved off slow workers: a second move means that the
+// estimates are wrong.
+const maxMoves = 1
+
+// moveOverhead is what a move takes besides the stop: a save, a planning round and the starts.
+const moveOverhead = 100 * time.Millisecond
+
+// moveStragglers stops urgent groups that will miss their deadline on the workers where they
+// run and would meet it on faster ones that are free now, even after the stop. It answers
+// work that began on workers of unknown speed, or on one that has turned slow.
+func (p *pool) moveStragglers(now time.Time) {
+	if now.Sub(p.stragglersCheckedAt) < fitInterval {
+		return
+	}
+	p.stragglersCheckedAt = now
+	for g := range p.work.started {
+		if g.job.Priority == 0 && g.phase == placed && g.moves < maxMoves && p.moveHelps(g, now) {
+			g.moves++
+			g.avoidSlowest(now)
+			p.stopGroup(g, reasonMoved)
+		}
+	}
+}
+
+// alikeSlow is the least part of the slowest member's run time at which another member counts
+// as equally slow.
+const alikeSlow = 0.9
+
+// avoidSlowest keeps the group's next attempt off the workers that held up this one.
+func (g *group) avoidSlowest(now time.Time) {
+	slowest := g.slowestMember()
+	for _, m := range g.members {
+		if float64(m.runTime) >= alikeSlow*float64(slowest.runTime) {
+			g.noteFailure(m.worker.id, now)
+		}
+	}
+}
+
+// moveHelps reports whether the group misses its deadline where it runs, by the progress of
+// its slowest member, and would meet it on free workers.
+func (p *pool) moveHelps(g *group, now time.Time) bool {
+	slowest := g.slowestMember()
+	if slowest == nil {
+		return false
+	}
+	done := float64(slowest.percent) / 100
+	end := slowest.percentChangedAt.Add(time.Duration((1 - done) * float64(slowest.runTime)))
+	work := p.workOf(g)
+	deadline := g.deadline().Add(time.Duration(g.job.Stretch * float64(work-g.step.Estimate)))
+	if !end.After(deadline) {
+		return false
+	}
+	if p.round.at != now {
+		p.round = p.newRound(now)
+	}
+	choice := p.placeAgain(g, now)
+	if choice == nil {
+		return false
+	}
+	factor := 0.0
+	for _, w := range choice.workers {
+		factor = max(factor, p.speeds.Estimate(w.id).Factor)
+	}
+	remaining := time.Duration(factor * float64(work))
+	if g.checkpoint != "" {
+		remaining = time.Duration(factor * (1 - done) * float64(work))
+	}
+	moved := now.Add(p.scheduler.Bounds.StopLimit + moveOverhead + remaining)
+	return !moved.After(deadline)
+}
+
+// placeAgain returns where the group would be placed if it had been stopped.
+func (p *pool) placeAgain(g *group, now time.Time) *placement {
+	needs := g.step.Needs()
+	for _, m := range g.members {
+		m.worker.used = m.worker.used.Minus(needs)
+	}
+	choice := p.place(g, now)
+	for _, m := range g.members {
+		m.worker.used = m.worker.used.Plus(needs)
+	}
+	return choice
+}
+
+// workOf returns the run time of the group's work on a typical worker by the progress of its
+// members, as the declared one is only an estimate. Members of a gang have equal work; the
+// least is taken, since a worker may have turned slow only now.
+func (p *pool) workOf(g *group) (work time.Duration) {
+	for _, m := range g.members {
+		typical := time.Duration(float64(m.runTime) / p.speeds.Estimate(m.worker.id).Factor)
+		if work == 0 || typical < work {
+			work = typical
+		}
+	}
+	return work
+}
+
+// slowestMember returns the member with the longest known run time, or nil if one is not
+// known yet or no member runs.
+func (g *group) slowestMember() (slowest *member) {
+	for _, m := range g.members {
+		if m.phase != running || m.runTime == 0 {
+			return nil
+		}
+		if slowest == nil || m.runTime > slowest.runTime {
+			slowest = m
+		}
+	}
+	return slowest
+}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -69,6 +69,15 @@
 	failures          int
 	failedJob         workflow.ID
 	unknownStopSentAt time.Time
+	// suspectUntil is when the worker is no longer suspected of failing what it starts.
+	suspectUntil time.Time
+	// suspected is set for a planning round before suspectUntil.
+	suspected bool
+	// factor is the worker's run time relative to a typical one's, with the uncertainty
+	// added; tier is its class of speed and price the weight of its capacity.
+	factor float64
+	tier   int
+	price  float64
 	// stopSenders counts the goroutines that send stops to the worker.
 	stopSenders int
 }
@@ -92,6 +101,7 @@
 			id: id, info: workerInfo{Worker: workflow.Worker{ID: id}}, members: make(map[attemptKey]*member),
 			leaseExpiry: latestLeaseExpiry(p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap), p.scheduler.Bounds.LeaseLimit), renewDue: make(chan struct{}, 1),
 		}
+		w.setSpeed(p.speeds.Estimate(id))
 		p.workers[id] = w
 		i, _ := slices.BinarySearchFunc(p.ordered, id, func(w *worker, id workflow.WorkerID) int { return cmp.Compare(w.id, id) })
 		p.ordered = slices.Insert(p.ordered, i, w)
@@ -177,6 +187,14 @@
 	w.avoidFor(now, pause)
 }
 
+// suspectTime is how long a worker on which a task has failed, or that has restarted, comes
+// last for work that has failed before. The task may have failed by itself, so that the
+// worker is not avoided by others, and shows by their work how it is.
+const suspectTime = 10 * time.Second
+
+// suspect notes that a failure may be the worker's fault.
+func (w *worker) suspect(now time.Time) { w.suspectUntil = now.Add(suspectTime) }
+
 // avoidFor excludes the worker from placement for at least the pause.
 func (w *worker) avoidFor(now time.Time, pause time.Duration) {
 	if until := now.Add(pause); until.After(w.avoidUntil) {
--- a/standin/runner/advance.go
+++ b/standin/runner/advance.go
@@ -56,10 +56,26 @@
 	if f.Outcome != nil {
 		natural = f.Outcome(r.Task, r.Attempt, r.Worker)
 	}
-	consider(natural, r.workStarted.Add(f.runTime(r)))
+	runTime := f.runTime(r)
+	if natural == workflow.Done {
+		runTime = f.gangRunTime(r)
+	}
+	consider(natural, r.workStarted.Add(runTime))
 	return outcome, at
 }
 
+// gangRunTime returns the run time of the slowest member of the attempt's gang, with which
+// the gang is done.
+func (f *Fleet) gangRunTime(r *Run) time.Duration {
+	slowest := f.runTime(r)
+	if f.gangSize(r.Task) > 1 {
+		for _, member := range f.gangMembers(r) {
+			slowest = max(slowest, f.runTime(member))
+		}
+	}
+	return slowest
+}
+
 // gangMembers returns the running attempts of the same gang, r included.
 func (f *Fleet) gangMembers(r *Run) (list []*Run) {
 	for _, w := range f.workers {
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -326,7 +326,8 @@
 	if r.workStarted.IsZero() {
 		return 0
 	}
-	return min(99, int(100*time.Since(r.workStarted)/f.runTime(r)))
+	// A member of a gang that has done its work waits for the slower ones.
+	return min(100, int(100*time.Since(r.workStarted)/f.runTime(r)))
 }
 
 func (f *Fleet) runTime(r *Run) time.Duration {
