Load and save the speeds of workers during a term

Cause: nothing connects the model of speeds with the planner and the store.

Change: each pool has a speed.Model. Observations are not wired yet, so that nothing is saved and no decision changes.

--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -1,5 +1,7 @@
 package scheduling
 
+import "comfreystream/coordination/speed"
+
 // Counted events, besides the reasons for stops and the results of starts.
 const (
 	retryStart            = "retryStart"
@@ -19,6 +21,7 @@
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
 	endsLeftOut, recordRefused, checkpointsLeftOut,
+	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
 }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/speed"
 	"comfreystream/state/workflow"
 )
 
@@ -37,6 +38,8 @@
 	dirty map[*record]struct{}
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
+	// speeds estimates how fast each worker is.
+	speeds *speed.Model
 	// round is what the current planning round knows.
 	round round
 	work  worklist
@@ -124,6 +127,7 @@
 		workers: make(map[workflow.WorkerID]*worker),
 		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64),
+		speeds:   speed.New(),
 		work:     newWorklist(),
 	}
 }
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -17,6 +17,7 @@
 	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/policy"
+	"comfreystream/coordination/speed"
 	"comfreystream/metrics"
 	"comfreystream/platform"
 	"comfreystream/protocol/peer"
@@ -51,6 +52,7 @@
 	// serves the planner.
 	jobStore        *jobstore.Store
 	plannerJobStore *jobstore.Store
+	speedStore      *speed.Store
 	candidate       *election.Candidate
 	term            atomic.Pointer[term]
 	plannerClient   *peer.PlannerClient
@@ -89,6 +91,7 @@
 	valueBytes := func() int { return i.settings.Load().StoreValueBytes }
 	i.jobStore = record.NewJobStore(i.store, valueBytes)
 	i.plannerJobStore = record.NewJobStore(i.directStore, valueBytes)
+	i.speedStore = record.NewSpeedStore(i.directStore, valueBytes)
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -75,6 +75,7 @@
 	t.scheduler.Open()
 	i.term.Store(t)
 	t.loops.Go(t.run)
+	t.loops.Go(t.keepSpeeds)
 }
 
 // endTerm stops the scheduler and waits for the term's goroutines.
