Judge changes of a worker's pace over 0.9 s, and shrink uncertain factors more

Cause: with progress that is uneven by 0.3 from report to report, 15.7 % of the judgements on equal workers were false alarms, since the pace of one interval of 0.5 s was enough for a change.

Change: a change must hold over 0.9 s. The initial deviation of the workers counts like one worker, not three.

--- a/coordination/speed/fit.go
+++ b/coordination/speed/fit.go
@@ -9,8 +9,9 @@
 	// halfWeightAge is the age at which an observation has half its weight.
 	halfWeightAge = 60 * time.Second
 	// initialWorkerDeviation is the deviation of the logarithms of the workers' factors
-	// before any is known; it counts like that of workerDeviationCount workers.
-	initialWorkerDeviation, workerDeviationCount = 0.4, 3.0
+	// before any is known; it counts like that of workerDeviationCount workers. With 3 of
+	// them, 1.2 % of the judgements on equal workers were false alarms.
+	initialWorkerDeviation, workerDeviationCount = 0.4, 1.0
 	minWorkerDeviation, maxWorkerDeviation       = 0.08, 0.6
 	// initialCohortDeviation is that of the cohorts of a queue, whose declared run times
 	// were measured to be wrong by 0.2 to 0.9; it counts like that of cohortDeviationCount
--- a/coordination/speed/harness_test.go
+++ b/coordination/speed/harness_test.go
@@ -30,6 +30,7 @@
 	worker      int
 	observation speed.Observation
 	work, done  float64 // seconds on a typical worker
+	uneven      float64
 	reported    bool
 	first       int
 	firstAt     time.Time
@@ -61,6 +62,7 @@
 	equal         bool
 	declaredError float64 // deviation of the logarithm
 	outliers      bool
+	uneven        float64 // deviation of the logarithm of the rate from report to report
 	queue         string
 }
 
@@ -78,7 +80,7 @@
 		if w.outliers && s.random.IntN(30) == 0 {
 			seconds *= 7
 		}
-		s.running = append(s.running, &task{worker: worker, work: seconds, observation: speed.Observation{
+		s.running = append(s.running, &task{worker: worker, work: seconds, uneven: w.uneven, observation: speed.Observation{
 			Worker: workerID(worker), Task: workflow.Task{Job: id, Index: i}, Attempt: 1,
 			Cohort: speed.Cohort{Job: id, Queue: w.queue}, Equal: w.equal, Declared: declared,
 		}})
@@ -91,7 +93,7 @@
 		s.now = s.now.Add(reportInterval)
 		left := s.running[:0]
 		for _, t := range s.running {
-			t.done += reportInterval.Seconds() / s.factors[t.worker]
+			t.done += reportInterval.Seconds() / s.factors[t.worker] * math.Exp(t.uneven*s.random.NormFloat64())
 			if percent := int(100 * t.done / t.work); percent < 100 {
 				s.report(t, percent)
 				left = append(left, t)
--- a/coordination/speed/model_test.go
+++ b/coordination/speed/model_test.go
@@ -35,6 +35,7 @@
 		{"small gangs", gang, 0.7, 1.7, 48, 6, 40, 1500 * time.Millisecond, 0},
 		{"small gangs, declared times wrong", work{seconds: 8, equal: true, declaredError: 0.9}, 0.7, 1.7, 48, 6, 40, 1500 * time.Millisecond, 0},
 		{"small gangs, little difference", work{seconds: 8, equal: true, declaredError: 0.5}, 1, 1.3, 48, 6, 40, 2 * time.Second, 0.03},
+		{"small gangs of uneven progress", work{seconds: 8, equal: true, uneven: 0.1}, 0.7, 1.7, 48, 6, 40, 1500 * time.Millisecond, 0},
 		{"three single tasks each", single, 0.7, 1.7, 48, 48, 3, 2 * time.Second, 0.08},
 		{"three single tasks each, declared times wrong", work{seconds: 3, declaredError: 0.9}, 0.7, 1.7, 48, 48, 3, 2 * time.Second, 0.08},
 		{"single tasks with outliers", work{seconds: 3, declaredError: 0.5, outliers: true}, 0.7, 1.7, 48, 16, 24, 2 * time.Second, 0.05},
@@ -80,6 +81,8 @@
 		{"gangs", work{seconds: 5, equal: true, declaredError: 0.9}, 6},
 		{"single tasks", work{seconds: 3, declaredError: 0.9, outliers: true}, 12},
 		{"jobs of one task", work{seconds: 3, declaredError: 0.5, outliers: true}, 1},
+		{"gangs of uneven progress", work{seconds: 5, equal: true, declaredError: 0.9, uneven: 0.1}, 6},
+		{"single tasks of uneven progress", work{seconds: 3, declaredError: 0.9, outliers: true, uneven: 0.1}, 12},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -119,7 +122,7 @@
 		minRatio float64
 	}{
 		{"gangs", work{seconds: 4, equal: true, declaredError: 0.5}, 1.9},
-		{"single tasks", work{seconds: 4, declaredError: 0.5, outliers: true}, 1.4},
+		{"single tasks", work{seconds: 4, declaredError: 0.5, outliers: true}, 1.7},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -134,7 +137,9 @@
 						s.start(slow, s.chooseOf(4, 1.7))
 					}
 				})
-				if ratio := s.mean(1.7) / s.mean(0.7); ratio < test.minRatio || ratio > 3 {
+				ratio := s.mean(1.7) / s.mean(0.7)
+				t.Logf("seed %d: ratio %.2f", seed, ratio)
+				if ratio < test.minRatio || ratio > 3 {
 					t.Errorf("seed %d: after 5 min slow workers are estimated as %.2f times as slow as fast ones, they are 2.43 times", seed, ratio)
 				}
 			}
--- a/coordination/speed/observe.go
+++ b/coordination/speed/observe.go
@@ -191,8 +191,8 @@
 }
 
 // remember adds to the prior what an observation says that makes room for another.
-// Without it, the factors of fast and slow workers would approach each other within a
-// minute once these run different work, as nothing compares them then.
+// Without it, the factors of fast and slow workers became equal within 90 s in
+// simulations once these ran different work, as nothing compares them then.
 func (w *worker) remember(o *observation, at time.Duration) {
 	b := w.prior.times(ageWeight(at - w.priorAt)).plus(o.toWorker.belief())
 	if b.precision > maxPriorPrecision {
@@ -242,9 +242,10 @@
 	return changed
 }
 
-// compare looks for the point since which the pace has most certainly changed.
+// compare looks for a change that is certain over jumpInterval, and begins anew from the
+// point since which the pace has most certainly changed.
 func (o *observation) compare(before, newest point) (changed bool) {
-	var largest float32 = 1
+	var largest, lasting float32
 	at, jump := 0, 0.0
 	for i, p := range o.recent[:o.count] {
 		recent := newest.minus(p)
@@ -254,12 +255,16 @@
 		times := recent.elapsed / before.elapsed
 		slower := (before.fraction - percent) * times / (recent.fraction + percent)
 		faster := (recent.fraction - percent) / ((before.fraction + percent) * times)
-		if certain := max(slower, faster); certain > largest {
+		certain := max(slower, faster)
+		if recent.elapsed >= jumpInterval {
+			lasting = max(lasting, certain)
+		}
+		if certain > largest {
 			largest, at = certain, i
 			jump = math.Log(float64(before.fraction * times / max(recent.fraction, percent/2)))
 		}
 	}
-	if largest < jumpRatio {
+	if lasting < jumpRatio {
 		return false
 	}
 	o.jumped, o.jump = true, float32(jump)
