--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -132,8 +132,8 @@
 		workers: make(map[workflow.WorkerID]*worker),
 		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64),
-		work:     newWorklist(),
 		speeds:   speed.New(),
+		work:     newWorklist(),
 	}
 }
 
--- a/coordination/scheduling/speeds.go
+++ b/coordination/scheduling/speeds.go
@@ -61,6 +61,7 @@
 	}
 	p.fittedAt = now
 	p.speeds.Fit(now)
+	p.logSpeedChanges()
 	for _, w := range p.ordered {
 		w.setSpeed(p.speeds.Estimate(w.id))
 	}
