Start nothing in an availability zone that is evacuated

Change: the planner reads the keys from the start of its term and then every 500 ms, and passes the set with the store's revision to Scheduler.SetEvacuated. An older set is ignored; before the first nothing is placed or started. Workers in an evacuated zone accept no tasks and count for no capacity, share, rack or guarantee. A group that was placed there and not sent is placed again, and mayStart refuses each try of a start, also repeats and those that wait for their turn. What runs goes on. With bounds.evacuate_ms, a start order is valid only until the newest set would be too old, so that a late order or a planner that cannot read starts nothing either. Unreadable keys, unknown zones, an evacuation of all zones and guarantees that are short are logged and counted. Tests: the harness, departure_test, bench_test and large_job_test now set an empty set, as a planner without one places nothing. The random scenarios evacuate a worker's zone; no start may follow there after 1.6 s.

--- a/coordination/jobstore/large_job_test.go
+++ b/coordination/jobstore/large_job_test.go
@@ -114,6 +114,7 @@
 		ObserveRound: func(time.Duration) {}, Log: zerolog.Nop(),
 	}
 	s.Open()
+	s.SetEvacuated(nil, revision)
 	all, err := st.Load(t.Context())
 	if err != nil {
 		t.Fatal(err)
--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -43,6 +43,7 @@
 		Bounds: Bounds{LeaseLimit: time.Hour, ReclaimLimit: 3400 * time.Millisecond, StopLimit: 900 * time.Millisecond, FarFactor: 3},
 	}
 	s.termBegan = time.Now()
+	s.SetEvacuated(nil, 1)
 	p := newPool(s, "render")
 	for i := range workers {
 		w := p.ensureWorker(workflow.WorkerID(fmt.Sprintf("i-%d", i)))
--- a/coordination/scheduling/calls.go
+++ b/coordination/scheduling/calls.go
@@ -122,6 +122,9 @@
 	ReclaimLimit time.Duration
 	// FarFactor is how many times longer a task runs away from its rack or data.
 	FarFactor float64
+	// EvacuationAge is the age of the newest SetEvacuated from which on no start may be
+	// carried out; 0 is no limit.
+	EvacuationAge time.Duration
 	// Overlap is how long an earlier planner may still send orders after this term
 	// began.
 	Overlap time.Duration
--- a/coordination/scheduling/departure_test.go
+++ b/coordination/scheduling/departure_test.go
@@ -68,6 +68,7 @@
 				}
 				s.Open()
 				defer s.Close()
+				s.SetEvacuated(nil, 1)
 				s.Load(&workflow.Job{ID: "a", Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 3, Steps: []workflow.Step{{Tasks: 1, Accelerators: 8}}}, workflow.Progress{}, nil)
 				list := func(entries []workflow.Worker, from, until time.Duration) {
 					for at := from; at < until; at += 500 * time.Millisecond {
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -10,15 +10,35 @@
 	unknownAttemptStopped = "strangerStopped"
 	recordRefused         = "recordRefused"
 	checkpointsLeftOut    = "checkpointsLeftOut"
+	zoneEvacuated         = "zoneEvacuated"
+	zoneRestored          = "zoneRestored"
+	// evacuationsOutdated counts readings of the evacuated zones that were older than
+	// the known one, evacuationsStale planning rounds that placed nothing for want of a
+	// recent one.
+	evacuationsOutdated = "evacuationsOutdated"
+	evacuationsStale    = "evacuationsStale"
+	guaranteeShort      = "guaranteeShort"
 	// endsLeftOut counts reports that do not list all ends.
 	endsLeftOut = "endsLeftOut"
 )
 
+// The events of reading evacuations that the caller of SetEvacuated counts.
+const (
+	// EvacuationUnreadable: a key names no zone.
+	EvacuationUnreadable = "evacuationUnreadable"
+	// EvacuatedZoneUnknown: no registered worker is in the zone.
+	EvacuatedZoneUnknown = "evacuatedZoneUnknown"
+	// AllZonesEvacuated: every registered worker is in an evacuated zone.
+	AllZonesEvacuated = "allZonesEvacuated"
+)
+
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
-	endsLeftOut, recordRefused, checkpointsLeftOut,
+	endsLeftOut, recordRefused, checkpointsLeftOut, reasonEvacuated,
+	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort,
+	EvacuationUnreadable, EvacuatedZoneUnknown, AllZonesEvacuated,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
 }
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -101,6 +101,12 @@
 	jobs       []*workflow.Job
 	cancelled  []workflow.ID
 	guaranteed int
+	// evacuated holds the zones that are evacuated when a planner begins.
+	evacuated map[string]bool
+	// unread leaves it to the test to set the evacuated zones, evacuationAge bounds how
+	// old they may be.
+	unread        bool
+	evacuationAge time.Duration
 	// cores is how many processor cores the planner may use.
 	cores float64
 	// calls are the calls to the workers, and counts the counted events.
@@ -174,6 +180,7 @@
 		Bounds: scheduling.Bounds{
 			LeaseLimit: h.fleet.LeaseLimit, StopLimit: 900 * time.Millisecond,
 			ReclaimLimit: 3400 * time.Millisecond, FarFactor: 3, Overlap: 2 * time.Second,
+			EvacuationAge: h.evacuationAge,
 		},
 		Authorised: func() bool { return true },
 		Save: func(_ context.Context, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
@@ -204,6 +211,9 @@
 	for _, id := range h.cancelled {
 		s.Cancel(id)
 	}
+	if !h.unread {
+		s.SetEvacuated(h.evacuated, 1)
+	}
 	s.SetWorkers(h.fleet.Workers(), time.Now())
 	return s
 }
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -113,10 +113,10 @@
 	return fits
 }
 
-// schedulableWorkers returns the workers that are registered and not draining.
+// schedulableWorkers returns the workers that are schedulable.
 func (p *pool) schedulableWorkers() (list []*worker) {
 	for _, w := range p.workers {
-		if w.info.registered && !w.info.Draining {
+		if p.schedulable(w) {
 			list = append(list, w)
 		}
 	}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -65,6 +65,7 @@
 		case g.phase == waiting && (g.record.held(now) || p.runsUnknown(g)):
 		case g.phase == waiting:
 			candidates = append(candidates, g)
+		case p.stopEvacuated(g):
 		case g.phase == placed:
 			p.startOrAbandon(g, now)
 		}
@@ -81,7 +82,11 @@
 // placeAll begins attempts of the waiting groups that fit, in the order of the
 // queue.
 func (p *pool) placeAll(waiting []*group, now time.Time, unsent int) {
-	guaranteed := p.guaranteedJobs()
+	if p.scheduler.orderValidity(now) == 0 {
+		p.scheduler.Count(evacuationsStale)
+		return
+	}
+	guaranteed := p.guaranteedJobs(now)
 	p.round = p.newRound(now)
 	p.round.unsent = unsent
 	for _, entry := range p.sortQueue(waiting, now, guaranteed) {
@@ -148,8 +153,9 @@
 }
 
 // guaranteedJobs returns the jobs of priority 0 that fit into the guarantee of
-// their organisation, filled from the oldest job on.
-func (p *pool) guaranteedJobs() map[*job]bool {
+// their organisation, and into what is left during an evacuation, filled from the oldest
+// job on.
+func (p *pool) guaranteedJobs(now time.Time) map[*job]bool {
 	var urgent []*job
 	for j := range p.work.urgent {
 		urgent = append(urgent, j)
@@ -157,15 +163,18 @@
 	slices.SortFunc(urgent, func(a, b *job) int {
 		return cmp.Or(a.acceptedAt.Compare(b.acceptedAt), cmp.Compare(a.ID, b.ID))
 	})
-	used := make(map[string]int)
+	used, total, limit := make(map[string]int), 0, p.guaranteeLimit()
 	guaranteed := make(map[*job]bool)
 	for _, j := range urgent {
 		needs := j.PeakAccelerators()
-		if used[j.Organisation]+needs <= p.scheduler.Guarantee(j.Organisation) {
-			used[j.Organisation] += needs
+		covered := used[j.Organisation]
+		if covered+needs <= p.scheduler.Guarantee(j.Organisation) && total+needs <= limit {
+			covered, total = covered+needs, total+needs
 			guaranteed[j] = true
 		}
+		used[j.Organisation] = covered
 	}
+	p.noteShortGuarantees(used, total, limit, now)
 	return guaranteed
 }
 
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -39,7 +39,9 @@
 	meanWork map[string]float64
 	// round is what the current planning round knows.
 	round round
-	work  worklist
+	// shortLoggedAt is when a guarantee was last logged as short, by organisation.
+	shortLoggedAt map[string]time.Time
+	work          worklist
 }
 
 // job is a job and its progress. The pool's lock guards it.
@@ -123,8 +125,8 @@
 		jobs:    make(map[workflow.ID]*job),
 		workers: make(map[workflow.WorkerID]*worker),
 		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
-		meanWork: make(map[string]float64),
-		work:     newWorklist(),
+		meanWork: make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
+		work: newWorklist(),
 	}
 }
 
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/standin/runner"
 	"comfreystream/state/workflow"
@@ -20,6 +21,10 @@
 	// goes on without faults after that.
 	faultPeriod    = 12 * time.Second
 	recoveryPeriod = 30 * time.Second
+	// evacuatedFor is how long a zone is evacuated, startTransit how long an order that
+	// was sent before may be carried out.
+	evacuatedFor = 5 * time.Second
+	startTransit = 1600 * time.Millisecond
 )
 
 // scenario describes one run. The seed decides which calls and tasks fail.
@@ -36,6 +41,9 @@
 	restarts []time.Duration
 	// storeOutage is when the store becomes unavailable, for two seconds.
 	storeOutage time.Duration
+	// evacuatedAt is when the zone of one worker is evacuated, for evacuatedFor; 0 is
+	// never.
+	evacuatedAt time.Duration
 	// cores is how many cores each planner may use; few make renewals rare.
 	cores float64
 	// recordBytes is that of the jobs; 1 stores each group in a record of its own.
@@ -58,6 +66,7 @@
 		recordBytes: rapid.SampledFrom([]int{0, 1}).Draw(t, "recordBytes"),
 		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
 		storeOutage: time.Duration(rapid.Int64Range(0, faultPeriod.Milliseconds()).Draw(t, "storeOutage")) * time.Millisecond,
+		evacuatedAt: time.Duration(rapid.Int64Range(0, (faultPeriod-evacuatedFor).Milliseconds()).Draw(t, "evacuatedAt")) * time.Millisecond,
 	}
 }
 
@@ -69,8 +78,8 @@
 }
 
 // TestInvariantsUnderFaults checks the scheduler's guarantees in random scenarios
-// with lost and late calls, worker restarts, a store outage and overlapping
-// planners on three workers.
+// with lost and late calls, worker restarts, a store outage, an evacuated zone and
+// overlapping planners on three workers.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
@@ -123,7 +132,10 @@
 
 // run runs the scenario and returns the violations.
 func (s scenario) run() []string {
-	h := newHarness(3)
+	h := newHarness(0)
+	for i := range 3 {
+		h.fleet.Add(zoned(i, 1))
+	}
 	h.cores = s.cores
 	if s.listedEnds > 0 {
 		h.fleet.ListedEnds = s.listedEnds
@@ -165,6 +177,11 @@
 	planners := []*scheduling.Scheduler{h.startPlanner()}
 	for at := range faultPeriod / (100 * time.Millisecond) {
 		time.Sleep(100 * time.Millisecond)
+		elapsed := time.Since(began)
+		h.evacuated = map[string]bool{"a": s.evacuatedAt > 0 && elapsed >= s.evacuatedAt && elapsed < s.evacuatedAt+evacuatedFor}
+		for _, p := range planners {
+			p.SetEvacuated(h.evacuated, keyvalue.Revision(at+2))
+		}
 		planners[len(planners)-1].SetWorkers(h.fleet.Workers(), time.Now())
 		for _, takeover := range s.takeovers {
 			if takeover/(100*time.Millisecond) == at {
@@ -174,11 +191,17 @@
 			}
 		}
 	}
+	planners[len(planners)-1].SetEvacuated(nil, keyvalue.Revision(faultPeriod))
 	time.Sleep(recoveryPeriod)
 	for _, p := range planners {
 		_ = p.Close()
 	}
 	problems := runner.Violations(h.fleet.Runs(), h.jobs[0].MaxAttempts)
+	for _, r := range h.fleet.Runs() {
+		if at := r.Started.Sub(began) - s.evacuatedAt; s.evacuatedAt > 0 && r.Worker == "w0" && at > startTransit && at < evacuatedFor {
+			problems = append(problems, fmt.Sprintf("%s started on %s %v after its zone was evacuated", r.Task, r.Worker, at))
+		}
+	}
 	for _, j := range h.jobs {
 		if status := h.store.status(j.ID); !status.Final() {
 			problems = append(problems, fmt.Sprintf("job %s still has status %q after %v without faults", j.ID, status, recoveryPeriod))
@@ -187,10 +210,19 @@
 	return problems
 }
 
+// zoned returns worker i, of which the first is in a zone of its own.
+func zoned(i int, incarnation workflow.Incarnation) workflow.Worker {
+	w := worker(i, incarnation)
+	if w.AvailabilityZone = "b"; i == 0 {
+		w.AvailabilityZone = "a"
+	}
+	return w
+}
+
 // scheduleFaults sets timers for the workers' restarts and the store's outage.
 func (s scenario) scheduleFaults(h *harness) {
 	for i, at := range s.restarts {
-		time.AfterFunc(at, func() { h.fleet.Add(worker(i%3, workflow.Incarnation(i+2))) })
+		time.AfterFunc(at, func() { h.fleet.Add(zoned(i%3, workflow.Incarnation(i+2))) })
 	}
 	setUnavailable := func(unavailable bool) func() {
 		return func() {
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -49,16 +49,16 @@
 		costs: make(map[*group]float64), victims: make(map[victimsKey][]*group),
 		firstOptions: make(map[optionKey]option), searchUntil: now.Add(maxSearchTime),
 	}
-	maxReportAge := p.maxReportAge()
+	maxReportAge, evacuated := p.maxReportAge(), p.scheduler.evacuated.Load()
 	for _, w := range p.ordered {
-		if !w.info.registered || w.info.Draining {
+		if !p.schedulable(w) {
 			continue
 		}
 		r.free += max(w.free().Accelerators, 0)
 		r.all += w.info.Capacity.Accelerators
 		r.freeCores += max(w.free().Cores, 0)
 		r.allCores += w.info.Capacity.Cores
-		if w.acceptsTasks(now, maxReportAge) {
+		if w.acceptsTasks(now, maxReportAge, evacuated) {
 			r.reachable.workers = append(r.reachable.workers, w)
 		}
 	}
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,9 @@
 	// starts is a semaphore: it holds a value for each start without an answer.
 	starts chan struct{}
 
+	// evacuated is the newest reading of the evacuated zones; mu guards its replacement.
+	evacuated atomic.Pointer[evacuations]
+
 	mu    sync.Mutex
 	pools map[string]*pool
 }
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -29,14 +29,19 @@
 			return
 		}
 	}
-	g.startsSent, g.victims, g.placedAt = true, nil, p.scheduler.Now()
+	now := p.scheduler.Now()
+	validity := p.scheduler.orderValidity(now)
+	if p.stopEvacuated(g) || validity == 0 {
+		return
+	}
+	g.startsSent, g.victims, g.placedAt = true, nil, now
 	p.work.addStarted(g)
 	for _, m := range g.members {
 		if m.phase != planned {
 			continue
 		}
 		m.phase = starting
-		m.startUntil = m.worker.estimateClock(g.placedAt) + startValidity
+		m.startUntil = m.worker.estimateClock(now) + validity
 		order := StartOrder{
 			Term: p.scheduler.Term, Task: m.task, Attempt: m.attempt,
 			Spec: g.job.Spec, Checkpoint: g.checkpoint, Until: m.startUntil,
@@ -111,15 +116,15 @@
 	return p.scheduler.Workers.Start(ctx, target, order)
 }
 
-// mayStart reports whether the order is still valid. It is called right before
-// each try, since the process may have been paused.
+// mayStart reports whether the order is still valid and its worker not in an evacuated
+// zone. It is called right before each try, since the process may have been paused.
 func (p *pool) mayStart(m *member) bool {
 	if !p.scheduler.Authorised() {
 		return false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return m.phase == starting && !m.stopWanted && m.group.phase == placed && m.worker.estimateClock(p.scheduler.Now()) < m.startUntil
+	return m.phase == starting && !m.stopWanted && m.group.phase == placed && !p.evacuated(m.worker) && m.worker.estimateClock(p.scheduler.Now()) < m.startUntil
 }
 
 // handleStartAnswer applies the worker's answer. After an ambiguous earlier try, a
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -15,6 +15,8 @@
 	reasonIncomplete = "stopIncomplete"
 	reasonReclaimed  = "stopReclaimed"
 	reasonStalled    = "stopStalled"
+	// reasonEvacuated: the attempt was placed in a zone that is evacuated and was not sent.
+	reasonEvacuated = "stopEvacuated"
 	// reasonAlreadyDone: an attempt that was taken for lost has done the work.
 	reasonAlreadyDone = "stopAlreadyDone"
 )
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -161,8 +161,8 @@
 // acceptsTasks reports whether tasks can be placed on the worker, leaving aside
 // its health. A restarted worker may have other labels and another capacity, so that
 // its registry entry must be of the incarnation that reports.
-func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration) bool {
-	return w.info.registered && !w.info.Draining && len(w.unknownTasks) == 0 && w.info.Incarnation == w.incarnation &&
+func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration, e *evacuations) bool {
+	return w.info.registered && !w.info.Draining && !e.includes(w.info.AvailabilityZone) && len(w.unknownTasks) == 0 && w.info.Incarnation == w.incarnation &&
 		!w.reportedAt.IsZero() && now.Sub(w.reportedAt) <= maxReportAge
 }
 
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comfreystream/coordination/election"
@@ -18,8 +19,8 @@
 const (
 	// loadRetryPause is the wait after a failed load of the stored progress.
 	loadRetryPause = 100 * time.Millisecond
-	// registryInterval is the time between reads of the workers' registry; it bounds
-	// how long it goes unnoticed that a worker is leaving.
+	// registryInterval is the time between reads of the workers' registry and of the
+	// evacuations; it bounds how long it goes unnoticed that a worker is leaving.
 	registryInterval = 500 * time.Millisecond
 	// registryTimeout bounds one read of the registry.
 	registryTimeout = 1200 * time.Millisecond
@@ -47,6 +48,8 @@
 	// is closed.
 	progress map[workflow.ID]jobstore.StoredProgress
 	loaded   chan struct{}
+	// zones holds the availability zones of the registered workers; nil is not read yet.
+	zones atomic.Pointer[map[string]bool]
 	// listed starts the other loops after the first listing of the stored jobs.
 	listed sync.Once
 }
@@ -61,6 +64,7 @@
 		Bounds: scheduling.Bounds{
 			LeaseLimit: s.LeaseLimit, StopLimit: s.StopLimit, Heartbeat: s.Heartbeat,
 			ReclaimLimit: s.ReclaimLimit, FarFactor: s.FarFactor, Overlap: election.LeaseTTL,
+			EvacuationAge: evacuationAge(s.EvacuateLimit),
 		},
 		Now: time.Now, WallClock: time.Now, Workers: i.workers.Calls(),
 		Authorised: func() bool { return i.candidate.Valid(revision) },
@@ -75,6 +79,7 @@
 	t.scheduler.Open()
 	i.term.Store(t)
 	t.loops.Go(t.run)
+	t.loops.Go(t.followEvacuations)
 }
 
 // endTerm stops the scheduler and waits for the term's goroutines.
@@ -156,7 +161,9 @@
 				i.log.Warn().Str("event", "registryUnread").Err(err).Send()
 			}
 		} else {
-			t.scheduler.SetWorkers(i.decodeWorkers(items), listedAt)
+			workers := i.decodeWorkers(items)
+			t.zones.Store(zonesOf(workers))
+			t.scheduler.SetWorkers(workers, listedAt)
 		}
 		pause.For(t.ctx, registryInterval)
 	}
