Use workers that are slow after their start last for urgent work

Cause: a worker says for how long it is slow after its start (WarmUp), but urgent work was placed there as on any other. Change: a worker counts as warm once that time has passed since its entry was listed; urgent groups are placed on warm workers if those hold them, otherwise on all as before. Other groups are placed as before. Result: TestWarmUp passes; without the choice it fails (urgent job on w0, want w5). go test -race ./coordination/scheduling -run 'WarmUp|Placement|Reclaim|Evac' passes.

--- a/coordination/scheduling/evacuation_test.go
+++ b/coordination/scheduling/evacuation_test.go
@@ -292,3 +292,45 @@
 		})
 	}
 }
+
+// TestWarmUp submits jobs while w0 to w4 are slow after their start: urgent ones use
+// them only if w5 is full, others as if they were not.
+func TestWarmUp(t *testing.T) {
+	tests := []struct {
+		name     string
+		priority int
+		tasks    int
+		after    time.Duration
+		want     workflow.WorkerID
+	}{
+		{"urgent", 0, 1, 0, "w5"},
+		{"urgent, and too many for one worker", 0, 2, 0, "w0"},
+		{"not urgent", 1, 1, 0, "w0"},
+		{"urgent, once they have warmed up", 0, 1, 4 * time.Second, "w0"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(0)
+				for i := range 6 {
+					w := worker(i, 1)
+					if i < 5 {
+						w.WarmUp = 3 * time.Second
+					}
+					h.fleet.Add(w)
+				}
+				s := h.startPlanner()
+				time.Sleep(test.after + 100*time.Millisecond)
+				j := job(1, workflow.Step{Tasks: test.tasks, Accelerators: 8})
+				j.Priority = test.priority
+				h.addJob(j)
+				s.Load(j, workflow.Progress{}, nil)
+				time.Sleep(time.Second)
+				_ = s.Close()
+				if used := workersOf(h.fleet.Runs()); len(used) != test.tasks || used[0] != test.want {
+					t.Errorf("started on %v, want %s first", used, test.want)
+				}
+			})
+		})
+	}
+}
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -18,8 +18,15 @@
 // place returns a placement for the group, or nil. A group that has waited may also use
 // workers that it failed on a while ago, as no other may ever hold it; if many
 // accelerators are idle, it waits less and also uses workers that are currently avoided.
+// An urgent group uses workers that are slow after their start only if no others hold it.
 func (p *pool) place(g *group, now time.Time) *placement {
-	choice := p.placeOn(g, p.round.suitable.filter(g, g.hasFailedOn), now)
+	var choice *placement
+	if g.job.Priority == 0 && len(p.round.warm.workers) < len(p.round.suitable.workers) {
+		choice = p.placeOn(g, p.round.warm.filter(g, g.hasFailedOn), now)
+	}
+	if choice == nil {
+		choice = p.placeOn(g, p.round.suitable.filter(g, g.hasFailedOn), now)
+	}
 	waited, failedLately := now.Sub(g.waitingSince), func(w *worker) bool { return g.hasFailedLately(w, now) }
 	switch {
 	case choice != nil:
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -21,6 +21,8 @@
 	// reachable holds the workers that accept tasks, suitable those of them that are
 	// not avoided for now.
 	reachable, suitable candidates
+	// warm holds the suitable workers that are not slow after their start.
+	warm candidates
 	// unplaceable holds the shapes that could not be placed, rackFits whether a
 	// shape would fit on an empty rack.
 	unplaceable map[shape]bool
@@ -65,6 +67,9 @@
 	for _, w := range r.reachable.workers {
 		if !now.Before(w.avoidUntil) {
 			r.suitable.workers = append(r.suitable.workers, w)
+			if !now.Before(w.warmUntil) {
+				r.warm.workers = append(r.warm.workers, w)
+			}
 		}
 	}
 	return r
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -56,6 +56,8 @@
 	// planner does not know.
 	unknownTasks []workflow.Task
 	registration registration
+	// warmUntil is until when the worker is slow after its start.
+	warmUntil time.Time
 	// leftAt is when the worker was found to have left; zero if it may be there.
 	leftAt time.Time
 	// renewing is set once renewLoop runs.
@@ -126,6 +128,9 @@
 		if !w.info.registered || w.info.Draining != info.Draining {
 			p.logWorker(&info, "workerListed")
 		}
+		if !w.info.registered || w.info.Beat != info.Beat || w.info.Incarnation != info.Incarnation || w.info.WarmUp != info.WarmUp {
+			w.warmUntil = listedAt.Add(info.WarmUp)
+		}
 		w.info = workerInfo{info, true}
 		w.registration.noteBeat(info.Beat, previousListing)
 		w.leftAt = time.Time{}
