--- a/coordination/scheduling/evacuation_test.go
+++ b/coordination/scheduling/evacuation_test.go
@@ -32,6 +32,10 @@
 
 func inZoneA(id workflow.WorkerID) bool { return id < "w3" }
 
+func inZoneB(id workflow.WorkerID) bool { return !inZoneA(id) }
+
+func isW1(id workflow.WorkerID) bool { return id == "w1" }
+
 // countInZoneA returns how many attempts started in zone a, and how many elsewhere.
 func countInZoneA(runs []runner.Run) (inside, outside int) {
 	for _, r := range runs {
@@ -114,9 +118,10 @@
 		{"before the first save is answered", singles, failFirstSaves, 500 * time.Millisecond, 0, 0, 6, true},
 		{"a gang, before the first save is answered", gang, failFirstSaves, 500 * time.Millisecond, 0, 0, 0, true},
 		{"a gang that fits elsewhere, before the first save is answered", smallGang, failFirstSaves, 500 * time.Millisecond, 0, 0, 3, true},
-		{"a first order is lost and would be repeated later", singles, loseStartsTo("a", 300*time.Millisecond), 150 * time.Millisecond, 0, 0, 6, false},
-		{"a gang whose orders are lost in the zone", gang, loseStartsTo("a", time.Second), 150 * time.Millisecond, 0, 0, 0, false},
-		{"a gang whose orders are lost elsewhere and repeated", gang, loseStartsTo("b", 300*time.Millisecond), 150 * time.Millisecond, 0, 3, 6, false},
+		{"a first order is lost and would be repeated later", singles, loseStartsTo(inZoneA, 300*time.Millisecond), 150 * time.Millisecond, 0, 0, 6, false},
+		{"a gang whose orders are lost in the zone", gang, loseStartsTo(inZoneA, time.Second), 150 * time.Millisecond, 0, 0, 0, false},
+		{"a gang that has started but for one worker in the zone", gang, loseStartsTo(isW1, time.Second), 150 * time.Millisecond, 0, 2, 0, false},
+		{"a gang whose orders are lost elsewhere and repeated", gang, loseStartsTo(inZoneB, 300*time.Millisecond), 150 * time.Millisecond, 0, 3, 6, false},
 		{"orders that wait behind others without an answer", singles, queueStarts, 100 * time.Millisecond, 0, 0, 6, false},
 		{"single tasks that run", singles, func(*harness) {}, time.Second, 0, 6, 12, false},
 		{"a gang that runs", gang, func(*harness) {}, time.Second, 0, 3, 6, false},
@@ -184,12 +189,12 @@
 	})
 }
 
-// loseStartsTo loses the start orders to a zone for a while.
-func loseStartsTo(zone string, during time.Duration) func(h *harness) {
+// loseStartsTo loses the start orders to some workers for a while.
+func loseStartsTo(lost func(id workflow.WorkerID) bool, during time.Duration) func(h *harness) {
 	return func(h *harness) {
 		began := time.Now()
 		h.fleet.Fault = func(call string, at workflow.WorkerID) runner.Fault {
-			if call == "Start" && inZoneA(at) == (zone == "a") && time.Since(began) < during {
+			if call == "Start" && lost(at) && time.Since(began) < during {
 				return runner.Lost
 			}
 			return runner.None
