Log how many workers are in evacuated zones

Cause: plannerLoad lines did not tell an evacuated deployment from a full one. Change: Load.Evacuated and a field of that line. Result: go test -race ./coordination/scheduling ./instance/hosted passes.

--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -6,8 +6,8 @@
 type Load struct {
 	Service string
 	// Workers counts the registered workers, Silent those of them whose newest report
-	// is too old for placing tasks there.
-	Workers, Silent int
+	// is too old for placing tasks there, Evacuated those in an evacuated zone.
+	Workers, Silent, Evacuated int
 	// Waiting counts the groups that wait to be placed, StartsPending the starts
 	// without an answer, Unsaved the jobs whose progress is not stored yet.
 	Waiting, StartsPending, Unsaved int
@@ -38,6 +38,9 @@
 		if w.info.registered && now.Sub(w.reportedAt) > maxReportAge {
 			l.Silent++
 		}
+		if w.info.registered && p.evacuated(w) {
+			l.Evacuated++
+		}
 	}
 	for g := range p.work.unstarted {
 		if g.phase == waiting {
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -206,7 +206,7 @@
 	for pause.For(t.ctx, loadInterval) {
 		for _, l := range t.scheduler.Loads() {
 			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
-				Int("workers", l.Workers).Int("silent", l.Silent).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
+				Int("workers", l.Workers).Int("silent", l.Silent).Int("evacuated", l.Evacuated).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
 				Int("unsaved", l.Unsaved).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
 		}
 	}
