Evacuate availability zones by the manifest

Cause: with serve, an operator had no way to keep new work out of a zone while what runs there goes on. Change: the manifest has a field evacuated, a list of zones. The planner of such a zone takes no worker as usable, releases the idle pins of its guarantees (broken as zoneEvacuated) and shows zoneEvacuated as the reason to wait. The dispatcher asks before the claim of a gang and before each start, also repeated ones; a gang that is refused is stopped whole and queued again, without a cost to the retry budget. Fronts send jobs that name no zone to the other zones first. A stored head without evacuated zones is as before, so that earlier releases read it. Tests: zone_test.go wires the same check before starts as the instance does.

--- a/coordination/dispatch/start.go
+++ b/coordination/dispatch/start.go
@@ -57,6 +57,9 @@
 	if !found {
 		return d.homeMovedError("commit")
 	}
+	if err := d.MayStart(); err != nil {
+		return err
+	}
 	if err := d.takeClaimForStart(r); err != nil {
 		return err
 	}
@@ -90,6 +93,15 @@
 	d.requeueOrFinish(r, attempt, reason, result.Failed, r.addRefusals(result.Refused))
 }
 
+// MayStart returns an error while the zone is evacuated. It is called right before each
+// start that is sent, also a repeated one.
+func (d *Dispatcher) MayStart() error {
+	if d.Planner.Evacuated() {
+		return stepError("start", state.ZoneEvacuated)
+	}
+	return nil
+}
+
 func (r *record) refusalByClaim() *state.Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/coordination/dispatch/stop.go
+++ b/coordination/dispatch/stop.go
@@ -126,7 +126,7 @@
 	if !job.Idempotent && ran != state.NotRun {
 		return time.Time{}, false
 	}
-	if reason == state.Reclaimed || reason == state.RackMoved {
+	if reason == state.Reclaimed || reason == state.RackMoved || reason == state.ZoneEvacuated {
 		return d.Now(), true
 	}
 	if d.Quarantine.IsFaultyJob(job.ID) {
--- a/coordination/dispatch/zone_test.go
+++ b/coordination/dispatch/zone_test.go
@@ -167,6 +167,9 @@
 			return leases, err
 		},
 		Start: func(ctx context.Context, rack string, leases []state.Lease) error {
+			if err := d.MayStart(); err != nil {
+				return err
+			}
 			return p.call("start", func() error { return z.keeper.Start(ctx, rack, leases) })
 		},
 		Stop: func(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (never bool, err error) {
--- a/coordination/planning/guarantee.go
+++ b/coordination/planning/guarantee.go
@@ -34,6 +34,8 @@
 // The reasons for a guarantee that cannot be met in full; NoBreach means that it can.
 const (
 	NoBreach Breach = ""
+	// ZoneEvacuated means that nothing new may start in the zone.
+	ZoneEvacuated Breach = "zoneEvacuated"
 	// WorkersLost means that it fitted before workers or racks were lost.
 	WorkersLost Breach = "workersLost"
 	// RunningWork means that non-preemptible jobs still occupy the room that it needs.
@@ -210,6 +212,9 @@
 	if p.isSatisfied(g) {
 		return NoBreach
 	}
+	if p.Evacuated() {
+		return ZoneEvacuated
+	}
 	ignoringJobs := func(w *worker) state.Resources { return w.Capacity.Minus(w.pinned) }
 	if g.pinnedUnits >= g.Members || p.findGuaranteeLayout(g, ignoringJobs) != nil {
 		return RunningWork
--- a/coordination/planning/job_entry.go
+++ b/coordination/planning/job_entry.go
@@ -41,6 +41,8 @@
 	WaitingForQuota   WaitReason = "quota"
 	WaitingForBackoff WaitReason = "backoff"
 	WaitingForReclaim WaitReason = "reclaim"
+	// WaitingForZone means that the zone is evacuated.
+	WaitingForZone WaitReason = "zoneEvacuated"
 )
 
 // hold is the part of a gang on one worker; units is how many units of the job's guarantee
--- a/coordination/planning/placement.go
+++ b/coordination/planning/placement.go
@@ -9,6 +9,10 @@
 // place starts the job, or reclaims the room for it, and reports whether the job took
 // resources.
 func (p *Planner) place(r *round, e *jobEntry) bool {
+	if p.Evacuated() {
+		e.queue.setWaitReason(e, WaitingForZone)
+		return false
+	}
 	if e.overQuota() {
 		e.queue.setWaitReason(e, WaitingForQuota)
 		return false
--- a/coordination/planning/planner.go
+++ b/coordination/planning/planner.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comfreystream/state"
@@ -20,10 +21,12 @@
 	Usable func(worker netip.AddrPort) bool
 
 	availabilityZone string
-	jobs             *state.Table[state.JobID, *jobEntry]
-	queues           queueSet
-	feasibility      feasibility
-	zone             zone
+	// evacuated is set while nothing new may start in the zone.
+	evacuated   atomic.Bool
+	jobs        *state.Table[state.JobID, *jobEntry]
+	queues      queueSet
+	feasibility feasibility
+	zone        zone
 
 	// placementMu serialises every change of placements; its holder may read workers and
 	// guarantees without the locks of their shards.
@@ -64,6 +67,7 @@
 		return
 	}
 	p.manifest = manifest
+	p.evacuated.Store(slices.Contains(manifest.Evacuated, p.availabilityZone))
 	p.queues.apply(manifest)
 	p.feasibility.setManifest(manifest)
 	p.applyGuarantees(manifest)
@@ -71,6 +75,10 @@
 	p.guaranteesStale = true
 }
 
+// Evacuated reports whether the manifest in force evacuates the zone, so that nothing new
+// may start.
+func (p *Planner) Evacuated() bool { return p.evacuated.Load() }
+
 // PutWorker adds a worker or updates its capacity, rack or Leaving.
 func (p *Planner) PutWorker(worker state.Worker) {
 	p.placementMu.Lock()
--- a/coordination/planning/round.go
+++ b/coordination/planning/round.go
@@ -106,10 +106,11 @@
 	return r.Round
 }
 
-// refreshUnusable asks Usable about every worker for this round.
+// refreshUnusable asks Usable about every worker for this round; none is usable while the
+// zone is evacuated.
 func (p *Planner) refreshUnusable() {
 	for _, w := range p.zone.workers {
-		unusable := !p.Usable(w.Address)
+		unusable := p.Evacuated() || !p.Usable(w.Address)
 		if unusable == w.unusable {
 			continue
 		}
--- a/coordination/planning/view.go
+++ b/coordination/planning/view.go
@@ -12,11 +12,13 @@
 // so they may differ by what happens in between.
 type View struct {
 	AvailabilityZone string
-	Generation       state.Generation
-	Workers          WorkerCounts
-	Total            state.Resources
-	Free             state.Resources
-	Lent             state.Resources
+	// Evacuated is set while nothing new may start in the zone.
+	Evacuated  bool
+	Generation state.Generation
+	Workers    WorkerCounts
+	Total      state.Resources
+	Free       state.Resources
+	Lent       state.Resources
 	// Fragmentation is 1 - (largest adjacent gang that fits / free accelerators), from 0 to
 	// 1.
 	Fragmentation float64
@@ -58,7 +60,7 @@
 
 // View returns the present state of the zone.
 func (p *Planner) View() View {
-	view := View{AvailabilityZone: p.availabilityZone}
+	view := View{AvailabilityZone: p.availabilityZone, Evacuated: p.Evacuated()}
 	p.viewGuarantees(&view)
 	for _, r := range p.zone.snapshot() {
 		p.viewRack(&view, r)
--- a/coordination/rollout/apply.go
+++ b/coordination/rollout/apply.go
@@ -100,7 +100,10 @@
 
 // diff returns the changeset from the head to generation next with the manifest.
 func (r *Rollout) diff(head Head, next state.Generation, manifest *state.Manifest) (changeset, error) {
-	d := changeset{head: Head{Generation: next, Weights: manifest.Weights, Digest: hashWeights(manifest.Weights)}}
+	d := changeset{head: Head{
+		Generation: next, Weights: manifest.Weights, Evacuated: manifest.Evacuated,
+		Digest: hashWeights(manifest.Weights) + hashEvacuated(manifest.Evacuated),
+	}}
 	old := make(map[string]PartRef, len(head.Parts))
 	for _, ref := range head.Parts {
 		old[ref.Name] = ref
@@ -220,7 +223,7 @@
 // adoptApplied brings the accepted manifest into force here, unless there is a
 // newer one, and requests a push.
 func (r *Rollout) adoptApplied(d changeset) {
-	_ = r.advance(Update{Generation: d.head.Generation, Digest: d.head.Digest, Weights: d.head.Weights, Parts: d.allParts}, true)
+	_ = r.advance(Update{Generation: d.head.Generation, Digest: d.head.Digest, Weights: d.head.Weights, Evacuated: d.head.Evacuated, Parts: d.allParts}, true)
 	r.requestPush()
 }
 
--- a/coordination/rollout/load.go
+++ b/coordination/rollout/load.go
@@ -45,7 +45,7 @@
 		r.count(EventLoadFailed)
 		return err
 	}
-	return r.advance(Update{Generation: head.Generation, Digest: head.Digest, Weights: head.Weights, Parts: parts}, allowReplace)
+	return r.advance(Update{Generation: head.Generation, Digest: head.Digest, Weights: head.Weights, Evacuated: head.Evacuated, Parts: parts}, allowReplace)
 }
 
 // collectParts returns all parts that a head lists; it reads only those that the
--- a/coordination/rollout/part.go
+++ b/coordination/rollout/part.go
@@ -23,6 +23,8 @@
 	Generation state.Generation
 	Digest     uint64
 	Weights    state.Weights
+	// Evacuated lists all evacuated zones, sorted.
+	Evacuated []string
 	// Since is the generation after which Parts lists every change; 0 means that
 	// Parts is the whole manifest.
 	Since state.Generation
@@ -41,7 +43,9 @@
 	Generation state.Generation
 	Digest     uint64
 	Weights    state.Weights
-	Parts      []PartRef
+	// Evacuated lists the evacuated zones, sorted.
+	Evacuated []string
+	Parts     []PartRef
 }
 
 // PartRef locates a part in the store; ID is empty for a removed organisation.
@@ -69,7 +73,7 @@
 func (r PartRef) key() string { return partPrefix + r.Name + "/" + string(r.ID) }
 
 // hash returns the hash of the part, 0 for a removed organisation. The digest of
-// a manifest is the sum of the hashes of its parts and weights.
+// a manifest is the sum of the hashes of its parts, weights and evacuated zones.
 func (p Part) hash() uint64 {
 	if len(p.Body) == 0 {
 		return 0
@@ -82,6 +86,21 @@
 	return d.Sum64()
 }
 
+// hashEvacuated returns the hash of the evacuated zones, 0 without any, so that the
+// digest of a manifest without is as before the field existed.
+func hashEvacuated(zones []string) uint64 {
+	if len(zones) == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, zone := range zones {
+		_, _ = d.WriteString(zone)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 func hashWeights(w state.Weights) uint64 {
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:8], math.Float64bits(w.CompletionTime))
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -394,3 +394,25 @@
 		}
 	})
 }
+
+// TestEvacuatedReachesEntries evacuates zones in one manifest after the other, with the
+// same organisations. It guards against entries that keep the former zones, or take the
+// manifests for equal.
+func TestEvacuatedReachesEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		for i, zones := range [][]string{nil, {"zone-1"}, {"zone-0", "zone-1"}, {"zone-0"}, nil} {
+			m := sampleManifest(3, 1)
+			m.Evacuated = zones
+			if got := c.apply(0, m, 0); got != state.Generation(i+1) {
+				t.Errorf("generation %d, want %d", got, i+1)
+			}
+			c.advanceTime(inForceBound)
+			for _, e := range c.entries {
+				if got := e.Current().Evacuated; !slices.Equal(got, zones) {
+					t.Errorf("entry %v has %v, want %v", e.address, got, zones)
+				}
+			}
+		}
+	})
+}
--- a/coordination/rollout/snapshot.go
+++ b/coordination/rollout/snapshot.go
@@ -18,6 +18,7 @@
 	generation state.Generation
 	digest     uint64
 	weights    state.Weights
+	evacuated  []string
 	// parts is sorted by name and includes removed organisations.
 	parts    []decodedPart
 	manifest *state.Manifest
@@ -54,7 +55,7 @@
 	if generation+removalRetention < s.generation || generation > s.generation {
 		generation = 0
 	}
-	u := Update{Generation: s.generation, Digest: s.digest, Weights: s.weights, Since: generation}
+	u := Update{Generation: s.generation, Digest: s.digest, Weights: s.weights, Evacuated: s.evacuated, Since: generation}
 	for i := range s.parts {
 		if p := s.parts[i].Part; p.Changed > generation {
 			u.Parts = append(u.Parts, p)
@@ -65,7 +66,7 @@
 
 // apply returns the snapshot that results from applying the update to s, which may be nil.
 func (s *snapshot) apply(u Update, decode func([]byte) (state.Organisation, error)) (*snapshot, error) {
-	next := &snapshot{generation: u.Generation, digest: u.Digest, weights: u.Weights}
+	next := &snapshot{generation: u.Generation, digest: u.Digest, weights: u.Weights, evacuated: u.Evacuated}
 	changed := make(map[string]bool, len(u.Parts))
 	for _, p := range u.Parts {
 		decoded, err := s.decodePart(p, decode)
@@ -118,7 +119,7 @@
 }
 
 func (s *snapshot) computeDigest() uint64 {
-	digest := hashWeights(s.weights)
+	digest := hashWeights(s.weights) + hashEvacuated(s.evacuated)
 	for i := range s.parts {
 		digest += s.parts[i].hash
 	}
@@ -126,7 +127,7 @@
 }
 
 func (s *snapshot) buildManifest() *state.Manifest {
-	m := &state.Manifest{Generation: s.generation, Weights: s.weights}
+	m := &state.Manifest{Generation: s.generation, Weights: s.weights, Evacuated: s.evacuated}
 	for i := range s.parts {
 		if len(s.parts[i].Body) > 0 {
 			m.Organisations = append(m.Organisations, s.parts[i].organisation)
--- a/instance/front.go
+++ b/instance/front.go
@@ -26,7 +26,7 @@
 
 // zonesFor returns the zones to try for a job, in order: those where its
 // organisation has a guarantee that the job fits into, then the entry's own,
-// then the others.
+// then the others; evacuated ones come last.
 func (i *Instance) zonesFor(job *state.Job) []string {
 	zones := append([]string{i.settings.AvailabilityZone}, i.list.zones()...)
 	manifest := i.rollout.Current()
@@ -39,9 +39,24 @@
 			unique = append(unique, zone)
 		}
 	}
+	if manifest != nil {
+		slices.SortStableFunc(unique, func(a, b string) int { return compareEvacuated(manifest.Evacuated, a, b) })
+	}
 	return unique
 }
 
+// compareEvacuated orders evacuated zones after others.
+func compareEvacuated(evacuated []string, a, b string) int {
+	switch inA, inB := slices.Contains(evacuated, a), slices.Contains(evacuated, b); {
+	case inA == inB:
+		return 0
+	case inA:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // guaranteedZones returns the zones where the job's organisation has a
 // guarantee that the job fits into; only the entry's own zone if it is one of them.
 func guaranteedZones(manifest *state.Manifest, job *state.Job, own string) (zones []string) {
--- a/instance/planner.go
+++ b/instance/planner.go
@@ -38,7 +38,13 @@
 		d.RequestPlan()
 	})
 	d.Admission = admission.New(admission.DefaultSettings(), time.Now, func(state.Reason) {})
-	d.Gang = &gang.Starter{Now: time.Now, Hold: i.holdRack, Commit: d.Commit, Start: i.startRack}
+	d.Gang = &gang.Starter{Now: time.Now, Hold: i.holdRack, Commit: d.Commit}
+	d.Gang.Start = func(ctx context.Context, rack string, leases []state.Lease) error {
+		if err := d.MayStart(); err != nil {
+			return err
+		}
+		return i.startRack(ctx, rack, leases)
+	}
 	d.Gang.Stop = func(ctx context.Context, rack string, job state.JobID, attempt state.Attempt) (neverStarted bool, err error) {
 		name := state.JobAttempt{Job: job, Attempt: attempt}
 		return i.stopRack(ctx, rack, name, d.PlacedWorkers(name, rack))
--- a/protocol/manifest/codec.go
+++ b/protocol/manifest/codec.go
@@ -19,6 +19,18 @@
 	Parts          []partRefRecord
 }
 
+// evacuatedHeadRecord is the stored form of a head with evacuated zones. A head without
+// is stored as headRecord, which earlier releases read.
+type evacuatedHeadRecord struct {
+	_              struct{} `cbor:",toarray"`
+	Generation     state.Generation
+	Digest         uint64
+	CompletionTime float64
+	Fragmentation  float64
+	Parts          []partRefRecord
+	Evacuated      []string
+}
+
 type partRefRecord struct {
 	_       struct{} `cbor:",toarray"`
 	Name    string
@@ -112,18 +124,32 @@
 	for i, ref := range head.Parts {
 		record.Parts[i] = partRefRecord{Name: ref.Name, Changed: ref.Changed, ID: ref.ID, Version: ref.Version, Hash: ref.Hash}
 	}
-	return cbor.Marshal(record)
+	if len(head.Evacuated) == 0 {
+		return cbor.Marshal(record)
+	}
+	return cbor.Marshal(evacuatedHeadRecord{
+		Generation: record.Generation, Digest: record.Digest, CompletionTime: record.CompletionTime,
+		Fragmentation: record.Fragmentation, Parts: record.Parts, Evacuated: head.Evacuated,
+	})
 }
 
 func decodeHead(value []byte) (rollout.Head, error) {
-	var record headRecord
+	var record evacuatedHeadRecord
 	if err := cbor.Unmarshal(value, &record); err != nil {
-		return rollout.Head{}, errors.Wrap(err, "decode manifest head")
+		var without headRecord
+		if err := cbor.Unmarshal(value, &without); err != nil {
+			return rollout.Head{}, errors.Wrap(err, "decode manifest head")
+		}
+		record = evacuatedHeadRecord{
+			Generation: without.Generation, Digest: without.Digest, CompletionTime: without.CompletionTime,
+			Fragmentation: without.Fragmentation, Parts: without.Parts,
+		}
 	}
 	head := rollout.Head{
 		Generation: record.Generation,
 		Digest:     record.Digest,
 		Weights:    state.Weights{CompletionTime: record.CompletionTime, Fragmentation: record.Fragmentation},
+		Evacuated:  record.Evacuated,
 		Parts:      make([]rollout.PartRef, len(record.Parts)),
 	}
 	for i, ref := range record.Parts {
--- a/protocol/manifest/decode.go
+++ b/protocol/manifest/decode.go
@@ -36,11 +36,12 @@
 }
 
 func decodeManifest(root document.Node) *state.Manifest {
-	o := root.Object("format", "generation", "weights", "organisations")
+	o := root.Object("format", "generation", "weights", "evacuated", "organisations")
 	o.Require("format").Integer(formatVersion, formatVersion)
 	return &state.Manifest{
 		Generation:    state.Generation(o.Get("generation").Integer(0, math.MaxInt64)),
 		Weights:       decodeWeights(o.Require("weights")),
+		Evacuated:     decodeEvacuated(o.Get("evacuated")),
 		Organisations: decodeOrganisations(o.Require("organisations")),
 	}
 }
@@ -57,6 +58,19 @@
 	return w
 }
 
+// decodeEvacuated returns the zones in order.
+func decodeEvacuated(n document.Node) (zones []string) {
+	for _, node := range n.List() {
+		zone := node.Name()
+		if slices.Contains(zones, zone) && zone != "" {
+			node.ReportProblem(fmt.Sprintf("%q is listed twice", zone), "list each zone once")
+		}
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 func decodeOrganisations(n document.Node) []state.Organisation {
 	nodes := n.List()
 	organisations := make([]state.Organisation, 0, len(nodes))
--- a/protocol/manifest/encode.go
+++ b/protocol/manifest/encode.go
@@ -10,6 +10,7 @@
 	Format        int                `json:"format"`
 	Generation    uint64             `json:"generation"`
 	Weights       weightsFile        `json:"weights"`
+	Evacuated     []string           `json:"evacuated,omitempty"`
 	Organisations []organisationFile `json:"organisations"`
 }
 
@@ -48,6 +49,7 @@
 		Format:        formatVersion,
 		Generation:    uint64(m.Generation),
 		Weights:       weightsFile(m.Weights),
+		Evacuated:     m.Evacuated,
 		Organisations: make([]organisationFile, len(m.Organisations)),
 	}
 	for i := range m.Organisations {
--- a/protocol/manifest/manifest_test.go
+++ b/protocol/manifest/manifest_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/rollout"
 	"comfreystream/protocol/document"
+	"comfreystream/state"
 )
 
 // oneOrganisation is a manifest in which ORGANISATION is replaced by the test's organisation.
@@ -42,6 +46,9 @@
 		{"duplicate organisation", manifestWith(`{"name": "a", "share": 1}, {"name": @"a", "share": 2}`), "organisations[1].name", "organisations[0]"},
 		{"newer format", `{"format": @2, "weights": {"completionTime": 1, "fragmentation": 0}, "organisations": []}`, "format", "from 1 to 1"},
 		{"weights add up to more", `{"format": 1, "weights": @{"completionTime": 1, "fragmentation": 0.1}, "organisations": []}`, "weights", "add up to 1"},
+		{"evacuated zone that is no name", `{"format": 1, "weights": {"completionTime": 1, "fragmentation": 0}, "evacuated": ["a", @"A b"], "organisations": []}`, "evacuated[1]", "lower-case"},
+		{"evacuated zone listed twice", `{"format": 1, "weights": {"completionTime": 1, "fragmentation": 0}, "evacuated": ["a", @"a"], "organisations": []}`, "evacuated[1]", "once"},
+		{"evacuated zones that are no list", `{"format": 1, "weights": {"completionTime": 1, "fragmentation": 0}, "evacuated": @"a", "organisations": []}`, "evacuated", "list"},
 		{"number as text", manifestWith(`{"name": "a", "share": @"1"}`), "organisations[0].share", "without quotes"},
 		{"number out of range", manifestWith(`{"name": "a", "share": @1e999}`), "organisations[0].share", "out of range"},
 		{"no share", manifestWith(`{"name": "a", "share": @0}`), "organisations[0].share", "from 1e-06"},
@@ -98,10 +105,35 @@
 	}
 }
 
+// TestHeadCodec guards against heads that lose their evacuated zones, and against a head
+// without any that earlier releases cannot read: they expect five fields.
+func TestHeadCodec(t *testing.T) {
+	const arrayOfFive = 0x85
+	for _, evacuated := range [][]string{nil, {"a"}, {"a", "b"}} {
+		t.Run(fmt.Sprint(len(evacuated)), func(t *testing.T) {
+			head := rollout.Head{
+				Generation: 7, Digest: 9, Weights: state.Weights{CompletionTime: 1}, Evacuated: evacuated,
+				Parts: []rollout.PartRef{{Name: "o", Changed: 3, ID: "w", Version: 4, Hash: 5}},
+			}
+			value, err := Codec().EncodeHead(head)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if asBefore := value[0] == arrayOfFive; asBefore != (len(evacuated) == 0) {
+				t.Errorf("first byte %x with %d evacuated zones", value[0], len(evacuated))
+			}
+			if got, err := Codec().DecodeHead(value); err != nil || !reflect.DeepEqual(got, head) {
+				t.Errorf("%+v, %v, want %+v", got, err, head)
+			}
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	seeds := []string{
 		"", "{", oneOrganisation, manifestWith(`{"name": "b", "share": 1e-300, "quota": {"slots": 1}}, {"name": "a", "share": 2}`),
 		manifestWith(`{"name": "a", "share": 1, "guarantees": [{"availabilityZone": "z", "members": 3, "shape": {"cores": 1}, "adjacency": "sameRack"}]}`),
+		`{"format": 1, "weights": {"completionTime": 1, "fragmentation": 0}, "evacuated": ["b", "a"], "organisations": []}`,
 		"// comment\n[1, \"\\ud800\"]", `{"format": 1, "generation": 9223372036854775807}`,
 	}
 	for _, seed := range seeds {
--- a/protocol/peer/calls_test.go
+++ b/protocol/peer/calls_test.go
@@ -43,7 +43,7 @@
 
 var sampleUpdate = rollout.Update{
 	Generation: 9, Digest: 8, Weights: state.Weights{CompletionTime: 0.3, Fragmentation: 0.7},
-	Since: 7, Parts: []rollout.Part{{Name: "north", Changed: 9, Body: []byte{7}}},
+	Evacuated: []string{"za", "zb"}, Since: 7, Parts: []rollout.Part{{Name: "north", Changed: 9, Body: []byte{7}}},
 }
 
 func (r *recorder) record(request any) error {
--- a/protocol/peer/manifest.go
+++ b/protocol/peer/manifest.go
@@ -21,6 +21,7 @@
 	Fragmentation  float64          `cbor:"4,keyasint"`
 	Since          state.Generation `cbor:"5,keyasint,omitempty"`
 	Parts          []wirePart       `cbor:"6,keyasint,omitempty"`
+	Evacuated      []string         `cbor:"7,keyasint,omitempty"`
 }
 
 type wirePart struct {
@@ -68,14 +69,14 @@
 	return wireUpdate{
 		Generation: u.Generation, Digest: u.Digest,
 		CompletionTime: u.Weights.CompletionTime, Fragmentation: u.Weights.Fragmentation,
-		Since: u.Since, Parts: convert(u.Parts, func(p rollout.Part) wirePart { return wirePart(p) }),
+		Evacuated: u.Evacuated, Since: u.Since, Parts: convert(u.Parts, func(p rollout.Part) wirePart { return wirePart(p) }),
 	}
 }
 
 func (w wireUpdate) update() rollout.Update {
 	return rollout.Update{
 		Generation: w.Generation, Digest: w.Digest,
-		Weights: state.Weights{CompletionTime: w.CompletionTime, Fragmentation: w.Fragmentation},
-		Since:   w.Since, Parts: convert(w.Parts, func(p wirePart) rollout.Part { return rollout.Part(p) }),
+		Weights:   state.Weights{CompletionTime: w.CompletionTime, Fragmentation: w.Fragmentation},
+		Evacuated: w.Evacuated, Since: w.Since, Parts: convert(w.Parts, func(p wirePart) rollout.Part { return rollout.Part(p) }),
 	}
 }
--- a/state/manifest.go
+++ b/state/manifest.go
@@ -43,6 +43,8 @@
 type Manifest struct {
 	Generation Generation
 	Weights    Weights
+	// Evacuated lists the availability zones in which nothing new starts, sorted.
+	Evacuated []string
 	// Organisations is sorted by name.
 	Organisations []Organisation
 }
--- a/state/reason.go
+++ b/state/reason.go
@@ -49,6 +49,7 @@
 	RackMoved      Reason = "rackMoved"
 	HomeMoved      Reason = "homeMoved"
 	ConnectionLost Reason = "connectionLost"
+	ZoneEvacuated  Reason = "zoneEvacuated"
 )
 
 // Reasons lists every reason, so that the counter of each exists from process start.
@@ -60,6 +61,7 @@
 	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
 	AmbiguousStart, NoPlanner, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
+	ZoneEvacuated,
 }
 
 // MayRetry reports whether the same request may succeed if it is sent again later.
