--- a/cmd_apply.go
+++ b/cmd_apply.go
@@ -41,12 +41,14 @@
 		if err != nil {
 			return err
 		}
-		return a.report(applied)
+		return reportApplied(a.out, applied)
 	})
 }
 
-func (a *applyArguments) report(applied caller.AppliedManifest) error {
-	_, err := fmt.Fprintf(a.out.results, "generation %d is in force on %d entries\n", applied.Generation, len(applied.InForce))
+// reportApplied prints the generation in force, and returns an error that names the
+// entries that do not have it yet.
+func reportApplied(out output, applied caller.AppliedManifest) error {
+	_, err := fmt.Fprintf(out.results, "generation %d is in force on %d entries\n", applied.Generation, len(applied.InForce))
 	if err != nil || len(applied.Unreachable) == 0 {
 		return err
 	}
--- a/commands.go
+++ b/commands.go
@@ -32,6 +32,8 @@
 	statusCommand,
 	cancelCommand,
 	drainCommand,
+	evacuateCommand,
+	restoreCommand,
 	loadCommand,
 	versionCommand,
 }
--- a/instance/overview.go
+++ b/instance/overview.go
@@ -16,16 +16,18 @@
 
 // Overview is the status of an entry as shown to operators, in JSON.
 type Overview struct {
-	Entry            netip.AddrPort       `json:"entry"`
-	AvailabilityZone string               `json:"availabilityZone"`
-	Generation       state.Generation     `json:"generation"`
-	StoreReachable   bool                 `json:"storeReachable"`
-	Draining         bool                 `json:"draining"`
-	StoreCalls       []StoreCallsOverview `json:"storeCalls"`
-	Refusals         []ReasonOverview     `json:"refusals"`
-	Retries          []ReasonOverview     `json:"retries"`
-	Entries          []EntryOverview      `json:"entries"`
-	Racks            []string             `json:"racks"`
+	Entry            netip.AddrPort   `json:"entry"`
+	AvailabilityZone string           `json:"availabilityZone"`
+	Generation       state.Generation `json:"generation"`
+	// Evacuated lists the zones in which nothing new starts, by this entry's manifest.
+	Evacuated      []string             `json:"evacuated,omitempty"`
+	StoreReachable bool                 `json:"storeReachable"`
+	Draining       bool                 `json:"draining"`
+	StoreCalls     []StoreCallsOverview `json:"storeCalls"`
+	Refusals       []ReasonOverview     `json:"refusals"`
+	Retries        []ReasonOverview     `json:"retries"`
+	Entries        []EntryOverview      `json:"entries"`
+	Racks          []string             `json:"racks"`
 	// PlannerEntry is the zone's planner according to this entry's membership view.
 	PlannerEntry netip.AddrPort   `json:"plannerEntry,omitzero"`
 	Planner      *PlannerOverview `json:"planner,omitempty"`
@@ -116,6 +118,9 @@
 		Entry: i.Address(), AvailabilityZone: i.settings.AvailabilityZone, Generation: generation,
 		StoreReachable: i.storage.Available(), Draining: i.leaving.Load(), Racks: i.keeper.Racks(),
 	}
+	if m := i.rollout.Current(); m != nil {
+		body.Evacuated = m.Evacuated
+	}
 	for _, purpose := range storage.Purposes {
 		body.StoreCalls = append(body.StoreCalls, StoreCallsOverview{purpose.String(), i.storage.Sent(purpose)})
 	}
--- a/overview.go
+++ b/overview.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"comfreystream/instance"
@@ -19,6 +20,9 @@
 	if o.Draining {
 		fmt.Fprintln(w, "the entry is draining")
 	}
+	if len(o.Evacuated) > 0 {
+		fmt.Fprintf(w, "evacuated zones, in which nothing new starts: %s\n", strings.Join(o.Evacuated, ", "))
+	}
 	printEntries(w, o)
 	printReasons(w, "REFUSED OR FAILED", o.Refusals)
 	printReasons(w, "REPEATED", o.Retries)
