--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -13,8 +13,8 @@
 	zoneEvacuated         = "zoneEvacuated"
 	zoneRestored          = "zoneRestored"
 	// evacuationsOutdated counts readings of the evacuated zones that were older than
-	// the known one, evacuationsStale planning rounds that placed nothing for want of a
-	// recent one.
+	// the known one, evacuationsStale planning rounds that placed nothing because the
+	// newest was too old, or there was none yet.
 	evacuationsOutdated = "evacuationsOutdated"
 	evacuationsStale    = "evacuationsStale"
 	guaranteeShort      = "guaranteeShort"
--- a/instance/hosted/evacuation.go
+++ b/instance/hosted/evacuation.go
@@ -14,8 +14,13 @@
 	"comfreystream/state/workflow"
 )
 
-// maxEvacuationLines bounds the log lines on one reading of the evacuations.
-const maxEvacuationLines = 16
+const (
+	// maxEvacuationLines bounds the log lines on one reading of the evacuations.
+	maxEvacuationLines = 16
+	// evacuationMargin covers a worker's clock that runs slow while a start order is
+	// valid, 2 % of 1.5 s, and the time between a reading and its use.
+	evacuationMargin = 100 * time.Millisecond
+)
 
 // evacuationAge returns how old the newest reading may become before starts wait for the
 // next, so that an evacuation is in force within the limit after it was written: the
@@ -24,7 +29,7 @@
 	if limit == 0 {
 		return 0
 	}
-	return max(limit-registryTimeout, 2*registryInterval)
+	return max(limit-registryTimeout-evacuationMargin, 2*registryInterval)
 }
 
 // followEvacuations reads the evacuated zones until the term ends.
--- a/instance/hosted/evacuation_test.go
+++ b/instance/hosted/evacuation_test.go
@@ -75,7 +75,7 @@
 func TestEvacuationAge(t *testing.T) {
 	tests := []struct{ limit, want time.Duration }{
 		{0, 0},
-		{5 * time.Second, 3800 * time.Millisecond},
+		{5 * time.Second, 3700 * time.Millisecond},
 		{time.Second, time.Second},
 	}
 	for _, test := range tests {
