--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -45,7 +45,9 @@
 	stragglersCheckedAt time.Time
 	// round is what the current planning round knows.
 	round round
-	work  worklist
+	// shortLoggedAt is when a guarantee was last logged as short, by organisation.
+	shortLoggedAt map[string]time.Time
+	work          worklist
 }
 
 // job is a job and its progress. The pool's lock guards it.
@@ -131,9 +133,9 @@
 		jobs:    make(map[workflow.ID]*job),
 		workers: make(map[workflow.WorkerID]*worker),
 		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
-		meanWork: make(map[string]float64),
-		speeds:   speed.New(),
-		work:     newWorklist(),
+		meanWork: make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
+		speeds: speed.New(),
+		work:   newWorklist(),
 	}
 }
 
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -254,6 +254,7 @@
 	}
 	w.incarnation, w.lastAppliedEnd, w.lastSavedEnd, w.lastAckedEnd = report.Incarnation, 0, 0, 0
 	w.failures, w.failedJob, w.avoidUntil = 0, "", time.Time{}
+	p.speeds.Restarted(p.scheduler.Now(), w.id)
 	reported := make(map[attemptKey]bool)
 	for _, task := range report.Running {
 		reported[attemptKey{task.Task, task.Attempt}] = true
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -23,6 +23,8 @@
 	// reachable holds the workers that accept tasks, suitable those of them that are
 	// not avoided for now.
 	reachable, suitable candidates
+	// warm holds the suitable workers that are not slow after their start.
+	warm candidates
 	// unplaceable holds the shapes that could not be placed, rackFits whether a
 	// shape would fit on an empty rack.
 	unplaceable map[shape]bool
@@ -52,9 +54,9 @@
 		costs: make(map[*group]float64), victims: make(map[victimsKey][]*group),
 		firstOptions: make(map[optionKey]option), searchUntil: now.Add(maxSearchTime),
 	}
-	maxReportAge := p.maxReportAge()
+	maxReportAge, evacuated := p.maxReportAge(), p.scheduler.evacuated.Load()
 	for _, w := range p.ordered {
-		if !w.info.registered || w.info.Draining {
+		if !p.schedulable(w) {
 			continue
 		}
 		r.free += max(w.free().Accelerators, 0)
@@ -62,13 +64,16 @@
 		r.freeCores += max(w.free().Cores, 0)
 		r.allCores += w.info.Capacity.Cores
 		w.suspected = now.Before(w.suspectUntil)
-		if w.acceptsTasks(now, maxReportAge) {
+		if w.acceptsTasks(now, maxReportAge, evacuated) {
 			r.reachable.workers = append(r.reachable.workers, w)
 		}
 	}
 	for _, w := range r.reachable.workers {
 		if !now.Before(w.avoidUntil) {
 			r.suitable.workers = append(r.suitable.workers, w)
+			if !now.Before(w.warmUntil) {
+				r.warm.workers = append(r.warm.workers, w)
+			}
 		}
 	}
 	return r
--- a/coordination/scheduling/speeds.go
+++ b/coordination/scheduling/speeds.go
@@ -28,18 +28,22 @@
 // speeds. A gang member at 100 percent waits for the others.
 func (p *pool) noteProgress(m *member, percent int) {
 	g, w := m.group, m.worker
-	if g.step.LongRunning || percent >= 100 {
+	if g.step.LongRunning || percent >= 100 || p.scheduler.Now().Before(w.warmUntil) {
 		return
 	}
 	if !m.mark.set || percent < m.mark.percent {
 		m.mark = progressMark{percent, w.reportedClock, true}
 		return
 	}
+	declared := g.step.Estimate
+	if g.size() == 1 && g.step.PreferredRack != "" && g.step.PreferredRack != w.rack() {
+		declared = time.Duration(p.scheduler.Bounds.FarFactor * float64(declared))
+	}
 	o := speed.Observation{
 		Worker: w.id, Task: m.task, Attempt: m.attempt,
 		Cohort:   speed.Cohort{Job: g.job.ID, Occurrence: g.id.Occurrence, Step: g.id.Step, Queue: g.job.Queue},
 		Equal:    g.size() > 1,
-		Fraction: float64(percent-m.mark.percent) / 100, Elapsed: w.reportedClock - m.mark.clock, Declared: g.step.Estimate,
+		Fraction: float64(percent-m.mark.percent) / 100, Elapsed: w.reportedClock - m.mark.clock, Declared: declared,
 		Urgency: g.job.Priority,
 	}
 	m.runTime = 0
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -17,6 +17,8 @@
 	reasonStalled    = "stopStalled"
 	// reasonMoved: the work finishes earlier on faster workers, after a new start.
 	reasonMoved = "stopMoved"
+	// reasonEvacuated: the attempt was placed in a zone that is evacuated and was not sent.
+	reasonEvacuated = "stopEvacuated"
 	// reasonAlreadyDone: an attempt that was taken for lost has done the work.
 	reasonAlreadyDone = "stopAlreadyDone"
 )
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -56,6 +56,8 @@
 	// planner does not know.
 	unknownTasks []workflow.Task
 	registration registration
+	// warmUntil is until when the worker is slow after its start.
+	warmUntil time.Time
 	// leftAt is when the worker was found to have left; zero if it may be there.
 	leftAt time.Time
 	// renewing is set once renewLoop runs.
@@ -136,6 +138,9 @@
 		if !w.info.registered || w.info.Draining != info.Draining {
 			p.logWorker(&info, "workerListed")
 		}
+		if !w.info.registered || w.info.Beat != info.Beat || w.info.Incarnation != info.Incarnation || w.info.WarmUp != info.WarmUp {
+			w.warmUntil = listedAt.Add(info.WarmUp)
+		}
 		w.info = workerInfo{info, true}
 		w.registration.noteBeat(info.Beat, previousListing)
 		w.leftAt = time.Time{}
@@ -154,6 +159,7 @@
 		}
 	}
 	if changed {
+		p.speeds.Retain(func(id workflow.WorkerID) bool { return p.workers[id] != nil })
 		wake(p.planDue)
 	}
 }
@@ -171,8 +177,8 @@
 // acceptsTasks reports whether tasks can be placed on the worker, leaving aside
 // its health. A restarted worker may have other labels and another capacity, so that
 // its registry entry must be of the incarnation that reports.
-func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration) bool {
-	return w.info.registered && !w.info.Draining && len(w.unknownTasks) == 0 && w.info.Incarnation == w.incarnation &&
+func (w *worker) acceptsTasks(now time.Time, maxReportAge time.Duration, e *evacuations) bool {
+	return w.info.registered && !w.info.Draining && !e.includes(w.info.AvailabilityZone) && len(w.unknownTasks) == 0 && w.info.Incarnation == w.incarnation &&
 		!w.reportedAt.IsZero() && now.Sub(w.reportedAt) <= maxReportAge
 }
 
