--- a/coordination/scheduling/evacuation_test.go
+++ b/coordination/scheduling/evacuation_test.go
@@ -254,6 +254,62 @@
 	})
 }
 
+// TestEvacuatedTakeover replaces the planner after it has stored attempts in zone a, of
+// which it started none or a part, and evacuates the zone meanwhile. The next planner must
+// start nothing there, and no gang in part.
+func TestEvacuatedTakeover(t *testing.T) {
+	everywhere := func(workflow.WorkerID) bool { return true }
+	tests := []struct {
+		name string
+		step workflow.Step
+		lost func(id workflow.WorkerID) bool
+		// inside is the number of starts in zone a, ran that of attempts that run 10 s
+		// later.
+		inside, ran int
+	}{
+		{"no order arrived", workflow.Step{Tasks: 12, Accelerators: 4}, everywhere, 0, 6},
+		{"no order of a gang arrived", workflow.Step{Tasks: 3, Accelerators: 8, Gang: true}, everywhere, 0, 3},
+		{"orders of a gang arrived but for one", workflow.Step{Tasks: 3, Accelerators: 8, Gang: true}, isW1, 2, 3},
+		{"all orders arrived", workflow.Step{Tasks: 12, Accelerators: 4}, func(workflow.WorkerID) bool { return false }, 6, 12},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newZonedHarness()
+				j := job(1, test.step)
+				j.Priority = 0
+				h.addJob(j)
+				loseStartsTo(test.lost, time.Second)(h)
+				first := h.startPlanner()
+				time.Sleep(100 * time.Millisecond)
+				_ = first.Close()
+				h.evacuated = zoneA
+				second, took := h.startPlanner(), time.Now()
+				time.Sleep(10 * time.Second)
+				_ = second.Close()
+				inside, ran := 0, 0
+				for _, r := range h.fleet.Runs() {
+					if inZoneA(r.Worker) {
+						inside++
+					}
+					if inZoneA(r.Worker) && r.Started.After(took) {
+						t.Errorf("%s started on %s by the second planner", r.Task, r.Worker)
+					}
+					if r.Ended.IsZero() {
+						ran++
+					}
+				}
+				if inside != test.inside || ran != test.ran {
+					t.Errorf("%d starts in zone a and %d attempts that run, want %d and %d", inside, ran, test.inside, test.ran)
+				}
+				for _, v := range runner.Violations(h.fleet.Runs(), j.MaxAttempts) {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
+
 // TestEvacuationAge lets the newest reading grow old. No order may be carried out once
 // the limit has passed, even one that was sent before and is late; the next reading
 // lets the tasks start.
