Stop what cannot finish before its worker leaves

Cause: no code read how long a draining worker stays. What ran there was lost when it went, and a gang with members on several of them waited for all leases. Change: leaving.go notes the worker's notice and stops the groups that cannot end before it, by percentages or else half the declared run time (progress.go). The lease of such a worker is no longer than its stay, or than two renewals. New counters stopLeaving and workerLeaving.

--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -8,6 +8,7 @@
 	workerSilent          = "workerSilent"
 	workerQuarantined     = "workerQuarantined"
 	unknownAttemptStopped = "strangerStopped"
+	workerLeaving         = "workerLeaving"
 	recordRefused         = "recordRefused"
 	checkpointsLeftOut    = "checkpointsLeftOut"
 	// endsLeftOut counts reports that do not list all ends.
@@ -16,8 +17,8 @@
 
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
-	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
-	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
+	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonLeaving, reasonAlreadyDone,
+	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, unknownAttemptStopped,
 	endsLeftOut, recordRefused, checkpointsLeftOut,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -43,6 +43,7 @@
 	percent     int
 	// percentChangedAt is when percent last changed.
 	percentChangedAt time.Time
+	progress         progress
 	// stopWanted is set once the member is to be stopped. stopSentAt is when the
 	// newest stop was sent, stopAnsweredAt when the first one was answered.
 	stopWanted     bool
@@ -52,6 +53,9 @@
 
 // confirm notes that the worker is known to run the task.
 func (m *member) confirm(now time.Time) {
+	if m.phase == starting {
+		m.progress.startedAt = now
+	}
 	m.phase, m.confirmedAt, m.percentChangedAt = running, now, now
 	m.group.job.begun = true
 }
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -54,6 +54,7 @@
 	now := p.scheduler.Now()
 	p.expireLeases(now)
 	p.stopStalled(now)
+	p.stopLeaving(now)
 	var candidates []*group
 	unsent := 0
 	for j := range p.work.timed {
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -31,6 +31,8 @@
 	listedAt time.Time
 	// longestRound is that since the load was last asked for.
 	longestRound time.Duration
+	// leaving holds the workers that have said how long they stay.
+	leaving map[*worker]struct{}
 	// unknownRuns counts the unknown attempts that workers report, by task.
 	unknownRuns map[workflow.Task]int
 	// dirty holds the records with unsaved changes.
@@ -121,8 +123,8 @@
 		scheduler: s, service: service,
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
 		jobs:    make(map[workflow.ID]*job),
-		workers: make(map[workflow.WorkerID]*worker),
-		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
+		workers: make(map[workflow.WorkerID]*worker), leaving: make(map[*worker]struct{}),
+		dirty: make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64),
 		work:     newWorklist(),
 	}
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -134,7 +134,7 @@
 func (p *pool) leaseOf(w *worker) time.Duration {
 	lease := p.scheduler.Bounds.LeaseLimit
 	if w.info.Draining {
-		return lease / 2
+		return p.shortLease(&w.notice)
 	}
 	for _, m := range w.members {
 		if m.group.step.LongRunning {
@@ -313,6 +313,7 @@
 	if task.Percent != m.percent || wasSilent {
 		m.percent, m.percentChangedAt = task.Percent, now
 	}
+	m.progress.observe(task.Percent, now)
 	g := m.group
 	if task.Checkpoint != "" && task.Checkpoint != g.checkpoint && g.attempt == m.attempt {
 		g.checkpoint = task.Checkpoint
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -15,6 +15,8 @@
 	reasonIncomplete = "stopIncomplete"
 	reasonReclaimed  = "stopReclaimed"
 	reasonStalled    = "stopStalled"
+	// reasonLeaving: a worker of the attempt leaves before the attempt can end.
+	reasonLeaving = "stopLeaving"
 	// reasonAlreadyDone: an attempt that was taken for lost has done the work.
 	reasonAlreadyDone = "stopAlreadyDone"
 )
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -56,6 +56,7 @@
 	// planner does not know.
 	unknownTasks []workflow.Task
 	registration registration
+	notice       notice
 	// leftAt is when the worker was found to have left; zero if it may be there.
 	leftAt time.Time
 	// renewing is set once renewLoop runs.
@@ -126,6 +127,7 @@
 		if !w.info.registered || w.info.Draining != info.Draining {
 			p.logWorker(&info, "workerListed")
 		}
+		p.noteNotice(w, &info, previousListing, now)
 		w.info = workerInfo{info, true}
 		w.registration.noteBeat(info.Beat, previousListing)
 		w.leftAt = time.Time{}
