--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -115,7 +115,8 @@
 	// startsSent is set once the start orders of the attempt were sent.
 	startsSent bool
 	// done is set once the work is complete.
-	done bool
+	done    bool
+	earlier earlierAttempt
 }
 
 func newPool(s *Scheduler, service string) *pool {
@@ -194,7 +195,11 @@
 	g.phase, g.startsSent, g.placedAt = placed, true, p.scheduler.Now()
 	p.work.addStarted(g)
 	for i, placement := range record.Placed {
-		p.assign(g, tasks[i], p.ensureWorker(placement.Worker), placement.Incarnation).phase = recovering
+		w := p.ensureWorker(placement.Worker)
+		p.assign(g, tasks[i], w, placement.Incarnation).phase = recovering
+		if !slices.Contains(g.earlier.hosts, w) {
+			g.earlier.hosts = append(g.earlier.hosts, w)
+		}
 	}
 	if j.status.Final() {
 		p.stopGroup(g, reasonCancelled)
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -107,6 +107,16 @@
 			takeovers: milliseconds([]int64{11882, 209, 9478, 202}), restarts: milliseconds([]int64{220, 319}),
 			storeOutage: 28 * time.Millisecond, cores: 0.001,
 		}},
+		{"an attempt was stored after its worker had restarted and run the earlier one", scenario{
+			seed: 0x19fe5, jobs: 2, faultRate: 0.15, failRate: 0.3, overlap: 975 * time.Millisecond,
+			takeovers: milliseconds([]int64{12000, 4233, 244, 2239}), restarts: milliseconds([]int64{403, 1833, 1436, 291}),
+			storeOutage: 7 * time.Millisecond, cores: 0.001,
+		}},
+		{"the same, more often", scenario{
+			seed: 0x34f06, jobs: 2, faultRate: 0.4, overlap: 1526 * time.Millisecond,
+			takeovers: milliseconds([]int64{489}), restarts: milliseconds([]int64{542, 379, 732, 263}),
+			storeOutage: 7 * time.Millisecond, cores: 0.001,
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -179,7 +179,7 @@
 	if r.number < w.reportedRenewal {
 		return // a report that was requested later has overtaken this one
 	}
-	w.reportedRenewal = r.number
+	w.reportedRenewal, w.reportedSentAt = r.number, r.sentAt
 	if r.sentAt.After(w.leftAt) {
 		w.leftAt = time.Time{}
 	}
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -22,8 +22,11 @@
 )
 
 // startGroup starts the members of a group whose attempt is stored, once its
-// victims have ended. The caller holds the lock.
+// victims have ended and no other attempt may run. The caller holds the lock.
 func (p *pool) startGroup(g *group) {
+	if p.mayRunElsewhere(g, p.scheduler.Now()) {
+		return
+	}
 	for _, v := range g.victims {
 		if !v.hasEnded() {
 			return
@@ -60,11 +63,11 @@
 // waits for them is placed again.
 const victimTimeout = 1500 * time.Millisecond
 
-// startOrAbandon starts a group if its victims have ended, and gives up the attempt
-// if they take too long.
+// startOrAbandon starts a group if its victims have ended and no other attempt may run,
+// and gives up the attempt if that takes too long.
 func (p *pool) startOrAbandon(g *group, now time.Time) {
 	p.startGroup(g)
-	if !g.startsSent && now.Sub(g.placedAt) > victimTimeout {
+	if !g.startsSent && now.Sub(latest(g.placedAt, g.earlier.since)) > victimTimeout {
 		p.stopGroup(g, reasonIncomplete)
 	}
 }
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -43,6 +43,8 @@
 	// that the newest report answers.
 	renewals        int
 	reportedRenewal int
+	// reportedSentAt is when the renewal was sent that the newest report answers.
+	reportedSentAt time.Time
 	// leaseExpiry is when the lease has certainly run out and the worker has killed
 	// its tasks, unless the lease is renewed.
 	leaseExpiry time.Time
