Hold back a repeated start while its worker may have restarted

Its renewal had failed when the worker restarted, and it still repeated the order, which the new incarnation carried out: also while the next attempt ran elsewhere, where no check of the new planner helps. Change: a repeated start waits while a renewal later than the newest report has failed, or the registry entry is of another incarnation.

--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -117,6 +117,10 @@
 			takeovers: milliseconds([]int64{489}), restarts: milliseconds([]int64{542, 379, 732, 263}),
 			storeOutage: 7 * time.Millisecond, cores: 0.001,
 		}},
+		{"the worker restarted after the next attempt was started", scenario{
+			seed: 0x102b4, jobs: 3, faultRate: 0.4, failRate: 0.3, overlap: 1416 * time.Millisecond,
+			takeovers: milliseconds([]int64{360}), restarts: milliseconds([]int64{570, 746, 295, 258}), storeOutage: 5 * time.Second,
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -115,6 +115,7 @@
 	defer cancel()
 	report, err := p.scheduler.Workers.Renew(ctx, target, order)
 	if err != nil {
+		p.noteFailedRenewal(w, r.number)
 		if !state.IsAmbiguous(err) {
 			p.restoreLease(w, extended, leaseExpiry)
 		}
--- a/coordination/scheduling/restart.go
+++ b/coordination/scheduling/restart.go
@@ -9,7 +9,24 @@
 // A worker refuses the orders of earlier planners once it has heard of this term, but
 // a restarted one has heard of none. Until an earlier planner certainly gives no more
 // orders, it may repeat one to start an attempt that it stored, so that this attempt
-// runs although the worker had reported that it does not.
+// runs although the worker had reported that it does not. Left open is a restart that
+// neither planner's renewals show, between the start of the next attempt and a repeated
+// order of the earlier planner, which is sent within startValidity.
+
+// mayHaveRestarted reports whether the worker may have restarted since its newest
+// report: a later renewal failed, or its registry entry is of another incarnation.
+func (p *pool) mayHaveRestarted(w *worker) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return w.failedRenewal > w.reportedRenewal || w.info.registered && w.info.Incarnation != w.incarnation
+}
+
+// noteFailedRenewal notes that a renewal was not answered with a report.
+func (p *pool) noteFailedRenewal(w *worker, number int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.failedRenewal = max(w.failedRenewal, number)
+}
 
 // earlierAttempt is the attempt of a group that an earlier planner stored.
 type earlierAttempt struct {
--- a/coordination/scheduling/restart_test.go
+++ b/coordination/scheduling/restart_test.go
@@ -30,6 +30,7 @@
 	}{
 		{"the worker is silent until after the attempt is stored", false, 2500 * time.Millisecond, 2},
 		{"the worker is heard before the attempt is stored", false, 1500 * time.Millisecond, 2},
+		{"the earlier planner notices the restart", true, 2500 * time.Millisecond, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
@@ -73,11 +74,17 @@
 }
 
 // startMember sends a start order until the worker answers or the order becomes
-// invalid. A repeated order is harmless, since the worker recognises the attempt.
+// invalid. A repeated order is harmless, since the worker recognises the attempt; it is
+// held back while the worker may have restarted.
 func (p *pool) startMember(m *member, target workflow.Worker, order StartOrder) {
 	sent, ambiguous := false, false
 	timeout := firstStartTimeout
 	for range maxStartTries {
+		if sent && p.mayHaveRestarted(m.worker) {
+			pause.For(p.scheduler.ctx, timeout)
+			timeout *= 2
+			continue
+		}
 		result, err := p.tryStart(m, target, order, timeout)
 		if errors.Is(err, errNotSent) {
 			break
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -43,7 +43,9 @@
 	// that the newest report answers.
 	renewals        int
 	reportedRenewal int
-	// reportedSentAt is when the renewal was sent that the newest report answers.
+	// failedRenewal is the number of the newest renewal that failed, reportedSentAt when
+	// the one was sent that the newest report answers.
+	failedRenewal  int
 	reportedSentAt time.Time
 	// leaseExpiry is when the lease has certainly run out and the worker has killed
 	// its tasks, unless the lease is renewed.
