Start after victims have ended on the workers that are used

Cause: a start waited until every member of a stopped gang had ended. A member on a worker that has gone counts as running until its lease has run out, so that a guaranteed job beside it gave up its attempt after 1.5 s and was planned and stored again. Change: a victim counts as ended once its members on the workers of the group that waits have ended. Result: TestVictimReleased passes; its row for the same worker does not hold for the check before, which asked for all members. TestReclaim passes.

--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,7 @@
 		return
 	}
 	for _, v := range g.victims {
-		if !v.hasEnded() {
+		if !v.hasReleased(g) {
 			return
 		}
 	}
@@ -57,8 +58,20 @@
 	attempt int
 }
 
-// hasEnded reports whether the attempt has released its capacity.
-func (v victim) hasEnded() bool { return v.group.attempt != v.attempt || v.group.allEnded() }
+// hasReleased reports whether the attempt has released the capacity on the workers of
+// the group that waits for it. Members of it elsewhere may be on a worker that has gone
+// and count as running until its lease has run out.
+func (v victim) hasReleased(g *group) bool {
+	if v.group.attempt != v.attempt {
+		return true
+	}
+	for _, m := range v.group.members {
+		if m.phase != ended && slices.ContainsFunc(g.members, func(own *member) bool { return own.worker == m.worker }) {
+			return false
+		}
+	}
+	return true
+}
 
 // victimTimeout is how long victims may take to end. After that, the group that
 // waits for them is placed again.
