--- a/coordination/scheduling/victim_test.go
+++ b/coordination/scheduling/victim_test.go
@@ -1,7 +1,9 @@
 package scheduling
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"comfreystream/state/workflow"
 )
@@ -58,3 +60,30 @@
 		})
 	}
 }
+
+// TestNoReclaimWhereLeaving has a guaranteed job take room while the worker with the
+// cheapest attempt is about to leave. It guards against a stop that makes room there.
+func TestNoReclaimWhereLeaving(t *testing.T) {
+	for leaving, name := range []string{"the first leaves", "the second leaves"} {
+		t.Run(name, func(t *testing.T) {
+			p := fullPool(2, 1)
+			now := p.scheduler.Now()
+			for _, m := range p.ordered[leaving].members {
+				m.group.step.Checkpointable = true // it loses nothing
+			}
+			entries := []workflow.Worker{p.ordered[0].info.Worker, p.ordered[1].info.Worker}
+			entries[leaving].Draining, entries[leaving].Remaining = true, time.Hour
+			for _, w := range p.ordered {
+				w.renewing = true
+			}
+			p.setWorkers(entries, now)
+			p.addJob(&workflow.Job{ID: "a", Queue: "q", MaxAttempts: 2, Steps: []workflow.Step{{Tasks: 1, Accelerators: 1}}}, workflow.Progress{}, nil)
+			j := p.jobs["a"]
+			p.round = p.newRound(now)
+			choice := p.reclaim(j.groups[workflow.GroupID{}], now, map[*job]bool{j: true}, math.Inf(1))
+			if choice == nil || choice.workers[0] != p.ordered[1-leaving] || len(choice.victims) != 1 {
+				t.Errorf("room is made by %+v, want on %s", choice, p.ordered[1-leaving].id)
+			}
+		})
+	}
+}
