--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -10,6 +10,7 @@
 	workerSilent          = "workerSilent"
 	workerQuarantined     = "workerQuarantined"
 	unknownAttemptStopped = "strangerStopped"
+	workerLeaving         = "workerLeaving"
 	recordRefused         = "recordRefused"
 	checkpointsLeftOut    = "checkpointsLeftOut"
 	zoneEvacuated         = "zoneEvacuated"
@@ -36,8 +37,8 @@
 
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
-	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonMoved, reasonAlreadyDone,
-	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
+	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonMoved, reasonLeaving, reasonAlreadyDone,
+	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	endsLeftOut, recordRefused, checkpointsLeftOut, reasonEvacuated,
 	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort,
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -56,6 +56,7 @@
 	p.stopStalled(now)
 	p.updateSpeeds(now)
 	p.moveStragglers(now)
+	p.stopLeaving(now)
 	var candidates []*group
 	unsent := 0
 	for j := range p.work.timed {
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -32,6 +32,8 @@
 	listedAt time.Time
 	// longestRound is that since the load was last asked for.
 	longestRound time.Duration
+	// leaving holds the workers that have said how long they stay.
+	leaving map[*worker]struct{}
 	// unknownRuns counts the unknown attempts that workers report, by task.
 	unknownRuns map[workflow.Task]int
 	// dirty holds the records with unsaved changes.
@@ -123,7 +125,8 @@
 	// moves counts how often the group was moved off slow workers.
 	moves int
 	// done is set once the work is complete.
-	done bool
+	done    bool
+	earlier earlierAttempt
 }
 
 func newPool(s *Scheduler, service string) *pool {
@@ -131,8 +134,8 @@
 		scheduler: s, service: service,
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
 		jobs:    make(map[workflow.ID]*job),
-		workers: make(map[workflow.WorkerID]*worker),
-		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
+		workers: make(map[workflow.WorkerID]*worker), leaving: make(map[*worker]struct{}),
+		dirty: make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
 		speeds: speed.New(),
 		work:   newWorklist(),
@@ -203,7 +206,11 @@
 	g.phase, g.startsSent, g.placedAt = placed, true, p.scheduler.Now()
 	p.work.addStarted(g)
 	for i, placement := range record.Placed {
-		p.assign(g, tasks[i], p.ensureWorker(placement.Worker), placement.Incarnation).phase = recovering
+		w := p.ensureWorker(placement.Worker)
+		p.assign(g, tasks[i], w, placement.Incarnation).phase = recovering
+		if !slices.Contains(g.earlier.hosts, w) {
+			g.earlier.hosts = append(g.earlier.hosts, w)
+		}
 	}
 	if j.status.Final() {
 		p.stopGroup(g, reasonCancelled)
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -115,6 +115,7 @@
 	defer cancel()
 	report, err := p.scheduler.Workers.Renew(ctx, target, order)
 	if err != nil {
+		p.noteFailedRenewal(w, r.number)
 		if !state.IsAmbiguous(err) {
 			p.restoreLease(w, extended, leaseExpiry)
 		}
@@ -134,7 +135,7 @@
 func (p *pool) leaseOf(w *worker) time.Duration {
 	lease := p.scheduler.Bounds.LeaseLimit
 	if w.info.Draining {
-		return lease / 2
+		return p.shortLease(&w.notice)
 	}
 	for _, m := range w.members {
 		if m.group.step.LongRunning {
@@ -179,7 +180,7 @@
 	if r.number < w.reportedRenewal {
 		return // a report that was requested later has overtaken this one
 	}
-	w.reportedRenewal = r.number
+	w.reportedRenewal, w.reportedSentAt = r.number, r.sentAt
 	if r.sentAt.After(w.leftAt) {
 		w.leftAt = time.Time{}
 	}
@@ -318,6 +319,7 @@
 	if task.Percent != m.percent || wasSilent {
 		m.percent, m.percentChangedAt = task.Percent, now
 	}
+	m.progress.observe(task.Percent, now)
 	g := m.group
 	if task.Checkpoint != "" && task.Checkpoint != g.checkpoint && g.attempt == m.attempt {
 		g.checkpoint = task.Checkpoint
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
@@ -22,10 +24,13 @@
 )
 
 // startGroup starts the members of a group whose attempt is stored, once its
-// victims have ended. The caller holds the lock.
+// victims have ended and no other attempt may run. The caller holds the lock.
 func (p *pool) startGroup(g *group) {
+	if p.mayRunElsewhere(g, p.scheduler.Now()) {
+		return
+	}
 	for _, v := range g.victims {
-		if !v.hasEnded() {
+		if !v.hasReleased(g) {
 			return
 		}
 	}
@@ -58,28 +63,46 @@
 	attempt int
 }
 
-// hasEnded reports whether the attempt has released its capacity.
-func (v victim) hasEnded() bool { return v.group.attempt != v.attempt || v.group.allEnded() }
+// hasReleased reports whether the attempt has released the capacity on the workers of
+// the group that waits for it. Members of it elsewhere may be on a worker that has gone
+// and count as running until its lease has run out.
+func (v victim) hasReleased(g *group) bool {
+	if v.group.attempt != v.attempt {
+		return true
+	}
+	for _, m := range v.group.members {
+		if m.phase != ended && slices.ContainsFunc(g.members, func(own *member) bool { return own.worker == m.worker }) {
+			return false
+		}
+	}
+	return true
+}
 
 // victimTimeout is how long victims may take to end. After that, the group that
 // waits for them is placed again.
 const victimTimeout = 1500 * time.Millisecond
 
-// startOrAbandon starts a group if its victims have ended, and gives up the attempt
-// if they take too long.
+// startOrAbandon starts a group if its victims have ended and no other attempt may run,
+// and gives up the attempt if that takes too long.
 func (p *pool) startOrAbandon(g *group, now time.Time) {
 	p.startGroup(g)
-	if !g.startsSent && now.Sub(g.placedAt) > victimTimeout {
+	if !g.startsSent && now.Sub(latest(g.placedAt, g.earlier.since)) > victimTimeout {
 		p.stopGroup(g, reasonIncomplete)
 	}
 }
 
 // startMember sends a start order until the worker answers or the order becomes
-// invalid. A repeated order is harmless, since the worker recognises the attempt.
+// invalid. A repeated order is harmless, since the worker recognises the attempt; it is
+// held back while the worker may have restarted.
 func (p *pool) startMember(m *member, target workflow.Worker, order StartOrder) {
 	sent, ambiguous := false, false
 	timeout := firstStartTimeout
 	for range maxStartTries {
+		if sent && p.mayHaveRestarted(m.worker) {
+			pause.For(p.scheduler.ctx, timeout)
+			timeout *= 2
+			continue
+		}
 		result, err := p.tryStart(m, target, order, timeout)
 		if errors.Is(err, errNotSent) {
 			break
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -19,6 +19,8 @@
 	reasonMoved = "stopMoved"
 	// reasonEvacuated: the attempt was placed in a zone that is evacuated and was not sent.
 	reasonEvacuated = "stopEvacuated"
+	// reasonLeaving: a worker of the attempt leaves before the attempt can end.
+	reasonLeaving = "stopLeaving"
 	// reasonAlreadyDone: an attempt that was taken for lost has done the work.
 	reasonAlreadyDone = "stopAlreadyDone"
 )
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -43,6 +43,10 @@
 	// that the newest report answers.
 	renewals        int
 	reportedRenewal int
+	// failedRenewal is the number of the newest renewal that failed, reportedSentAt when
+	// the one was sent that the newest report answers.
+	failedRenewal  int
+	reportedSentAt time.Time
 	// leaseExpiry is when the lease has certainly run out and the worker has killed
 	// its tasks, unless the lease is renewed.
 	leaseExpiry time.Time
@@ -58,6 +62,7 @@
 	registration registration
 	// warmUntil is until when the worker is slow after its start.
 	warmUntil time.Time
+	notice    notice
 	// leftAt is when the worker was found to have left; zero if it may be there.
 	leftAt time.Time
 	// renewing is set once renewLoop runs.
@@ -141,6 +146,7 @@
 		if !w.info.registered || w.info.Beat != info.Beat || w.info.Incarnation != info.Incarnation || w.info.WarmUp != info.WarmUp {
 			w.warmUntil = listedAt.Add(info.WarmUp)
 		}
+		p.noteNotice(w, &info, previousListing, now)
 		w.info = workerInfo{info, true}
 		w.registration.noteBeat(info.Beat, previousListing)
 		w.leftAt = time.Time{}
