Relay calls to the store through seeds when the planner is cut off too

Cause: an entry that does not reach the store had the planner it knows make its calls. Change: keyvalue.Relays orders the planner and the entries on the platform's seeds; one that says it does not reach the store comes after the others for 2 s. The next one is tried only if the call surely had no effect. Ruled out: registering all entries in the store, which costs a lease each.

--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -82,8 +82,9 @@
 	i.plannerClient = peer.NewPlannerClient(i.peerClient)
 	store := &platform.Store{Connections: i.storeClient, Address: func() netip.AddrPort { return i.settings.Load().Store }}
 	direct := store.Calls()
+	relays := &keyvalue.Relays{Planner: i.remotePlanner, Others: i.seeds, Now: time.Now}
 	failover := &keyvalue.Failover{
-		Direct: &direct, Relay: peer.NewStoreClient(i.peerClient, i.remotePlanner).Store(), CountRelayed: i.countRelayed, Log: log,
+		Direct: &direct, Relay: peer.NewStoreClient(i.peerClient, relays).Store(), CountRelayed: i.countRelayed, Log: log,
 	}
 	i.directStore, i.store, i.peerStore = failover.DirectStore(), failover.Store(), failover.PeerStore()
 	i.workers = &platform.Workers{Connections: i.workerClient}
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -40,6 +40,18 @@
 	return plannerAddress(identity)
 }
 
+// seeds returns the addresses of the entries on the instances that the platform names as
+// seeds, without this one. All entries use the same port.
+func (i *Instance) seeds() (list []netip.AddrPort) {
+	self := i.entryServer.Address()
+	for _, instance := range i.settings.Load().Seeds {
+		if entry := netip.AddrPortFrom(instance, self.Port()); entry != self {
+			list = append(list, entry)
+		}
+	}
+	return list
+}
+
 // countRelayed counts a call to the store that is relayed through another entry.
 func (i *Instance) countRelayed() { i.metrics.CountRetry(state.StoreUnavailable) }
 
--- a/protocol/peer/store.go
+++ b/protocol/peer/store.go
@@ -120,10 +120,9 @@
 	return change
 }
 
-// StoreClient calls the store through another entry; it is safe for concurrent use.
+// StoreClient calls the store through other entries; it is safe for concurrent use.
 type StoreClient struct {
-	// Entry returns the entry to call, or an error if there is none.
-	Entry func() (netip.AddrPort, error)
+	relays *keyvalue.Relays
 
 	get    procedure[storeReadRequest, storeResponse]
 	list   procedure[storeReadRequest, storeResponse]
@@ -132,10 +131,10 @@
 }
 
 // NewStoreClient returns a StoreClient that sends its calls over the transport client.
-func NewStoreClient(client *transport.Client, entry func() (netip.AddrPort, error)) *StoreClient {
+func NewStoreClient(client *transport.Client, relays *keyvalue.Relays) *StoreClient {
 	h := transport.HTTPClient{Client: client}
 	return &StoreClient{
-		Entry:  entry,
+		relays: relays,
 		get:    newProcedure[storeReadRequest, storeResponse](h, stepStoreGet),
 		list:   newProcedure[storeReadRequest, storeResponse](h, stepStoreList),
 		watch:  newProcedure[storeReadRequest, storeResponse](h, stepStoreWatch),
@@ -174,10 +173,31 @@
 	}
 }
 
-func callStore[Request any](ctx context.Context, c *StoreClient, p procedure[Request, storeResponse], request Request) (storeResponse, error) {
-	entry, err := c.Entry()
-	if err != nil {
-		return storeResponse{}, state.NewStepError(p.step, entry, state.HomeUnreachable, err)
+// callStore calls the store through the first entry that reaches it. It tries the next one
+// only if the call surely had no effect.
+func callStore[Request any](ctx context.Context, c *StoreClient, p procedure[Request, storeResponse], request Request) (response storeResponse, err error) {
+	err = state.NewStepError(p.step, netip.AddrPort{}, state.HomeUnreachable, errNoRelay)
+	for i, entry := range c.relays.Candidates() {
+		response, err = callEntry(ctx, p, entry, request, i > 0)
+		if !c.relays.Record(entry, err) || ctx.Err() != nil {
+			return response, err
+		}
+	}
+	return storeResponse{}, err
+}
+
+// nextEntryTimeout bounds a call through any entry but the first: an address may be that of
+// an instance that is gone, where connections hang, and the caller waits meanwhile.
+const nextEntryTimeout = 500 * time.Millisecond
+
+func callEntry[Request any](ctx context.Context, p procedure[Request, storeResponse], entry netip.AddrPort, request Request, bounded bool) (storeResponse, error) {
+	if bounded && p.step != stepStoreWatch {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, nextEntryTimeout)
+		defer cancel()
 	}
 	return p.call(ctx, entry, request)
 }
+
+// errNoRelay means that no other entry is known.
+var errNoRelay = errors.New("no other entry is known")
