Tell calls that the store turns away for their number from others

Cause: a 429 of the store had the same reason as any other failure, so that a planner could not lower the rate of its calls because of it. Change: the reason tooManyCalls, and keyvalue.IsThrottled. How calls are relayed is unchanged: a 429 does not count as an answer.

--- a/coordination/keyvalue/store.go
+++ b/coordination/keyvalue/store.go
@@ -76,6 +76,10 @@
 // however often it is sent, for example because a value is too large.
 func IsRefused(err error) bool { return state.ReasonOf(err, "") == state.BadRequest }
 
+// IsThrottled reports whether the error says that the store turned a call away because
+// it gets too many.
+func IsThrottled(err error) bool { return state.ReasonOf(err, "") == state.TooManyCalls }
+
 // ConflictError reports that a change's conditions did not hold.
 type ConflictError struct {
 	// Current holds those items of the conditions' keys that exist.
--- a/state/reason.go
+++ b/state/reason.go
@@ -29,6 +29,7 @@
 	NoManifest          Reason = "noManifest"
 	OlderGeneration     Reason = "olderGeneration"
 	StoreUnavailable    Reason = "storeUnavailable"
+	TooManyCalls        Reason = "tooManyCalls"
 	TaskFailed          Reason = "taskFailed"
 	RetryBudgetSpent    Reason = "retryBudgetSpent"
 	FailsEverywhere     Reason = "failsEverywhere"
@@ -57,7 +58,7 @@
 	UnknownQueue, Unsupported, NeverFits,
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
-	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
+	NoManifest, OlderGeneration, StoreUnavailable, TooManyCalls, TaskFailed, RetryBudgetSpent, FailsEverywhere,
 	AmbiguousStart, NoPlanner, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
 }
