Save progress concurrently while the store is slow

Cause: one loop saved the records, and a save collected no records until the one before it was answered. With answers after 390 ms an urgent job behind a burst of 120 jobs of priority 2 started 3.77 to 3.87 s after its submission. Change: while a save is unanswered for 40 ms, others begin, 8 at most, with the jobs that are in none; each is one change. Records with an urgent attempt that waits for its start go first, while the store is slow in changes of their own, and two saves are reserved for them. An end counts as saved once no record is dirty that shows it, and a record is dirty until its save is answered. A 429 halves the number of saves for a second.

--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// recordsPerSave keeps a change within the store's limit of 32 entries: a
-	// condition and a put for each record, and the condition of the term.
-	recordsPerSave = 15
 	// saveTimeout bounds the commit of one change.
 	saveTimeout = time.Second
 	// loadTimeout bounds the listing of all progress.
@@ -90,7 +87,7 @@
 			continue
 		}
 		s.results[i].CheckpointsLeftOut = leftOut
-		if len(chunk) == recordsPerSave || limit > 0 && len(chunk) > 0 && chunkBytes+len(value) > limit {
+		if len(chunk) == scheduling.RecordsPerChange || limit > 0 && len(chunk) > 0 && chunkBytes+len(value) > limit {
 			s.save(ctx, chunk)
 			chunk, chunkBytes = nil, 0
 		}
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -10,6 +10,10 @@
 	unknownAttemptStopped = "strangerStopped"
 	recordRefused         = "recordRefused"
 	checkpointsLeftOut    = "checkpointsLeftOut"
+	// saveOverlapped counts the saves that began while another was under way.
+	saveOverlapped = "saveOverlapped"
+	// saveThrottled counts how often the number of saves under way was halved.
+	saveThrottled = "saveThrottled"
 	// endsLeftOut counts reports that do not list all ends.
 	endsLeftOut = "endsLeftOut"
 )
@@ -18,7 +22,7 @@
 var Events = []string{
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, unknownAttemptStopped,
-	endsLeftOut, recordRefused, checkpointsLeftOut,
+	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
 }
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 			result.Err = state.NewStepError("save", netip.AddrPort{}, state.BadRequest, nil)
 		case m.records[key].Revision != update.Revision:
 			result.Err = fmt.Errorf("job %s: revision %d, not %d", update.Job, m.records[key].Revision, update.Revision)
+			result.Revision = m.records[key].Revision
 		default:
 			m.revision++
 			result.Revision, update.Revision = m.revision, m.revision
@@ -103,6 +105,15 @@
 	guaranteed int
 	// cores is how many processor cores the planner may use.
 	cores float64
+	// answer returns how the store answers the next change; nil answers at once.
+	answer func() storeAnswer
+	// saving holds the jobs in saves without an answer, by planner.
+	saving map[savedJob]bool
+	// problems holds what must not happen: ends that were acknowledged before their
+	// effect was stored, and jobs in two saves at a time.
+	problems []string
+	// changes counts the changes of the store.
+	changes int
 	// calls are the calls to the workers, and counts the counted events.
 	calls  scheduling.WorkerCalls
 	counts map[string]int
@@ -118,7 +129,7 @@
 func newHarness(workers int) *harness {
 	h := &harness{
 		store: &memoryStore{records: make(map[recordKey]scheduling.ProgressUpdate), revision: 1},
-		fleet: runner.New(), counts: make(map[string]int),
+		fleet: runner.New(), counts: make(map[string]int), saving: make(map[savedJob]bool),
 	}
 	h.calls = h.fleet.Calls()
 	for i := range workers {
@@ -170,14 +181,14 @@
 	records := maps.Clone(h.store.records)
 	h.store.mu.Unlock()
 	s := &scheduling.Scheduler{
-		Term: term, Cores: h.cores, Now: time.Now, WallClock: time.Now, Workers: h.calls,
+		Term: term, Cores: h.cores, Now: time.Now, WallClock: time.Now, Workers: h.checkedCalls(),
 		Bounds: scheduling.Bounds{
 			LeaseLimit: h.fleet.LeaseLimit, StopLimit: 900 * time.Millisecond,
 			ReclaimLimit: 3400 * time.Millisecond, FarFactor: 3, Overlap: 2 * time.Second,
 		},
 		Authorised: func() bool { return true },
 		Save: func(_ context.Context, updates []scheduling.ProgressUpdate) []scheduling.SaveResult {
-			return h.store.save(term, updates)
+			return h.save(term, updates)
 		},
 		Guarantee:   func(string) int { return h.guaranteed },
 		OnTermEnded: func() {},
@@ -208,6 +219,86 @@
 	return s
 }
 
+// storeAnswer is how the store answers one change.
+type storeAnswer struct {
+	// after is when the change is carried out, answer the time from then on until the
+	// answer arrives.
+	after, answer time.Duration
+	lost          bool
+	// refusal, if not nil, is the answer, and nothing is changed.
+	refusal error
+}
+
+// answerLimit is how long a planner waits for an answer, as in jobstore.Store.
+const answerLimit = time.Second
+
+// savedJob is a job in a save of a planner.
+type savedJob struct {
+	term scheduling.Term
+	job  workflow.ID
+}
+
+// save stores the updates, one change after the other.
+func (h *harness) save(term scheduling.Term, updates []scheduling.ProgressUpdate) (results []scheduling.SaveResult) {
+	defer h.noteSaving(term, updates)()
+	for change := range slices.Chunk(updates, scheduling.RecordsPerChange) {
+		h.mu.Lock()
+		h.changes++
+		answer := storeAnswer{}
+		if h.answer != nil {
+			answer = h.answer()
+		}
+		h.mu.Unlock()
+		results = append(results, h.commit(term, change, answer)...)
+	}
+	return results
+}
+
+// noteSaving notes the jobs in a save until done is called.
+func (h *harness) noteSaving(term scheduling.Term, updates []scheduling.ProgressUpdate) (done func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	jobs := make(map[savedJob]bool)
+	for _, update := range updates {
+		jobs[savedJob{term, update.Job}] = true
+	}
+	for j := range jobs {
+		if h.saving[j] {
+			h.problems = append(h.problems, fmt.Sprintf("job %s is in two saves at a time", j.job))
+		}
+		h.saving[j] = true
+	}
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for j := range jobs {
+			delete(h.saving, j)
+		}
+	}
+}
+
+func (h *harness) commit(term scheduling.Term, change []scheduling.ProgressUpdate, answer storeAnswer) []scheduling.SaveResult {
+	failed := func(err error) (results []scheduling.SaveResult) {
+		for _, update := range change {
+			results = append(results, scheduling.SaveResult{Revision: update.Revision, Err: err})
+		}
+		return results
+	}
+	switch {
+	case answer.refusal != nil:
+		time.Sleep(answer.answer)
+		return failed(answer.refusal)
+	case answer.lost:
+		time.AfterFunc(answer.after, func() { h.store.save(term, change) })
+		time.Sleep(answerLimit)
+		return failed(context.DeadlineExceeded)
+	}
+	time.Sleep(answer.after)
+	results := h.store.save(term, change)
+	time.Sleep(answer.answer)
+	return results
+}
+
 // job returns a job of one step.
 func job(id int, step workflow.Step) *workflow.Job {
 	step.Cores, step.MemoryMiB = 1000, 1024
--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -9,8 +9,15 @@
 	// is too old for placing tasks there.
 	Workers, Silent int
 	// Waiting counts the groups that wait to be placed, StartsPending the starts
-	// without an answer, Unsaved the jobs whose progress is not stored yet.
+	// without an answer, Unsaved the records that are not stored yet.
 	Waiting, StartsPending, Unsaved int
+	// Saves counts the saves without an answer of the store. LongestSave is the longest
+	// time for an answer since the last call of Loads, or since the oldest of these began.
+	Saves       int
+	LongestSave time.Duration
+	// PlanToStored is the longest time from the plan of an attempt until it was stored
+	// since the last call of Loads.
+	PlanToStored time.Duration
 	// LongestRound is the longest planning round since the last call of Loads.
 	LongestRound time.Duration
 	// RenewWait is how long a worker may wait before it answers a renewal.
@@ -31,9 +38,10 @@
 	now, maxReportAge := p.scheduler.Now(), p.maxReportAge()
 	l := Load{
 		Service: p.service, Workers: p.registered, StartsPending: p.startsPending, Unsaved: len(p.dirty),
-		LongestRound: p.longestRound, RenewWait: p.renewWait(),
+		LongestRound: p.longestRound, RenewWait: p.renewWait(), Saves: len(p.saves.underWay),
+		LongestSave: max(p.saves.longestSave, p.saves.longestUnanswered(now)), PlanToStored: p.saves.longestUnstored,
 	}
-	p.longestRound = 0
+	p.longestRound, p.saves.longestSave, p.saves.longestUnstored = 0, 0, 0
 	for _, w := range p.ordered {
 		if w.info.registered && now.Sub(w.reportedAt) > maxReportAge {
 			l.Silent++
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -35,6 +35,7 @@
 	unknownRuns map[workflow.Task]int
 	// dirty holds the records with unsaved changes.
 	dirty map[*record]struct{}
+	saves saveState
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
 	// round is what the current planning round knows.
@@ -51,6 +52,8 @@
 	// have come to.
 	begun   bool
 	records map[int]*record
+	// saving is set while a save with some of the records is under way.
+	saving bool
 	// stepOffsets holds the size of the records of all steps before each one and, last,
 	// of all steps of an occurrence.
 	stepOffsets []int
@@ -122,9 +125,10 @@
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
 		jobs:    make(map[workflow.ID]*job),
 		workers: make(map[workflow.WorkerID]*worker),
-		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
-		meanWork: make(map[string]float64),
-		work:     newWorklist(),
+		dirty:   make(map[*record]struct{}), saves: saveState{underWay: make(map[*saveBatch]struct{})},
+		unknownRuns: make(map[workflow.Task]int),
+		meanWork:    make(map[string]float64),
+		work:        newWorklist(),
 	}
 }
 
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"comfreystream/coordination/scheduling"
 	"comfreystream/standin/runner"
+	"comfreystream/state"
 	"comfreystream/state/workflow"
 )
 
@@ -36,6 +38,12 @@
 	restarts []time.Duration
 	// storeOutage is when the store becomes unavailable, for two seconds.
 	storeOutage time.Duration
+	// storeDelay is how long the store takes at most to carry out a change, and as long
+	// again to answer it, so that answers overtake each other.
+	storeDelay time.Duration
+	// lostRate is the share of changes without an answer, of which some are carried out
+	// after the planner has given them up, and of those turned away for too many calls.
+	lostRate float64
 	// cores is how many cores each planner may use; few make renewals rare.
 	cores float64
 	// recordBytes is that of the jobs; 1 stores each group in a record of its own.
@@ -57,10 +65,17 @@
 		cores:       rapid.SampledFrom([]float64{0, 0.001}).Draw(t, "cores"),
 		recordBytes: rapid.SampledFrom([]int{0, 1}).Draw(t, "recordBytes"),
 		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
+		storeDelay:  milliseconds([]int64{rapid.SampledFrom([]int64{0, 2, 195}).Draw(t, "storeDelay")})[0],
+		lostRate:    rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "lostRate"),
 		storeOutage: time.Duration(rapid.Int64Range(0, faultPeriod.Milliseconds()).Draw(t, "storeOutage")) * time.Millisecond,
 	}
 }
 
+// randomUpTo returns a random duration up to the limit.
+func randomUpTo(random *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(limit) + 1))
+}
+
 func milliseconds(list []int64) (out []time.Duration) {
 	for _, ms := range list {
 		out = append(out, time.Duration(ms)*time.Millisecond)
@@ -69,8 +84,8 @@
 }
 
 // TestInvariantsUnderFaults checks the scheduler's guarantees in random scenarios
-// with lost and late calls, worker restarts, a store outage and overlapping
-// planners on three workers.
+// with lost and late calls, worker restarts, a slow store whose answers overtake each
+// other or get lost, an outage of it, and overlapping planners on three workers.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
@@ -139,6 +154,21 @@
 		}
 		return runner.Fault(1 + random.IntN(4))
 	}
+	answers := rand.New(rand.NewPCG(s.seed, 2))
+	h.answer = func() storeAnswer {
+		if time.Since(began) > faultPeriod {
+			return storeAnswer{}
+		}
+		answer := storeAnswer{after: randomUpTo(answers, s.storeDelay), answer: randomUpTo(answers, s.storeDelay)}
+		switch {
+		case answers.Float64() >= s.lostRate:
+		case answers.IntN(3) == 0:
+			answer.refusal = state.NewStepError("save", netip.AddrPort{}, state.TooManyCalls, nil)
+		default:
+			answer.lost, answer.after = true, randomUpTo(answers, 2*answerLimit)
+		}
+		return answer
+	}
 	h.fleet.Outcome = func(task workflow.Task, attempt int, _ workflow.WorkerID) workflow.Outcome {
 		outcomeRandom := rand.New(rand.NewPCG(s.seed, uint64(attempt*1000+task.Step*100+len(task.Job))+uint64(task.Job[15])))
 		if outcomeRandom.Float64() < s.failRate {
@@ -178,7 +208,7 @@
 	for _, p := range planners {
 		_ = p.Close()
 	}
-	problems := runner.Violations(h.fleet.Runs(), h.jobs[0].MaxAttempts)
+	problems := append(runner.Violations(h.fleet.Runs(), h.jobs[0].MaxAttempts), h.problems...)
 	for _, j := range h.jobs {
 		if status := h.store.status(j.ID); !status.Final() {
 			problems = append(problems, fmt.Sprintf("job %s still has status %q after %v without faults", j.ID, status, recoveryPeriod))
--- a/coordination/scheduling/record.go
+++ b/coordination/scheduling/record.go
@@ -17,6 +17,8 @@
 	revision keyvalue.Revision
 	// changeCount counts the changes; it tells whether one came during a save.
 	changeCount int
+	// queuedAt is the record's position in the order in which records wait to be saved.
+	queuedAt int
 	// unsavedEnds holds the number of the first end, by worker, that the record shows
 	// and the stored one may not.
 	unsavedEnds map[endSource]int64
@@ -71,10 +73,19 @@
 // markDirty has the record saved.
 func (p *pool) markDirty(r *record) {
 	r.changeCount++
-	p.dirty[r] = struct{}{}
+	if _, dirty := p.dirty[r]; !dirty {
+		p.dirty[r] = struct{}{}
+		p.queueSave(r)
+	}
 	wake(p.saveDue)
 }
 
+// queueSave puts the record behind all others that wait to be saved.
+func (p *pool) queueSave(r *record) {
+	p.saves.queued++
+	r.queuedAt = p.saves.queued
+}
+
 // noteEnd notes that the record is to be saved before the end is acknowledged.
 func (p *pool) noteEnd(r *record, w *worker, number int64) {
 	if _, dirty := p.dirty[r]; !dirty {
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -1,27 +1,58 @@
 package scheduling
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"comfreystream/coordination/keyvalue"
-	"comfreystream/state/workflow"
+	"comfreystream/coordination/pause"
 )
 
 const (
 	// saveBatchDelay delays a save so that it covers changes in quick succession.
 	saveBatchDelay = 3 * time.Millisecond
-	// saveRetryDelay is the time between a failed save and the next try.
+	// saveRetryDelay is the time between a failed save and the next one.
 	saveRetryDelay = 100 * time.Millisecond
 	// refusedRetryDelay is the time between two saves of a record that the store
 	// refuses.
 	refusedRetryDelay = 5 * time.Second
+	// slowAnswer is after how long without an answer the store counts as slow: ten
+	// times what it takes in calm conditions.
+	slowAnswer = 40 * time.Millisecond
+	// maxSaves is how many saves are under way at a time while the store is slow. With
+	// answers after 390 ms they store 300 records per second.
+	maxSaves = 8
+	// reservedSaves is how many of them only urgent records may use, so that an urgent
+	// start does not wait for an answer to other work.
+	reservedSaves = 2
+	// throttleTime is for how long fewer saves are under way after the store has turned
+	// one away for too many calls.
+	throttleTime = time.Second
 )
 
-// saveLoop saves the progress of jobs whenever it changes.
+// saveState is what the pool knows of its saves. The pool's lock guards it.
+type saveState struct {
+	// underWay holds the saves without an answer.
+	underWay map[*saveBatch]struct{}
+	// queued counts the records that were put in the queue.
+	queued int
+	// slow is set while answers take longer than slowAnswer.
+	slow bool
+	// backlog is set if the newest save had no room for all unsaved records.
+	backlog bool
+	// notBefore is when the next save may begin after one has failed.
+	notBefore time.Time
+	// limit is how many saves may be under way until limitedUntil, limitedAt is when it
+	// was last halved.
+	limit                   int
+	limitedAt, limitedUntil time.Time
+	// longestSave and longestUnstored are the longest times for an answer, and from the
+	// plan of an attempt until it was stored, since the load was last asked for.
+	longestSave, longestUnstored time.Duration
+}
+
+// saveLoop begins saves whenever progress changes. In calm conditions one save is under
+// way at a time, each with what has changed during the one before it.
 func (p *pool) saveLoop() {
 	for {
 		select {
@@ -29,158 +60,126 @@
 			return
 		case <-p.saveDue:
 		}
-		delay := saveBatchDelay
-		for {
-			select {
-			case <-p.scheduler.ctx.Done():
-				return
-			case <-time.After(delay):
-			}
-			if p.save() {
-				break
-			}
-			delay = saveRetryDelay
+		p.mu.Lock()
+		allowed, backlog := p.saves.mayBegin(p.scheduler.Now()), p.saves.backlog
+		p.mu.Unlock()
+		if !allowed {
+			continue // the end of the wait, or the answer to a save, sets saveDue again
+		}
+		if !backlog && !pause.For(p.scheduler.ctx, saveBatchDelay) {
+			return
+		}
+		for p.beginSave() {
 		}
 	}
 }
 
-// saveBatch is the content of one save: the changed records, and by worker the last
-// end that they include.
-type saveBatch struct {
-	records []*record
-	// changeCounts holds the records' change counts when they were collected.
-	changeCounts []int
-	updates      []ProgressUpdate
-	ends         map[endSource]int64
+// mayBegin reports whether another save may begin: none is under way, or the store has
+// left one unanswered for slowAnswer.
+func (s *saveState) mayBegin(now time.Time) bool {
+	if len(s.underWay) == 0 || now.Before(s.notBefore) {
+		return !now.Before(s.notBefore)
+	}
+	return len(s.underWay) < s.maxUnderWay(now) && s.longestUnanswered(now) >= slowAnswer
 }
 
-// save stores the changed progress and reports whether nothing is left to be tried
-// again soon.
-func (p *pool) save() bool {
-	if !p.scheduler.Authorised() {
-		return false
-	}
-	b := p.collectChanges()
-	var results []SaveResult
-	if len(b.updates) > 0 {
-		results = p.scheduler.Save(p.scheduler.ctx, b.updates)
-	}
-	for _, result := range results {
-		if errors.Is(result.Err, ErrTermEnded) {
-			p.scheduler.endTerm(result.Err)
-			return false
-		}
+// maxUnderWay returns how many saves may be under way.
+func (s *saveState) maxUnderWay(now time.Time) int {
+	if now.Before(s.limitedUntil) {
+		return s.limit
 	}
-	return p.applySaved(b, results)
+	return maxSaves
 }
 
-// collectChanges snapshots the unsaved progress and the unsaved ends.
-func (p *pool) collectChanges() saveBatch {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.scheduler.Now()
-	b := saveBatch{ends: make(map[endSource]int64)}
-	for r := range p.dirty {
-		if !r.held(now) {
-			b.records = append(b.records, r)
-		}
+// longestUnanswered returns for how long the oldest save has been under way.
+func (s *saveState) longestUnanswered(now time.Time) (longest time.Duration) {
+	for b := range s.underWay {
+		longest = max(longest, now.Sub(b.began))
 	}
-	slices.SortFunc(b.records, func(a, b *record) int { return cmp.Compare(a.number, b.number) })
-	for _, r := range b.records {
-		b.changeCounts = append(b.changeCounts, r.changeCount)
-		b.updates = append(b.updates, ProgressUpdate{Job: r.job.ID, Record: r.number, Progress: r.progress(), Revision: r.revision})
-	}
-	for _, w := range p.workers {
-		if w.lastAppliedEnd > w.lastSavedEnd {
-			b.ends[endSource{w, w.incarnation}] = w.lastAppliedEnd
+	return longest
+}
+
+// mayBeginOther reports whether a save without urgent records may begin.
+func (s *saveState) mayBeginOther(now time.Time) bool {
+	others := 0
+	for b := range s.underWay {
+		if !b.urgent {
+			others++
 		}
 	}
-	return b
+	return others < max(s.maxUnderWay(now)-reservedSaves, 1)
 }
 
-// applySaved starts the groups whose attempt is now stored, and marks ends as saved.
-// A record that could not be saved holds up no other.
-func (p *pool) applySaved(b saveBatch, results []SaveResult) bool {
+// throttle halves the number of saves under way, once for all saves that began before it
+// was last halved.
+func (s *saveState) throttle(b *saveBatch, now time.Time) (limit int, halved bool) {
+	if b.began.Before(s.limitedAt) {
+		return s.limit, false
+	}
+	s.limit = max(s.maxUnderWay(now)/2, 1)
+	s.limitedAt, s.limitedUntil = now, now.Add(throttleTime)
+	return s.limit, true
+}
+
+// beginSave begins a save of changed records, and reports whether another may follow at
+// once.
+func (p *pool) beginSave() bool {
+	authorised := p.scheduler.Authorised()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	failed, failure := 0, error(nil)
-	for i, r := range b.records {
-		r.revision = results[i].Revision
-		switch err := results[i].Err; {
-		case err == nil:
-			if results[i].CheckpointsLeftOut {
-				p.scheduler.Count(checkpointsLeftOut)
-				p.scheduler.Log.Warn().Str("event", "checkpointsLeftOut").Str("request", string(r.job.ID)).Int("record", r.number).Send()
-			}
-			p.applySavedRecord(r, b.changeCounts[i], b.updates[i].Progress, b.ends)
-		case keyvalue.IsRefused(err):
-			p.holdRecord(r, err)
-		default:
-			failed, failure = failed+1, err
-		}
-	}
-	p.applySavedEnds(b.ends)
-	if failed > 0 && p.scheduler.ctx.Err() == nil {
-		p.scheduler.Count(retrySave)
-		p.scheduler.Log.Warn().Str("event", "saveFailed").Int("records", failed).Err(failure).Send()
-	}
 	now := p.scheduler.Now()
-	for r := range p.dirty {
-		if !r.held(now) {
-			wake(p.saveDue)
-			break
-		}
+	if !authorised {
+		p.delaySaves(now)
+		return false
 	}
-	return failed == 0
-}
-
-// applySavedRecord marks a record as saved, unless it has changed meanwhile, and
-// starts its groups whose attempt is now stored.
-func (p *pool) applySavedRecord(r *record, changeCount int, saved workflow.Progress, ends map[endSource]int64) {
-	if r.changeCount == changeCount {
-		delete(p.dirty, r)
-		clear(r.unsavedEnds)
+	p.applySavedEnds()
+	if !p.saves.mayBegin(now) {
+		return false
 	}
-	for source, first := range r.unsavedEnds {
-		r.unsavedEnds[source] = max(first, ends[source]+1)
+	b := p.collectChanges(now)
+	if b == nil {
+		return false
 	}
-	for id, stored := range saved.Groups {
-		g := r.job.groups[id]
-		if g.phase == saving && g.attempt == stored.Attempt {
-			g.phase = placed
-			p.startGroup(g)
-		}
+	if len(p.saves.underWay) > 0 {
+		p.scheduler.Count(saveOverlapped)
 	}
+	p.saves.underWay[b] = struct{}{}
+	p.scheduler.goroutines.Go(func() { p.save(b) })
+	return true
 }
 
-// holdRecord releases what the groups of a refused record were assigned: they cannot
-// start. The record is saved again later, since what it holds may shrink.
-func (p *pool) holdRecord(r *record, cause error) {
-	r.retryAt = p.scheduler.Now().Add(refusedRetryDelay)
-	time.AfterFunc(refusedRetryDelay, func() { wake(p.saveDue) })
-	p.scheduler.Count(recordRefused)
-	p.scheduler.Log.Error().Str("event", "recordRefused").Str("request", string(r.job.ID)).Int("record", r.number).Int("groups", len(r.groups)).Err(cause).Send()
-	for _, g := range r.groups {
-		if g.phase == saving {
-			p.stopGroup(g, reasonIncomplete)
-		}
-	}
+// delaySaves lets no save begin for saveRetryDelay. The caller holds the lock.
+func (p *pool) delaySaves(now time.Time) {
+	p.saves.notBefore = now.Add(saveRetryDelay)
+	time.AfterFunc(saveRetryDelay, func() { wake(p.saveDue) })
 }
 
-// applySavedEnds marks the ends as saved whose effect is in no record that is still
-// to be saved.
-func (p *pool) applySavedEnds(ends map[endSource]int64) {
-	for r := range p.dirty {
-		for source, first := range r.unsavedEnds {
-			if last, found := ends[source]; found && last >= first {
-				ends[source] = first - 1
-			}
+// save stores a batch and applies the outcome.
+func (p *pool) save(b *saveBatch) {
+	unanswered := time.AfterFunc(slowAnswer, func() { wake(p.saveDue) })
+	results := p.scheduler.Save(p.scheduler.ctx, b.updates)
+	unanswered.Stop()
+	for _, result := range results {
+		if errors.Is(result.Err, ErrTermEnded) {
+			p.scheduler.endTerm(result.Err)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.endSave(b)
+			p.delaySaves(p.scheduler.Now())
+			return
 		}
 	}
-	for source, last := range ends {
-		if w := source.worker; w.incarnation == source.incarnation && last > w.lastSavedEnd {
-			w.lastSavedEnd = last
-			wake(w.renewDue)
-		}
+	p.applySaved(b, results)
+}
+
+// endSave notes that a save is not under way any more. The caller holds the lock.
+func (p *pool) endSave(b *saveBatch) {
+	took := p.scheduler.Now().Sub(b.began)
+	p.saves.slow = took >= slowAnswer
+	p.saves.longestSave = max(p.saves.longestSave, took)
+	delete(p.saves.underWay, b)
+	for _, r := range b.records {
+		r.job.saving = false
 	}
+	wake(p.saveDue)
 }
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -200,7 +200,8 @@
 		for _, l := range t.scheduler.Loads() {
 			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
 				Int("workers", l.Workers).Int("silent", l.Silent).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
-				Int("unsaved", l.Unsaved).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
+				Int("unsaved", l.Unsaved).Int("saves", l.Saves).Dur("longestSave", l.LongestSave).Dur("planToStored", l.PlanToStored).
+				Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
 		}
 	}
 }
