Read the stored progress, the jobs and the registry at the same time

Cause: a new planner read the progress, then the jobs, then the registry, each page after the other. With answers after 390 ms and 2,000 jobs (4 pages) the progress took 1.56 s, and the listing of the jobs was given up after 1.5 s and begun anew, so that no job was known before the store had recovered. Change: FollowIntake loads the progress while it lists the jobs, and reports none before the progress is loaded. The registry is read meanwhile; a listing older than 500 ms is read again. TestFollowIntake sets the new callback; its checks are unchanged.

--- a/coordination/jobstore/jobstore.go
+++ b/coordination/jobstore/jobstore.go
@@ -18,9 +18,12 @@
 	pendingKey     = "pending"
 )
 
-// Store reads and writes the stored state of jobs; every field must be set.
+// Store reads and writes the stored state of jobs; every field but IDStarts must be set.
 type Store struct {
 	Store *keyvalue.Store
+	// IDStarts holds the texts that a job's ID may begin with, by which listings are split
+	// while the store is slow; nil never splits them.
+	IDStarts []string
 	// ValueBytes returns the most bytes of a value in the store; 0 is no limit.
 	ValueBytes     func() int
 	EncodeJob      func(job *workflow.Job) ([]byte, error)
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -321,6 +321,7 @@
 		var following sync.WaitGroup
 		following.Go(func() {
 			st.FollowIntake(ctx, jobstore.IntakeHandler{
+				Loaded: func(map[workflow.ID]jobstore.StoredProgress) {},
 				Accepted: func(job *workflow.Job) {
 					mu.Lock()
 					defer mu.Unlock()
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -20,6 +20,8 @@
 	saveTimeout = time.Second
 	// loadTimeout bounds the listing of all progress.
 	loadTimeout = 5 * time.Second
+	// loadRetryPause is the wait after a failed load of the progress.
+	loadRetryPause = 100 * time.Millisecond
 )
 
 // StoredProgress is a job's progress in the store.
@@ -37,7 +39,7 @@
 func (st *Store) Load(ctx context.Context) (map[workflow.ID]StoredProgress, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	items, _, err := st.Store.List(ctx, progressPrefix)
+	items, _, err := st.Store.ListParts(ctx, progressPrefix, st.IDStarts)
 	if err != nil {
 		return nil, err
 	}
@@ -289,46 +291,3 @@
 	})
 	return err
 }
-
-// IntakeHandler holds the callbacks of FollowIntake; every field must be set.
-type IntakeHandler struct {
-	Accepted  func(job *workflow.Job)
-	Cancelled func(id workflow.ID)
-	// Listed is called after each complete listing of the stored jobs and
-	// cancellations.
-	Listed func()
-	// Failed is called when a call of the store fails or a job cannot be decoded.
-	Failed func(err error)
-}
-
-// FollowIntake reports accepted jobs and cancellations until the context ends. It
-// may report one several times, and reports a job before its cancellation.
-func (st *Store) FollowIntake(ctx context.Context, h IntakeHandler) {
-	report := func(items []keyvalue.Item, _ time.Time) {
-		var cancels []workflow.ID
-		for _, item := range items {
-			id, isCancel, known := parseIntakeKey(item.Key)
-			switch {
-			case !known || item.Deleted:
-			case isCancel:
-				cancels = append(cancels, id)
-			default:
-				job, err := st.DecodeJob(id, item.Value)
-				if err != nil {
-					h.Failed(err)
-					continue
-				}
-				h.Accepted(job)
-			}
-		}
-		for _, id := range cancels {
-			h.Cancelled(id)
-		}
-	}
-	reset := func(items []keyvalue.Item, asOf time.Time) {
-		report(items, asOf)
-		h.Listed()
-	}
-	f := keyvalue.Follower{Store: st.Store, Prefix: intakePrefix, Reset: reset, Apply: report, Failed: h.Failed, Recovered: func() {}}
-	f.Run(ctx)
-}
--- a/coordination/keyvalue/follower.go
+++ b/coordination/keyvalue/follower.go
@@ -25,6 +25,9 @@
 type Follower struct {
 	Store  *Store
 	Prefix string
+	// Starts holds the texts that may follow the prefix, for ListParts; nil never splits
+	// a listing.
+	Starts []string
 	// Reset is called with all items, Apply with the changes after that; asOf is
 	// when the call that returned them was sent.
 	Reset func(items []Item, asOf time.Time)
@@ -59,7 +62,7 @@
 func (f *Follower) listAndWatch(ctx context.Context, succeeded func()) error {
 	sent := time.Now()
 	listing, cancel := context.WithTimeout(ctx, listTimeout)
-	items, after, err := f.Store.List(listing, f.Prefix)
+	items, after, err := f.Store.ListParts(listing, f.Prefix, f.Starts)
 	cancel()
 	if err != nil {
 		return err
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -89,6 +89,7 @@
 	valueBytes := func() int { return i.settings.Load().StoreValueBytes }
 	i.jobStore = record.NewJobStore(i.store, valueBytes)
 	i.plannerJobStore = record.NewJobStore(i.directStore, valueBytes)
+	i.plannerJobStore.IDStarts = platform.JobIDStarts
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// loadRetryPause is the wait after a failed load of the stored progress.
-	loadRetryPause = 100 * time.Millisecond
 	// registryInterval is the time between reads of the workers' registry; it bounds
 	// how long it goes unnoticed that a worker is leaving.
 	registryInterval = 500 * time.Millisecond
@@ -47,14 +45,16 @@
 	// is closed.
 	progress map[workflow.ID]jobstore.StoredProgress
 	loaded   chan struct{}
-	// listed starts the other loops after the first listing of the stored jobs.
-	listed sync.Once
+	// listed is closed after the first listing of the stored jobs, by listOnce.
+	listed   chan struct{}
+	listOnce sync.Once
+	began    time.Time
 }
 
 // beginTerm starts the scheduler. The candidate calls it and endTerm alternately.
 func (i *Instance) beginTerm(revision keyvalue.Revision) {
 	s := i.settings.Load()
-	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{})}
+	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{}), listed: make(chan struct{}), began: time.Now()}
 	t.ctx, t.cancel = context.WithCancel(i.ctx)
 	t.scheduler = &scheduling.Scheduler{
 		Term: scheduling.Term(revision), Cores: s.Cores,
@@ -94,25 +94,22 @@
 	return p.Guarantees[organisation]
 }
 
-// run loads the stored progress, then follows jobs and workers.
+// run loads the stored progress and follows jobs and workers. What the store is asked
+// for first is asked for at the same time, as each answer may take 390 ms.
 func (t *term) run() {
 	i := t.instance
-	for t.ctx.Err() == nil {
-		var err error
-		if t.progress, err = i.plannerJobStore.Load(t.ctx); err == nil {
-			close(t.loaded)
-			break
-		}
-		i.log.Warn().Str("event", "progressNotLoaded").Err(err).Send()
-		pause.For(t.ctx, loadRetryPause)
-	}
+	t.loops.Go(t.followWorkers)
 	i.plannerJobStore.FollowIntake(t.ctx, jobstore.IntakeHandler{
+		Loaded: func(progress map[workflow.ID]jobstore.StoredProgress) {
+			t.progress = progress
+			close(t.loaded)
+		},
 		Accepted:  t.addJob,
 		Cancelled: t.cancelJob,
 		Listed: func() {
-			t.listed.Do(func() {
-				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Send()
-				t.loops.Go(t.followWorkers)
+			t.listOnce.Do(func() {
+				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Dur("after", time.Since(t.began)).Send()
+				close(t.listed)
 				t.loops.Go(t.savePending)
 				t.loops.Go(t.logLoad)
 				t.loops.Go(t.deleteEnded)
@@ -156,12 +153,34 @@
 				i.log.Warn().Str("event", "registryUnread").Err(err).Send()
 			}
 		} else {
+			if !t.awaitListed(listedAt) {
+				continue // this listing is too old by now
+			}
 			t.scheduler.SetWorkers(i.decodeWorkers(items), listedAt)
 		}
 		pause.For(t.ctx, registryInterval)
 	}
 }
 
+// awaitListed waits until the stored jobs were listed, as the workers must not be known
+// before them. It returns false when the next reading of the registry is due.
+func (t *term) awaitListed(readAt time.Time) bool {
+	select {
+	case <-t.listed:
+		return true
+	default:
+	}
+	due := time.NewTimer(registryInterval - time.Since(readAt))
+	defer due.Stop()
+	select {
+	case <-t.listed:
+		return true
+	case <-due.C:
+	case <-t.ctx.Done():
+	}
+	return false
+}
+
 func (i *Instance) decodeWorkers(items []keyvalue.Item) []workflow.Worker {
 	workers := make([]workflow.Worker, 0, len(items))
 	for _, item := range items {
