--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -16,13 +16,12 @@
 )
 
 const (
-	// recordsPerSave keeps a change within the store's limit of 32 entries: a
-	// condition and a put for each record, and the condition of the term.
-	recordsPerSave = 15
 	// saveTimeout bounds the commit of one change.
 	saveTimeout = time.Second
 	// loadTimeout bounds the listing of all progress.
 	loadTimeout = 5 * time.Second
+	// loadRetryPause is the wait after a failed load of the progress.
+	loadRetryPause = 100 * time.Millisecond
 )
 
 // StoredProgress is a job's progress in the store.
@@ -40,7 +39,7 @@
 func (st *Store) Load(ctx context.Context) (map[workflow.ID]StoredProgress, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	items, _, err := st.Store.List(ctx, progressPrefix)
+	items, _, err := st.Store.ListParts(ctx, progressPrefix, st.IDStarts)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +89,7 @@
 			continue
 		}
 		s.results[i].CheckpointsLeftOut = leftOut
-		if len(chunk) == recordsPerSave || limit > 0 && len(chunk) > 0 && chunkBytes+len(value) > limit {
+		if len(chunk) == scheduling.RecordsPerChange || limit > 0 && len(chunk) > 0 && chunkBytes+len(value) > limit {
 			s.save(ctx, chunk)
 			chunk, chunkBytes = nil, 0
 		}
@@ -292,46 +291,3 @@
 	})
 	return err
 }
-
-// IntakeHandler holds the callbacks of FollowIntake; every field must be set.
-type IntakeHandler struct {
-	Accepted  func(job *workflow.Job)
-	Cancelled func(id workflow.ID)
-	// Listed is called after each complete listing of the stored jobs and
-	// cancellations.
-	Listed func()
-	// Failed is called when a call of the store fails or a job cannot be decoded.
-	Failed func(err error)
-}
-
-// FollowIntake reports accepted jobs and cancellations until the context ends. It
-// may report one several times, and reports a job before its cancellation.
-func (st *Store) FollowIntake(ctx context.Context, h IntakeHandler) {
-	report := func(items []keyvalue.Item, _ time.Time) {
-		var cancels []workflow.ID
-		for _, item := range items {
-			id, isCancel, known := parseIntakeKey(item.Key)
-			switch {
-			case !known || item.Deleted:
-			case isCancel:
-				cancels = append(cancels, id)
-			default:
-				job, err := st.DecodeJob(id, item.Value)
-				if err != nil {
-					h.Failed(err)
-					continue
-				}
-				h.Accepted(job)
-			}
-		}
-		for _, id := range cancels {
-			h.Cancelled(id)
-		}
-	}
-	reset := func(items []keyvalue.Item, asOf time.Time) {
-		report(items, asOf)
-		h.Listed()
-	}
-	f := keyvalue.Follower{Store: st.Store, Prefix: intakePrefix, Reset: reset, Apply: report, Failed: h.Failed, Recovered: func() {}}
-	f.Run(ctx)
-}
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -21,6 +21,10 @@
 	evacuationsOutdated = "evacuationsOutdated"
 	evacuationsStale    = "evacuationsStale"
 	guaranteeShort      = "guaranteeShort"
+	// saveOverlapped counts the saves that began while another was under way.
+	saveOverlapped = "saveOverlapped"
+	// saveThrottled counts how often the number of saves under way was halved.
+	saveThrottled = "saveThrottled"
 	// endsLeftOut counts reports that do not list all ends.
 	endsLeftOut = "endsLeftOut"
 )
@@ -40,7 +44,7 @@
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonMoved, reasonLeaving, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
-	endsLeftOut, recordRefused, checkpointsLeftOut, reasonEvacuated,
+	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled, reasonEvacuated,
 	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort,
 	EvacuationUnreadable, EvacuatedZoneUnknown, AllZonesEvacuated,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -38,6 +38,7 @@
 	unknownRuns map[workflow.Task]int
 	// dirty holds the records with unsaved changes.
 	dirty map[*record]struct{}
+	saves saveState
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
 	// speeds estimates how fast the workers are, fittedAt is when it was last fitted.
@@ -61,6 +62,8 @@
 	// have come to.
 	begun   bool
 	records map[int]*record
+	// saving is set while a save with some of the records is under way.
+	saving bool
 	// stepOffsets holds the size of the records of all steps before each one and, last,
 	// of all steps of an occurrence.
 	stepOffsets []int
@@ -135,8 +138,9 @@
 		planDue: make(chan struct{}, 1), saveDue: make(chan struct{}, 1),
 		jobs:    make(map[workflow.ID]*job),
 		workers: make(map[workflow.WorkerID]*worker), leaving: make(map[*worker]struct{}),
-		dirty: make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
-		meanWork: make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
+		dirty: make(map[*record]struct{}), saves: saveState{underWay: make(map[*saveBatch]struct{})},
+		unknownRuns: make(map[workflow.Task]int),
+		meanWork:    make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
 		speeds: speed.New(),
 		work:   newWorklist(),
 	}
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -93,6 +93,7 @@
 	i.jobStore = record.NewJobStore(i.store, valueBytes)
 	i.plannerJobStore = record.NewJobStore(i.directStore, valueBytes)
 	i.speedStore = record.NewSpeedStore(i.directStore, valueBytes)
+	i.plannerJobStore.IDStarts = platform.JobIDStarts
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// loadRetryPause is the wait after a failed load of the stored progress.
-	loadRetryPause = 100 * time.Millisecond
 	// registryInterval is the time between reads of the workers' registry and of the
 	// evacuations; it bounds how long it goes unnoticed that a worker is leaving.
 	registryInterval = 500 * time.Millisecond
@@ -50,14 +48,16 @@
 	loaded   chan struct{}
 	// zones holds the availability zones of the registered workers; nil is not read yet.
 	zones atomic.Pointer[map[string]bool]
-	// listed starts the other loops after the first listing of the stored jobs.
-	listed sync.Once
+	// listed is closed after the first listing of the stored jobs, by listOnce.
+	listed   chan struct{}
+	listOnce sync.Once
+	began    time.Time
 }
 
 // beginTerm starts the scheduler. The candidate calls it and endTerm alternately.
 func (i *Instance) beginTerm(revision keyvalue.Revision) {
 	s := i.settings.Load()
-	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{})}
+	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{}), listed: make(chan struct{}), began: time.Now()}
 	t.ctx, t.cancel = context.WithCancel(i.ctx)
 	t.scheduler = &scheduling.Scheduler{
 		Term: scheduling.Term(revision), Cores: s.Cores,
@@ -100,25 +100,22 @@
 	return p.Guarantees[organisation]
 }
 
-// run loads the stored progress, then follows jobs and workers.
+// run loads the stored progress and follows jobs and workers. What the store is asked
+// for first is asked for at the same time, as each answer may take 390 ms.
 func (t *term) run() {
 	i := t.instance
-	for t.ctx.Err() == nil {
-		var err error
-		if t.progress, err = i.plannerJobStore.Load(t.ctx); err == nil {
-			close(t.loaded)
-			break
-		}
-		i.log.Warn().Str("event", "progressNotLoaded").Err(err).Send()
-		pause.For(t.ctx, loadRetryPause)
-	}
+	t.loops.Go(t.followWorkers)
 	i.plannerJobStore.FollowIntake(t.ctx, jobstore.IntakeHandler{
+		Loaded: func(progress map[workflow.ID]jobstore.StoredProgress) {
+			t.progress = progress
+			close(t.loaded)
+		},
 		Accepted:  t.addJob,
 		Cancelled: t.cancelJob,
 		Listed: func() {
-			t.listed.Do(func() {
-				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Send()
-				t.loops.Go(t.followWorkers)
+			t.listOnce.Do(func() {
+				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Dur("after", time.Since(t.began)).Send()
+				close(t.listed)
 				t.loops.Go(t.savePending)
 				t.loops.Go(t.logLoad)
 				t.loops.Go(t.deleteEnded)
@@ -164,12 +161,34 @@
 		} else {
 			workers := i.decodeWorkers(items)
 			t.zones.Store(zonesOf(workers))
+			if !t.awaitListed(listedAt) {
+				continue // this listing is too old by now
+			}
 			t.scheduler.SetWorkers(workers, listedAt)
 		}
 		pause.For(t.ctx, registryInterval)
 	}
 }
 
+// awaitListed waits until the stored jobs were listed, as the workers must not be known
+// before them. It returns false when the next reading of the registry is due.
+func (t *term) awaitListed(readAt time.Time) bool {
+	select {
+	case <-t.listed:
+		return true
+	default:
+	}
+	due := time.NewTimer(registryInterval - time.Since(readAt))
+	defer due.Stop()
+	select {
+	case <-t.listed:
+		return true
+	case <-due.C:
+	case <-t.ctx.Done():
+	}
+	return false
+}
+
 func (i *Instance) decodeWorkers(items []keyvalue.Item) []workflow.Worker {
 	workers := make([]workflow.Worker, 0, len(items))
 	for _, item := range items {
@@ -208,7 +227,8 @@
 		for _, l := range t.scheduler.Loads() {
 			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
 				Int("workers", l.Workers).Int("silent", l.Silent).Int("evacuated", l.Evacuated).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
-				Int("unsaved", l.Unsaved).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
+				Int("unsaved", l.Unsaved).Int("saves", l.Saves).Dur("longestSave", l.LongestSave).Dur("planToStored", l.PlanToStored).
+				Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
 		}
 	}
 }
