Count the lease that a start order gives

A worker that answers again after its lease has run out accepts tasks, but its lease is extended only by the next renewal. If that one is refused unsent, the start still gives a lease until it becomes invalid, while the planner knows of none: it took the attempt for lost in the next round, and started the next one, each 5 ms. Change: sending a start extends the lease as the planner knows it, also when a failed renewal takes its own extension back.

--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -121,6 +121,11 @@
 			seed: 0x102b4, jobs: 3, faultRate: 0.4, failRate: 0.3, overlap: 1416 * time.Millisecond,
 			takeovers: milliseconds([]int64{360}), restarts: milliseconds([]int64{570, 746, 295, 258}), storeOutage: 5 * time.Second,
 		}},
+		{"a start after the lease had run out was taken for lost", scenario{
+			seed: 0x8aaeb, jobs: 2, faultRate: 0.4, overlap: 132 * time.Millisecond,
+			takeovers: milliseconds([]int64{377, 468}), restarts: milliseconds([]int64{245, 673, 396}),
+			storeOutage: 7 * time.Millisecond, cores: 0.001,
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -151,7 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if w.leaseExpiry.Equal(extended) {
-		w.leaseExpiry = before
+		w.leaseExpiry = latest(before, w.startLeaseExpiry)
 	}
 }
 
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -42,6 +42,7 @@
 		}
 		m.phase = starting
 		m.startUntil = m.worker.estimateClock(g.placedAt) + startValidity
+		m.worker.extendByStart(g.placedAt)
 		order := StartOrder{
 			Term: p.scheduler.Term, Task: m.task, Attempt: m.attempt,
 			Spec: g.job.Spec, Checkpoint: g.checkpoint, Until: m.startUntil,
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -48,8 +48,10 @@
 	failedRenewal  int
 	reportedSentAt time.Time
 	// leaseExpiry is when the lease has certainly run out and the worker has killed
-	// its tasks, unless the lease is renewed.
-	leaseExpiry time.Time
+	// its tasks, unless the lease is renewed. startLeaseExpiry is the same of the lease
+	// that start orders give.
+	leaseExpiry      time.Time
+	startLeaseExpiry time.Time
 	// lastAppliedEnd is the number of the last end that was applied to the groups,
 	// lastSavedEnd that of the last whose effect is saved, and lastAckedEnd that of
 	// the last that the worker knows to be saved.
@@ -110,6 +112,12 @@
 	return sent.Add(time.Duration(float64(lease)*(1+maxClockDrift)) + renewalTransitLimit)
 }
 
+// extendByStart notes that a start order gives a lease until its validity ends.
+func (w *worker) extendByStart(sent time.Time) {
+	w.startLeaseExpiry = latestLeaseExpiry(sent, startValidity)
+	w.leaseExpiry = latest(w.leaseExpiry, w.startLeaseExpiry)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
