--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -47,6 +47,7 @@
 		}
 		m.phase = starting
 		m.startUntil = m.worker.estimateClock(now) + validity
+		m.worker.extendByStart(now)
 		order := StartOrder{
 			Term: p.scheduler.Term, Task: m.task, Attempt: m.attempt,
 			Spec: g.job.Spec, Checkpoint: g.checkpoint, Until: m.startUntil,
