Accept connections on the event loop that serves them

gnet's accepting loop takes connections as fast as the kernel has them and only queues them to the loops that count and serve them. A crowd of 1,500 clients had 1,024 descriptors open before the limit of connections closed any of them, and an accept without a free descriptor ends the engine.

Each loop now has a listener of its own (SO_REUSEPORT) and accepts one connection at a time.

--- a/transport/server.go
+++ b/transport/server.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 // A connection whose client has disappeared without closing it is closed after
@@ -55,8 +54,10 @@
 
 	// booted receives the result of the first start; stopped is closed when run
 	// returns; closing is closed by Close.
-	booted          chan error
-	stopped         chan struct{}
+	booted  chan error
+	stopped chan struct{}
+	// hasBooted is set by the first start; only run and OnBoot use it.
+	hasBooted       bool
 	runningHandlers sync.WaitGroup
 	closing         chan struct{}
 	closeOnce       sync.Once
@@ -84,7 +85,14 @@
 	s.headerParsers.New = func() any {
 		return &headerParser{buffered: bufio.NewReaderSize(nil, s.limits.HeaderBytes)}
 	}
-	go s.run(address)
+	bound, release, err := reservePort(address)
+	if err != nil {
+		pool.Release()
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	defer release()
+	s.address = bound
+	go s.run(bound)
 	if err := <-s.booted; err != nil {
 		<-s.stopped
 		pool.Release()
@@ -139,16 +147,10 @@
 	if s.isClosing() {
 		return gnet.Shutdown
 	}
-	if s.address.IsValid() {
-		return gnet.None
+	if !s.hasBooted {
+		s.hasBooted = true
+		s.booted <- nil
 	}
-	address, err := boundAddress(engine)
-	if err != nil {
-		s.booted <- err
-		return gnet.Shutdown
-	}
-	s.address = address
-	s.booted <- nil
 	return gnet.None
 }
 
@@ -195,7 +197,7 @@
 	defer close(s.stopped)
 	for {
 		err := s.runEngine(address)
-		if !s.address.IsValid() {
+		if !s.hasBooted {
 			s.booted <- err
 			return
 		}
@@ -203,7 +205,6 @@
 			return
 		}
 		s.limits.Count(EngineFailed)
-		address = s.address
 		select {
 		case <-s.closing:
 			return
@@ -216,6 +217,10 @@
 	return gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
 		gnet.WithReuseAddr(true),
+		// Each event loop has a listener of its own and accepts one connection at a time.
+		// A loop that accepts for others runs ahead of them: it had a thousand descriptors
+		// open before any was counted.
+		gnet.WithReusePort(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(zap.NewNop().Sugar()))
 }
@@ -267,24 +272,3 @@
 	}
 	return &s.inFlight
 }
-
-// boundAddress returns the address of the engine's listener.
-func boundAddress(engine gnet.Engine) (netip.AddrPort, error) {
-	descriptor, err := engine.Dup()
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "duplicate listener descriptor")
-	}
-	defer func() { _ = unix.Close(descriptor) }()
-	bound, err := unix.Getsockname(descriptor)
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "get bound address")
-	}
-	switch a := bound.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port)), nil
-	default:
-		return netip.AddrPort{}, errors.Errorf("unexpected socket address type %T", bound)
-	}
-}
