Bound the bytes that clients make a process hold

Each connection could hold a body up to the limit, 64 pipelined requests with such bodies, headers and an untaken response; only their number was bounded. 60 clients with 3 MiB each took an entry of 80 MB to 107 MB.

A budget, which servers of a process share, counts incomplete requests, requests that wait, requests in service and large responses. From three quarters of it the connections with the most bytes times seconds are cut short: what is incomplete or waits is refused with 503 and Retry-After before a handler saw it, untaken responses are dropped. Above it new bytes are refused. Bodies have buffers of their own, so that their size is known and no pool learns a size from attackers. New connections displace the idlest ones near the limit. The limit of bodies can change while the server runs, and the kernel's buffers can be bounded.

--- a/transport/connection.go
+++ b/transport/connection.go
@@ -13,6 +13,7 @@
 type connection struct {
 	server      *Server
 	conn        gnet.Conn
+	loop        gnet.EventLoop
 	handlerConn handlerConn
 	reader      requestReader
 
@@ -32,6 +33,7 @@
 	lingersOnClose bool
 	closed         bool
 
+	holdings
 	deadline  deadlineTimer
 	heartbeat heartbeat
 
@@ -40,7 +42,7 @@
 }
 
 func newConnection(s *Server, conn gnet.Conn) *connection {
-	c := &connection{server: s, conn: conn}
+	c := &connection{server: s, conn: conn, loop: conn.EventLoop()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.handlerConn = handlerConn{local: conn.LocalAddr(), remote: conn.RemoteAddr(), ctx: c.ctx}
 	c.reader = requestReader{limits: &s.limits, headerParsers: &s.headerParsers}
@@ -59,11 +61,16 @@
 			break
 		}
 		if len(c.pending) >= c.server.limits.PipelinedRequests {
+			next.release()
 			c.refuse(TooManyPipelined)
 			break
 		}
+		c.uncountPartial()
 		c.enqueue(next)
 	}
+	if !c.discardsInput && !c.chargePartial() {
+		c.refuse(OverBudget)
+	}
 	if c.discardsInput {
 		_, _ = c.conn.Discard(-1)
 	}
@@ -73,6 +80,7 @@
 
 // refuse queues a refusal behind the pending responses and stops reading requests.
 func (c *connection) refuse(reason string) {
+	c.releasePartial()
 	x := newExchange()
 	x.refuse(&c.server.limits, reason)
 	c.discardsInput, c.lingersOnClose = true, true
@@ -91,6 +99,13 @@
 		c.discardsInput, c.lingersOnClose = true, true
 		x.refuse(&c.server.limits, Draining)
 	}
+	if !c.served.Load() && !x.refused {
+		c.served.Store(true)
+	}
+	if !x.refused && !c.charge(x) {
+		c.discardsInput, c.lingersOnClose = true, true
+		x.refuse(&c.server.limits, OverBudget)
+	}
 	c.pending = append(c.pending, x)
 	c.pendingCount.Add(1)
 	if !c.serving {
@@ -103,7 +118,8 @@
 func (c *connection) serveNext() {
 	x := c.pending[0]
 	c.serving = true
-	x.closesConnection = x.refused || x.ctx.Request.Header.ConnectionClose()
+	c.unqueue(x)
+	x.closesConnection = x.closesConnection || x.ctx.Request.Header.ConnectionClose()
 	if x.closesConnection {
 		c.discardsInput = true
 	}
@@ -133,6 +149,7 @@
 	c.serving = false
 	c.server.requestEnded(x.duringDrain)
 	closes := x.closesConnection
+	x.uncharge(c.server)
 	x.release()
 	switch {
 	case closes:
@@ -161,15 +178,22 @@
 }
 
 func (c *connection) dropPending() {
-	for _, x := range c.pending {
+	for n, x := range c.pending {
 		c.server.requestEnded(x.duringDrain)
+		if n > 0 || !c.serving {
+			x.uncharge(c.server) // the one in service does so itself
+		}
 	}
 	c.pending = nil
+	c.queuedBytes = 0
+	c.updateReclaimable()
 }
 
 // cleanUp releases what belongs to the connection after gnet has closed it.
 func (c *connection) cleanUp() {
 	c.closed = true
+	c.server.limits.Budget.unregister(c)
+	c.releasePartial()
 	c.cancel()
 	c.dropPending()
 	c.deadline.stop()
@@ -177,16 +201,17 @@
 }
 
 func (c *connection) close() {
-	_ = c.conn.EventLoop().Close(c.conn)
+	_ = c.loop.Close(c.conn)
 }
 
-// runOnLoop runs the task on the connection's event loop; it does nothing after
-// the server has been closed.
-func (c *connection) runOnLoop(task func()) {
-	_ = c.conn.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+// runOnLoop runs the task on the connection's event loop; it does nothing and
+// reports false after the server has been closed.
+func (c *connection) runOnLoop(task func()) (queued bool) {
+	err := c.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 		task()
 		return nil
 	}))
+	return err == nil
 }
 
 // runOnLoopAfter runs the task on the connection's event loop after the delay.
--- a/transport/deadline.go
+++ b/transport/deadline.go
@@ -35,6 +35,7 @@
 		}
 	default:
 		c.setDeadline(c.server.limits.IdleTimeout, ConnectionIdle)
+		c.idleSince.Store(c.deadline.expiresAt.Add(-c.server.limits.IdleTimeout).UnixNano())
 	}
 }
 
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -15,8 +15,14 @@
 	flushCheckInterval = 20 * time.Millisecond
 	// lingerTimeout is how long input is discarded after a refusal.
 	lingerTimeout = time.Second
+	// refusalRetryAfter is the Retry-After header of a refusal with status 503, in seconds.
+	refusalRetryAfter = "1"
+	// bodyGrowth is the factor by which the buffer of an incomplete body grows.
+	bodyGrowth = 4
+	// maxReusedBodyBytes bounds the buffers for bodies that are kept for reuse.
+	maxReusedBodyBytes = 8 << 10
 	// maxReusedOutputBytes bounds the output buffers that are kept for reuse.
-	maxReusedOutputBytes = 64 << 10
+	maxReusedOutputBytes = 8 << 10
 )
 
 // exchange is one request and its response. From serveNext to onWritten it
@@ -31,6 +37,10 @@
 	// duringDrain is set if the request arrived while the server was draining.
 	duringDrain bool
 	output      []byte
+	// body holds the request's body; it is kept for reuse if it is small.
+	body []byte
+	// cost is what the exchange counts in the server's budget.
+	cost int64
 }
 
 var exchangePool = sync.Pool{New: func() any { return new(exchange) }}
@@ -47,9 +57,36 @@
 	if cap(x.output) > maxReusedOutputBytes {
 		x.output = nil
 	}
+	x.body = x.body[:0]
+	if cap(x.body) > maxReusedBodyBytes {
+		x.body = nil
+	}
+	x.cost = 0
 	exchangePool.Put(x)
 }
 
+// appendBody adds a part of the body, whose whole length is expected or, if that is
+// 0, not known.
+func (x *exchange) appendBody(part []byte, expected int) {
+	if needed := len(x.body) + len(part); needed > cap(x.body) {
+		// Doubling would leave as much garbage as the body is large.
+		size := max(needed, bodyGrowth*cap(x.body))
+		if expected > 0 {
+			size = max(needed, min(size, expected))
+		}
+		grown := make([]byte, len(x.body), size)
+		copy(grown, x.body)
+		x.body = grown
+	}
+	x.body = append(x.body, part...)
+}
+
+// dropBody releases the body of a request that no handler will see.
+func (x *exchange) dropBody() {
+	x.body = nil
+	x.ctx.Request.ResetBody()
+}
+
 // handle runs the handler and writes its response; it runs on the handler pool.
 func (x *exchange) handle() {
 	c := x.connection
@@ -78,6 +115,9 @@
 	response := &x.ctx.Response
 	response.Reset()
 	response.SetStatusCode(statusOf(reason))
+	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
+		response.Header.Set(fasthttp.HeaderRetryAfter, refusalRetryAfter)
+	}
 	if limits.WriteRefusal != nil {
 		limits.WriteRefusal(response, reason)
 		return
@@ -100,7 +140,15 @@
 	if _, err := response.WriteTo((*outputAppender)(x)); err != nil {
 		x.closesConnection = true
 	}
-	_ = x.connection.conn.AsyncWrite(x.output, x.onWritten)
+	s := x.connection.server
+	if len(x.output) > largeResponseBytes {
+		// What the kernel does not take at once is copied to a buffer of its own.
+		x.cost += 2 * int64(len(x.output))
+		s.limits.Budget.add(2 * int64(len(x.output)))
+	}
+	if err := x.connection.conn.AsyncWrite(x.output, x.onWritten); err != nil {
+		x.uncharge(s)
+	}
 }
 
 // isLastInDrain reports whether the server is draining and the connection has no
@@ -117,8 +165,11 @@
 	c.heartbeat.exchange = nil
 	switch {
 	case c.closed:
+		x.uncharge(c.server)
 		x.release()
 	case c.conn.OutboundBuffered() > 0:
+		c.unsentBytes = x.cost
+		c.updateReclaimable()
 		c.awaitFlush(x, c.conn.OutboundBuffered(), time.Now())
 	default:
 		c.finish(x)
@@ -131,17 +182,21 @@
 func (c *connection) awaitFlush(x *exchange, unflushed int, lastProgress time.Time) {
 	c.runOnLoopAfter(flushCheckInterval, func() {
 		if c.closed {
+			x.uncharge(c.server)
 			return
 		}
 		buffered := c.conn.OutboundBuffered()
 		switch {
 		case buffered == 0:
+			c.unsentBytes = 0
+			c.updateReclaimable()
 			c.finish(x)
 		case buffered < unflushed:
 			c.awaitFlush(x, buffered, time.Now())
 		case time.Since(lastProgress) > c.server.limits.WriteTimeout:
 			c.server.limits.Count(AnswerNotTaken)
 			c.close()
+			x.uncharge(c.server)
 		default:
 			c.awaitFlush(x, unflushed, lastProgress)
 		}
--- a/transport/limits.go
+++ b/transport/limits.go
@@ -10,8 +10,17 @@
 type Limits struct {
 	// HeaderBytes bounds the request line and the headers of a request together.
 	HeaderBytes int
-	// BodyBytes bounds the body of a request.
-	BodyBytes int
+	// BodyBytes bounds the body of a request; CurrentBodyBytes replaces it if it is
+	// not nil and returns a value above 0.
+	BodyBytes        int
+	CurrentBodyBytes func() int
+	// Budget bounds the bytes that clients make the process hold. Servers may share
+	// one; nil gives the server one of its own.
+	Budget *Budget
+	// SocketBytes bounds the kernel's buffers of a connection, in each direction: what
+	// the kernel holds for a process counts as the process's memory on some
+	// platforms. 0 leaves the size to the system.
+	SocketBytes int
 	// Connections bounds the open connections.
 	Connections int
 	// PipelinedRequests bounds the requests of one connection that are handled
@@ -53,14 +62,23 @@
 	AnswerNotTaken    = "answerNotTaken"
 	HandlerPanicked   = "handlerPanicked"
 	EngineFailed      = "engineFailed"
+	// OverBudget is for a request that was dropped because clients held too many
+	// bytes, and for a response that was not taken then.
+	OverBudget = "overBudget"
+	// ConnectionDisplaced is for an idle connection that made room for a new one.
+	ConnectionDisplaced = "connectionDisplaced"
 )
 
 // Reasons lists every reason that a server passes to Limits.Count.
 var Reasons = []string{
 	BadRequest, HeaderTooLarge, BodyTooLarge, TooManyConnections, TooManyPipelined, Draining,
 	TooManyRequests, RequestIncomplete, ConnectionIdle, AnswerNotTaken, HandlerPanicked, EngineFailed,
+	OverBudget, ConnectionDisplaced,
 }
 
+// DefaultBudgetBytes is the budget of a server that is given none.
+const DefaultBudgetBytes = 64 << 20
+
 // DefaultLimits returns limits suitable for a small entry instance.
 func DefaultLimits() Limits {
 	return Limits{
@@ -81,6 +99,9 @@
 	defaults := DefaultLimits()
 	l.HeaderBytes = positiveOr(l.HeaderBytes, defaults.HeaderBytes)
 	l.BodyBytes = positiveOr(l.BodyBytes, defaults.BodyBytes)
+	if l.Budget == nil {
+		l.Budget = NewBudget(max(DefaultBudgetBytes, 2*int64(l.BodyBytes)))
+	}
 	l.Connections = positiveOr(l.Connections, defaults.Connections)
 	l.PipelinedRequests = positiveOr(l.PipelinedRequests, defaults.PipelinedRequests)
 	l.Handlers = positiveOr(l.Handlers, defaults.Handlers)
@@ -96,6 +117,16 @@
 	return l
 }
 
+// bodyBytes returns the bound of a request's body at present.
+func (l *Limits) bodyBytes() int {
+	if l.CurrentBodyBytes != nil {
+		if current := l.CurrentBodyBytes(); current > 0 {
+			return current
+		}
+	}
+	return l.BodyBytes
+}
+
 func positiveOr[N int | time.Duration](value, fallback N) N {
 	if value > 0 {
 		return value
@@ -111,7 +142,7 @@
 		return fasthttp.StatusRequestEntityTooLarge
 	case RequestIncomplete:
 		return fasthttp.StatusRequestTimeout
-	case TooManyConnections, TooManyPipelined, TooManyRequests, Draining:
+	case TooManyConnections, TooManyPipelined, TooManyRequests, Draining, OverBudget:
 		return fasthttp.StatusServiceUnavailable
 	case HandlerPanicked:
 		return fasthttp.StatusInternalServerError
--- a/transport/reader.go
+++ b/transport/reader.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/valyala/fasthttp"
 )
 
 // chunkedLength is the content length that fasthttp reports for a chunked body.
@@ -23,7 +22,9 @@
 	current *exchange
 	// scannedBytes is the length of the input already searched for the end of
 	// the header.
-	scannedBytes  int
+	scannedBytes int
+	// bodyBytes is the body's announced length, bodyRemaining what has not arrived.
+	bodyBytes     int
 	bodyRemaining int
 	chunkedBody   *chunkedBodyReader
 }
@@ -33,6 +34,16 @@
 	return r.current != nil || r.scannedBytes > 0
 }
 
+// heldBytes returns what is held of a request that has not arrived whole, with the
+// given number of unread bytes; the buffer of those may be twice as large.
+func (r *requestReader) heldBytes(unread int) int64 {
+	bytes := 2 * int64(unread)
+	if r.current != nil {
+		bytes += requestCost + int64(cap(r.current.body))
+	}
+	return bytes
+}
+
 // next returns the next complete request, nil if more input is needed, or the
 // reason for refusing the request.
 func (r *requestReader) next(conn gnet.Conn) (*exchange, string) {
@@ -48,6 +59,9 @@
 	x := r.current
 	r.current = nil
 	r.chunkedBody = nil
+	if len(x.body) > 0 {
+		x.ctx.Request.SetBodyRaw(x.body)
+	}
 	return x, ""
 }
 
@@ -112,13 +126,13 @@
 
 func (r *requestReader) prepareBody(conn gnet.Conn, x *exchange) string {
 	length := x.ctx.Request.Header.ContentLength()
-	if length > r.limits.BodyBytes {
+	if length > r.limits.bodyBytes() {
 		return BodyTooLarge
 	}
 	r.current = x
-	r.bodyRemaining = max(length, 0)
+	r.bodyRemaining, r.bodyBytes = max(length, 0), max(length, 0)
 	if length == chunkedLength {
-		r.chunkedBody = &chunkedBodyReader{maxBodyBytes: r.limits.BodyBytes}
+		r.chunkedBody = &chunkedBodyReader{maxBodyBytes: r.limits.bodyBytes()}
 	}
 	if x.ctx.Request.MayContinue() {
 		_, _ = conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -127,9 +141,8 @@
 }
 
 func (r *requestReader) readBody(conn gnet.Conn) (complete bool, reason string) {
-	request := &r.current.ctx.Request
 	if r.chunkedBody != nil {
-		return r.chunkedBody.read(conn, request)
+		return r.chunkedBody.read(conn, r.current)
 	}
 	available := min(r.bodyRemaining, conn.InboundBuffered())
 	if available > 0 {
@@ -137,7 +150,7 @@
 		if err != nil {
 			return false, BadRequest
 		}
-		request.AppendBody(part)
+		r.current.appendBody(part, r.bodyBytes)
 		r.bodyRemaining -= available
 	}
 	return r.bodyRemaining == 0, ""
@@ -152,10 +165,10 @@
 	inTrailer      bool
 }
 
-func (r *chunkedBodyReader) read(conn gnet.Conn, request *fasthttp.Request) (complete bool, reason string) {
+func (r *chunkedBodyReader) read(conn gnet.Conn, x *exchange) (complete bool, reason string) {
 	for {
 		if r.inChunk {
-			needsInput, reason := r.readChunkData(conn, request)
+			needsInput, reason := r.readChunkData(conn, x)
 			if reason != "" || needsInput {
 				return false, reason
 			}
@@ -168,7 +181,7 @@
 			if len(line) > 0 {
 				continue
 			}
-			request.Header.SetContentLength(r.bodyBytes)
+			x.ctx.Request.Header.SetContentLength(r.bodyBytes)
 			return true, ""
 		}
 		if reason := r.startChunk(line); reason != "" {
@@ -179,13 +192,13 @@
 
 // readChunkData appends the chunk's available bytes to the request's body; it
 // reports whether the chunk needs more input.
-func (r *chunkedBodyReader) readChunkData(conn gnet.Conn, request *fasthttp.Request) (needsInput bool, reason string) {
+func (r *chunkedBodyReader) readChunkData(conn gnet.Conn, x *exchange) (needsInput bool, reason string) {
 	if available := min(r.chunkRemaining, conn.InboundBuffered()); available > 0 {
 		part, err := conn.Next(available)
 		if err != nil {
 			return false, BadRequest
 		}
-		request.AppendBody(part)
+		x.appendBody(part, 0)
 		r.chunkRemaining -= available
 	}
 	if r.chunkRemaining > 0 || conn.InboundBuffered() < len("\r\n") {
--- a/transport/server.go
+++ b/transport/server.go
@@ -40,6 +40,8 @@
 	headerParsers sync.Pool
 
 	openConnections atomic.Int64
+	// displacing counts the connections that are about to make room for others.
+	displacing atomic.Int64
 	// inFlight counts the requests without a complete response, except those
 	// that arrived during a drain, which inFlightDuringDrain counts.
 	inFlight            atomic.Int64
@@ -159,10 +161,13 @@
 	open := s.openConnections.Add(1)
 	c := newConnection(s, conn)
 	conn.SetContext(c)
-	if open > int64(s.limits.Connections) {
+	if open > int64(s.limits.Connections) && !s.makeRoomNow(c) {
 		s.limits.Count(TooManyConnections)
 		return nil, gnet.Close
 	}
+	c.idleSince.Store(time.Now().UnixNano())
+	s.makeRoom(open)
+	s.limits.Budget.register(c)
 	// The option is set for each connection instead of the listener, where gnet
 	// would report a failed bind as a failure to set this option.
 	if err := conn.SetKeepAlive(true, tcpKeepAliveIdle, tcpKeepAliveInterval, tcpKeepAliveProbes); err != nil {
@@ -172,6 +177,33 @@
 	return nil, gnet.None
 }
 
+// makeRoomNow closes the idlest connection on the event loop of a new one; it reports
+// false if there is none.
+func (s *Server) makeRoomNow(c *connection) bool {
+	found := s.limits.Budget.idlest(s, 1, c.loop)
+	if len(found) == 0 {
+		return false
+	}
+	s.displacing.Add(1)
+	found[0].displace()
+	return found[0].closed
+}
+
+// makeRoom has the idlest connections closed when few more are allowed.
+func (s *Server) makeRoom(open int64) {
+	reserve := int64(s.limits.Connections / 16)
+	excess := open - s.displacing.Load() - int64(s.limits.Connections) + reserve
+	if reserve == 0 || excess <= 0 {
+		return
+	}
+	for _, c := range s.limits.Budget.idlest(s, int(excess+reserve/4), nil) {
+		s.displacing.Add(1)
+		if !c.runOnLoop(c.displace) {
+			s.displacing.Add(-1)
+		}
+	}
+}
+
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(conn gnet.Conn) gnet.Action {
 	c, known := conn.Context().(*connection)
@@ -222,6 +254,8 @@
 		// open before any was counted.
 		gnet.WithReusePort(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithSocketRecvBuffer(s.limits.SocketBytes),
+		gnet.WithSocketSendBuffer(s.limits.SocketBytes),
 		gnet.WithLogger(zap.NewNop().Sugar()))
 }
 
