Derive what clients may use from an instance's memory and descriptors

host used the transport's default limits: bodies of 4 MiB whatever the operator's max_body_bytes, 4,096 connections on each port whatever limits.max_fds. A crowd took 107 to 183 MB on an instance of 80 MB, and 1,564 of 800 descriptors.

Clients may now make the process hold a sixth of limits.memory_mb on all ports. Connections are bounded by memory and by limits.max_fds, of which 200 are kept for files and a third for calls to the store, entries and workers. Bodies are bounded by max_body_bytes, or 1 MiB before one is known; the readiness port has smaller limits. The kernel's buffers of a connection are bounded. The collector works harder from 60 % of the memory instead of 70: its target does not include the program itself. Refusals by the transport carry the reason and notRun as others do, and are logged once in 5 s for each reason.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -22,7 +22,7 @@
 
 // collectAbovePercent is the part of the platform's memory limit from which the
 // garbage collector works harder, so that a burst does not get the process killed.
-const collectAbovePercent = 70
+const collectAbovePercent = 60
 
 var hostCommand = command{
 	name:    "host",
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -37,6 +37,8 @@
 	settings atomic.Pointer[platform.Settings]
 	log      zerolog.Logger
 	metrics  *metrics.Metrics
+	budget   *transport.Budget
+	refusals refusalLog
 
 	storeClient  *transport.Client
 	workerClient *transport.Client
@@ -71,7 +73,7 @@
 // Start starts an entry; its error says for which purpose an address could not be
 // listened on.
 func Start(s *platform.Settings, log zerolog.Logger) (*Instance, error) {
-	i := &Instance{log: log, metrics: metrics.New()}
+	i := &Instance{log: log, metrics: metrics.New(), budget: newBudget(s)}
 	i.settings.Store(s)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	limits := transport.ClientLimits{IdleTimeout: idleTimeout, SilenceTimeout: noSilenceTimeout}
@@ -118,15 +120,15 @@
 		Log:     i.log,
 		Observe: i.metrics.ObserveRequest,
 	}
-	limits := transport.Limits{Count: i.metrics.CountTransportRefusal, OnPanic: i.logPanic}
-	if i.callerServer, err = transport.Listen(s.Callers, i.whenInitialised(front.Handle), limits); err != nil {
+	callers, readiness, entries := i.serverLimits(s)
+	if i.callerServer, err = transport.Listen(s.Callers, i.whenInitialised(front.Handle), callers); err != nil {
 		return errors.Wrap(err, "listen for callers: free the port")
 	}
-	if i.readinessServer, err = transport.Listen(s.Readiness, platform.ReadinessHandler(i.ready), limits); err != nil {
+	if i.readinessServer, err = transport.Listen(s.Readiness, platform.ReadinessHandler(i.ready), readiness); err != nil {
 		_ = i.callerServer.Close()
 		return errors.Wrap(err, "listen for readiness: free the port")
 	}
-	if i.entryServer, err = transport.Listen(s.Entry, i.whenInitialised(i.entryHandler()), limits); err != nil {
+	if i.entryServer, err = transport.Listen(s.Entry, i.whenInitialised(i.entryHandler()), entries); err != nil {
 		_ = i.callerServer.Close()
 		_ = i.readinessServer.Close()
 		return errors.Wrap(err, "listen for entries and metrics: free the port")
