Bound what clients may use of an entry of serve

serve used a budget-less transport; its settings did not know the memory. The new setting memoryMiB bounds what clients make the process hold (a sixth) and the connections; without it the budget is 64 MiB. Connections also stay under half of the process's limit of descriptors.

--- a/cmd_serve.go
+++ b/cmd_serve.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,9 @@
 	if err != nil {
 		return &usageError{err}
 	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryBytes / 100 * collectAbovePercent)
+	}
 	i, err := instance.Start(s, logs.New(a.out.diagnostics, level))
 	if err != nil {
 		return err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -98,7 +98,7 @@
 // listen opens the entry's TCP port and the UDP port of the same number.
 func (i *Instance) listen() (err error) {
 	i.server, err = transport.Listen(i.settings.Address, i.handle, transport.Limits{
-		BodyBytes: i.settings.BodyBytes, Connections: i.settings.Connections,
+		BodyBytes: i.settings.BodyBytes, Connections: i.maxConnections(), Budget: i.newBudget(), SocketBytes: socketBytes,
 		Count: i.metrics.CountTransportRefusal, WriteRefusal: caller.Refuse, OnPanic: i.logPanic,
 	})
 	if err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,8 @@
 	maxConnections             = 1 << 16
 	defaultBodyBytes           = 1 << 20
 	maxBodyBytes               = 64 << 20
+	minMemoryMiB               = 64
+	maxMemoryMiB               = 1 << 20
 	defaultLogLevel            = "info"
 )
 
@@ -40,6 +42,8 @@
 	// Connections limits the open connections, BodyBytes the body of a request.
 	Connections int
 	BodyBytes   int
+	// MemoryBytes is the memory that the instance may use; 0 means that it is not known.
+	MemoryBytes int64
 	// DrainLimit is how long a shutdown waits for the requests in progress. A
 	// caller that still waits then gets a response without an outcome, which names
 	// the job so that its outcome can be requested later.
@@ -64,7 +68,7 @@
 
 func decodeSettings(root document.Node) *Settings {
 	o := root.Object("availabilityZone", "address", "seeds", "store", "instanceList",
-		"storeCallsPerSecond", "connections", "bodyBytes", "drainLimit", "logLevel")
+		"storeCallsPerSecond", "connections", "bodyBytes", "memoryMiB", "drainLimit", "logLevel")
 	s := &Settings{
 		AvailabilityZone:    o.Require("availabilityZone").Name(),
 		Address:             decodeAddress(o.Require("address")),
@@ -93,6 +97,9 @@
 	if n := o.Get("bodyBytes"); n.Exists() {
 		s.BodyBytes = int(n.Integer(1, maxBodyBytes))
 	}
+	if n := o.Get("memoryMiB"); n.Exists() {
+		s.MemoryBytes = int64(n.Integer(minMemoryMiB, maxMemoryMiB)) << 20
+	}
 	if n := o.Get("drainLimit"); n.Exists() {
 		s.DrainLimit = decodeDuration(n, maxDrainLimit)
 	}
