Bound the memory of large jobs while they are decoded and stored

A body of max_body_bytes may hold 80,000 empty steps, which take 30 MB once decoded. Sixty clients that pipelined such bodies took host to 276 and 533 MB.

Bodies over 16 KiB first have the counts of their steps checked, which needs 8 bytes a step, and then wait for their share of a sixth of the memory until the job is stored. Who waits too long gets 503, overBudget, not run. Smaller bodies do not wait.

--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -117,8 +117,9 @@
 			Policy: i.policy, JobStore: i.jobStore, Now: time.Now, Accepted: i.notifyAccepted, Cancelled: i.notifyCancelled,
 			Count: i.metrics.CountRefusal, Log: i.log,
 		},
-		Log:     i.log,
-		Observe: i.metrics.ObserveRequest,
+		Decoding: platform.NewDecoding(s.MemoryBytes / budgetShare),
+		Log:      i.log,
+		Observe:  i.metrics.ObserveRequest,
 	}
 	callers, readiness, entries := i.serverLimits(s)
 	if i.callerServer, err = transport.Listen(s.Callers, i.whenInitialised(front.Handle), callers); err != nil {
--- a/state/reason.go
+++ b/state/reason.go
@@ -34,6 +34,8 @@
 	FailsEverywhere     Reason = "failsEverywhere"
 	AmbiguousStart      Reason = "ambiguousStart"
 	NoPlanner           Reason = "noPlanner"
+	// OverBudget is for what clients make an instance hold beyond its memory.
+	OverBudget Reason = "overBudget"
 )
 
 // The reasons for which an attempt is given up or retried.
@@ -58,7 +60,7 @@
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
 	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
-	AmbiguousStart, NoPlanner, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
+	AmbiguousStart, NoPlanner, OverBudget, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
 }
 
