Bound the responses that calls read at the same time

A call read up to 16 MiB, and as many as were open did so at once; the buffer for an announced body was allocated before a byte of it had come. A peer that answers with far too much could take the process's memory.

A client counts the large responses that it is reading; a call that would exceed the limit fails, and a buffer is allocated only within it. host allows the store and the workers an eighth of its memory each, at least 8 MiB, and bounds the connections to the store by limits.max_fds and those to a worker by the 64 that it accepts.

go test -race ./transport passes.

--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -76,8 +76,8 @@
 	i := &Instance{log: log, metrics: metrics.New(), budget: newBudget(s)}
 	i.settings.Store(s)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
-	limits := transport.ClientLimits{IdleTimeout: idleTimeout, SilenceTimeout: noSilenceTimeout}
-	i.storeClient, i.workerClient = transport.NewClient(limits), transport.NewClient(limits)
+	storeLimits, workerLimits := clientLimits(s)
+	i.storeClient, i.workerClient = transport.NewClient(storeLimits), transport.NewClient(workerLimits)
 	i.peerClient = transport.NewClient(transport.ClientLimits{})
 	i.plannerClient = peer.NewPlannerClient(i.peerClient)
 	store := &platform.Store{Connections: i.storeClient, Address: func() netip.AddrPort { return i.settings.Load().Store }}
--- a/instance/hosted/limits.go
+++ b/instance/hosted/limits.go
@@ -26,6 +26,13 @@
 	// 1/8. outgoingShare is the part for calls to the store, entries and workers: 1/3,
 	// of which the store may use half.
 	entriesShare, outgoingShare = 8, 3
+	// responsesShare is the part of the memory for the responses that the store, and the
+	// workers together, may be sending at the same time: 1/8 each, and at least
+	// minResponseBytes, which a page of the store's largest values needs.
+	responsesShare   = 8
+	minResponseBytes = 8 << 20
+	// workerConnections is how many connections a worker accepts.
+	workerConnections = 64
 	// minConnections is the least number of connections of a port.
 	minConnections = 32
 	// readinessConnections bounds the connections of the platform's readiness checks.
@@ -61,6 +68,22 @@
 	return callers, readiness, entries
 }
 
+// clientLimits returns the limits of calls to the store and to workers. The store gets at
+// most half of the descriptors for calls; a worker accepts fewer connections than that.
+func clientLimits(s *platform.Settings) (store, workers transport.ClientLimits) {
+	store = transport.ClientLimits{IdleTimeout: idleTimeout, SilenceTimeout: noSilenceTimeout}
+	if s.MemoryBytes > 0 {
+		store.TotalResponseBytes = max(int(s.MemoryBytes/responsesShare), minResponseBytes)
+		store.ResponseBytes = min(transport.DefaultClientLimits().ResponseBytes, store.TotalResponseBytes)
+	}
+	workers = store
+	workers.ConnectionsPerPeer = workerConnections
+	if s.Descriptors > 0 {
+		store.ConnectionsPerPeer = max(s.Descriptors/outgoingShare/2, minConnections)
+	}
+	return store, workers
+}
+
 // newBudget returns the budget of the settings, or the transport's default.
 func newBudget(s *platform.Settings) *transport.Budget {
 	if s.MemoryBytes == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -98,7 +98,7 @@
 		s.BodyBytes = int(n.Integer(1, maxBodyBytes))
 	}
 	if n := o.Get("memoryMiB"); n.Exists() {
-		s.MemoryBytes = int64(n.Integer(minMemoryMiB, maxMemoryMiB)) << 20
+		s.MemoryBytes = n.Integer(minMemoryMiB, maxMemoryMiB) << 20
 	}
 	if n := o.Get("drainLimit"); n.Exists() {
 		s.DrainLimit = decodeDuration(n, maxDrainLimit)
--- a/transport/client.go
+++ b/transport/client.go
@@ -25,6 +25,7 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	activeCalls sync.WaitGroup
+	responses   responseBudget
 	hashSeed    maphash.Seed
 	shards      [clientShards]clientShard
 }
@@ -33,6 +34,7 @@
 // DefaultClientLimits.
 func NewClient(limits ClientLimits) *Client {
 	c := &Client{limits: limits.orDefaults(), hashSeed: maphash.MakeSeed()}
+	c.responses.limit = int64(c.limits.TotalResponseBytes)
 	for i := range c.shards {
 		c.shards[i].pools = make(map[netip.AddrPort]*peerPool)
 	}
--- a/transport/client_conn.go
+++ b/transport/client_conn.go
@@ -21,6 +21,7 @@
 	conn           net.Conn
 	buffered       *bufio.Reader
 	silenceTimeout time.Duration
+	reading        responseReading
 	// written counts the bytes of the current request that have been written.
 	written int
 	// deadline is that of the current call; aborted is set when the call's
@@ -30,8 +31,8 @@
 	idleSince time.Time
 }
 
-func newClientConn(conn net.Conn, silenceTimeout time.Duration) *clientConn {
-	c := &clientConn{conn: conn, silenceTimeout: silenceTimeout}
+func newClientConn(conn net.Conn, silenceTimeout time.Duration, responses *responseBudget) *clientConn {
+	c := &clientConn{conn: conn, silenceTimeout: silenceTimeout, reading: responseReading{budget: responses}}
 	c.buffered = bufio.NewReader((*deadlineReader)(c))
 	return c
 }
@@ -76,7 +77,8 @@
 	}
 	response.Reset()
 	response.SkipBody = request.Header.IsHead()
-	return errors.Wrap(response.ReadLimitBody(c.buffered, maxResponseBytes), "read response")
+	defer c.reading.end()
+	return errors.Wrap(c.readResponse(response, maxResponseBytes), "read response")
 }
 
 // requestWriters holds write buffers; calls share them, so that a call that waits
@@ -140,7 +142,11 @@
 	if c.aborted.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	return c.conn.Read(p)
+	n, err := c.conn.Read(p)
+	if budgetErr := c.reading.receive(n); budgetErr != nil {
+		return 0, budgetErr
+	}
+	return n, err
 }
 
 // deadlineWriter writes to the connection, sets a deadline for each write and
--- a/transport/client_limits.go
+++ b/transport/client_limits.go
@@ -8,6 +8,9 @@
 	ConnectionsPerPeer int
 	// ResponseBytes bounds the body of a response.
 	ResponseBytes int
+	// TotalResponseBytes bounds the bodies of the large responses that are read at the
+	// same time. A call beyond it fails.
+	TotalResponseBytes int
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// IdleTimeout is how long a connection without a call is kept. It must be
@@ -28,6 +31,7 @@
 	return ClientLimits{
 		ConnectionsPerPeer: 2048,
 		ResponseBytes:      16 << 20,
+		TotalResponseBytes: 64 << 20,
 		DialTimeout:        time.Second,
 		IdleTimeout:        4 * time.Second,
 		CallTimeout:        10 * time.Second,
@@ -39,6 +43,7 @@
 	defaults := DefaultClientLimits()
 	l.ConnectionsPerPeer = positiveOr(l.ConnectionsPerPeer, defaults.ConnectionsPerPeer)
 	l.ResponseBytes = positiveOr(l.ResponseBytes, defaults.ResponseBytes)
+	l.TotalResponseBytes = positiveOr(l.TotalResponseBytes, defaults.TotalResponseBytes)
 	l.DialTimeout = positiveOr(l.DialTimeout, defaults.DialTimeout)
 	l.IdleTimeout = positiveOr(l.IdleTimeout, defaults.IdleTimeout)
 	l.CallTimeout = positiveOr(l.CallTimeout, defaults.CallTimeout)
--- a/transport/peer_pool.go
+++ b/transport/peer_pool.go
@@ -53,7 +53,7 @@
 		<-p.permits
 		return nil, errors.Wrap(err, "connect")
 	}
-	conn := newClientConn(netConn, p.client.limits.SilenceTimeout)
+	conn := newClientConn(netConn, p.client.limits.SilenceTimeout, &p.client.responses)
 	if !p.markBusy(conn) {
 		_ = netConn.Close()
 		<-p.permits
