--- a/transport/server.go
+++ b/transport/server.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 // A connection whose client has disappeared without closing it is closed after
@@ -41,6 +40,8 @@
 	headerParsers sync.Pool
 
 	openConnections atomic.Int64
+	// displacing counts the connections that are about to make room for others.
+	displacing atomic.Int64
 	// inFlight counts the requests without a complete response, except those
 	// that arrived during a drain, which inFlightDuringDrain counts.
 	inFlight            atomic.Int64
@@ -55,8 +56,10 @@
 
 	// booted receives the result of the first start; stopped is closed when run
 	// returns; closing is closed by Close.
-	booted          chan error
-	stopped         chan struct{}
+	booted  chan error
+	stopped chan struct{}
+	// hasBooted is set by the first start; only run and OnBoot use it.
+	hasBooted       bool
 	runningHandlers sync.WaitGroup
 	closing         chan struct{}
 	closeOnce       sync.Once
@@ -84,7 +87,14 @@
 	s.headerParsers.New = func() any {
 		return &headerParser{buffered: bufio.NewReaderSize(nil, s.limits.HeaderBytes)}
 	}
-	go s.run(address)
+	bound, release, err := reservePort(address)
+	if err != nil {
+		pool.Release()
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	defer release()
+	s.address = bound
+	go s.run(bound)
 	if err := <-s.booted; err != nil {
 		<-s.stopped
 		pool.Release()
@@ -139,16 +149,10 @@
 	if s.isClosing() {
 		return gnet.Shutdown
 	}
-	if s.address.IsValid() {
-		return gnet.None
-	}
-	address, err := boundAddress(engine)
-	if err != nil {
-		s.booted <- err
-		return gnet.Shutdown
+	if !s.hasBooted {
+		s.hasBooted = true
+		s.booted <- nil
 	}
-	s.address = address
-	s.booted <- nil
 	return gnet.None
 }
 
@@ -157,10 +161,13 @@
 	open := s.openConnections.Add(1)
 	c := newConnection(s, conn)
 	conn.SetContext(c)
-	if open > int64(s.limits.Connections) {
+	if open > int64(s.limits.Connections) && !s.makeRoomNow(c) {
 		s.limits.Count(TooManyConnections)
 		return nil, gnet.Close
 	}
+	c.idleSince.Store(time.Now().UnixNano())
+	s.makeRoom(open)
+	s.limits.Budget.register(c)
 	// The option is set for each connection instead of the listener, where gnet
 	// would report a failed bind as a failure to set this option.
 	if err := conn.SetKeepAlive(true, tcpKeepAliveIdle, tcpKeepAliveInterval, tcpKeepAliveProbes); err != nil {
@@ -170,6 +177,33 @@
 	return nil, gnet.None
 }
 
+// makeRoomNow closes the idlest connection on the event loop of a new one; it reports
+// false if there is none.
+func (s *Server) makeRoomNow(c *connection) bool {
+	found := s.limits.Budget.idlest(s, 1, c.loop)
+	if len(found) == 0 {
+		return false
+	}
+	s.displacing.Add(1)
+	found[0].displace()
+	return found[0].closed
+}
+
+// makeRoom has the idlest connections closed when few more are allowed.
+func (s *Server) makeRoom(open int64) {
+	reserve := int64(s.limits.Connections / 16)
+	excess := open - s.displacing.Load() - int64(s.limits.Connections) + reserve
+	if reserve == 0 || excess <= 0 {
+		return
+	}
+	for _, c := range s.limits.Budget.idlest(s, int(excess+reserve/4), nil) {
+		s.displacing.Add(1)
+		if !c.runOnLoop(c.displace) {
+			s.displacing.Add(-1)
+		}
+	}
+}
+
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(conn gnet.Conn) gnet.Action {
 	c, known := conn.Context().(*connection)
@@ -195,7 +229,7 @@
 	defer close(s.stopped)
 	for {
 		err := s.runEngine(address)
-		if !s.address.IsValid() {
+		if !s.hasBooted {
 			s.booted <- err
 			return
 		}
@@ -203,7 +237,6 @@
 			return
 		}
 		s.limits.Count(EngineFailed)
-		address = s.address
 		select {
 		case <-s.closing:
 			return
@@ -216,7 +249,13 @@
 	return gnet.Run(s, "tcp://"+address.String(),
 		gnet.WithMulticore(true),
 		gnet.WithReuseAddr(true),
+		// Each event loop has a listener of its own and accepts one connection at a time.
+		// A loop that accepts for others runs ahead of them: it had a thousand descriptors
+		// open before any was counted.
+		gnet.WithReusePort(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithSocketRecvBuffer(s.limits.SocketBytes),
+		gnet.WithSocketSendBuffer(s.limits.SocketBytes),
 		gnet.WithLogger(zap.NewNop().Sugar()))
 }
 
@@ -267,24 +306,3 @@
 	}
 	return &s.inFlight
 }
-
-// boundAddress returns the address of the engine's listener.
-func boundAddress(engine gnet.Engine) (netip.AddrPort, error) {
-	descriptor, err := engine.Dup()
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "duplicate listener descriptor")
-	}
-	defer func() { _ = unix.Close(descriptor) }()
-	bound, err := unix.Getsockname(descriptor)
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrap(err, "get bound address")
-	}
-	switch a := bound.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr).Unmap(), uint16(a.Port)), nil
-	default:
-		return netip.AddrPort{}, errors.Errorf("unexpected socket address type %T", bound)
-	}
-}
