Give the port for other entries a budget of its own

Cause: all ports of a process shared one budget of bytes that clients may hold, so that a crowd of callers could have calls between entries refused. Change: the entries' port has a twelfth of the memory for itself.

--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -75,7 +75,7 @@
 // Start starts an entry; its error says for which purpose an address could not be
 // listened on.
 func Start(s *platform.Settings, log zerolog.Logger) (*Instance, error) {
-	i := &Instance{log: log, metrics: metrics.New(), budget: newBudget(s)}
+	i := &Instance{log: log, metrics: metrics.New(), budget: newBudget(s, budgetShare)}
 	i.settings.Store(s)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	storeLimits, workerLimits := clientLimits(s)
--- a/instance/hosted/limits.go
+++ b/instance/hosted/limits.go
@@ -14,6 +14,9 @@
 	// budgetShare is the part of the memory that clients may make the process hold: 1/6.
 	// The garbage collector needs up to as much again, the planner uses the rest.
 	budgetShare = 6
+	// entryBudgetShare is the part that other entries may: 1/12. It is apart, so that a
+	// crowd of callers does not have the calls of entries refused.
+	entryBudgetShare = 12
 	// connectionMemory is the memory for each connection to be open: it and its buffers
 	// in the kernel.
 	connectionMemory = 48 << 10
@@ -52,6 +55,7 @@
 	}
 	defaults := transport.DefaultLimits()
 	callers, readiness, entries = common, common, common
+	entries.Budget = newBudget(s, entryBudgetShare)
 	callers.BodyBytes, callers.CurrentBodyBytes = defaultBodyBytes, i.maxBodyBytes
 	callers.Connections, entries.Connections = defaults.Connections, defaults.Connections
 	readiness.Connections, readiness.BodyBytes, readiness.HeaderBytes = readinessConnections, 1<<10, 4<<10
@@ -84,12 +88,12 @@
 	return store, workers
 }
 
-// newBudget returns the budget of the settings, or the transport's default.
-func newBudget(s *platform.Settings) *transport.Budget {
+// newBudget returns a budget of a part of the memory, or the transport's default.
+func newBudget(s *platform.Settings, share int64) *transport.Budget {
 	if s.MemoryBytes == 0 {
 		return transport.NewBudget(transport.DefaultBudgetBytes)
 	}
-	return transport.NewBudget(s.MemoryBytes / budgetShare)
+	return transport.NewBudget(s.MemoryBytes / share)
 }
 
 // maxBodyBytes returns the operator's limit for a caller's body, or 0 if none is known.
