Place expired jobs behind those that still count

A job past three times its objective counts for nothing, but its rank was that of any late job, so with its earlier deadline it took room before jobs that could still count. It is still placed in each round in which room is left.

--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -124,13 +124,14 @@
 
 // The ranks of waiting groups: jobs within a guarantee, then urgent jobs, in time
 // before late, then all other jobs that can be in time, by priority, then the
-// late ones, by priority.
+// late ones, by priority, and last those that count for nothing any more, by priority.
 const (
 	rankGuaranteed = iota
 	rankUrgent
 	rankUrgentLate
 	rankInTime
-	rankLate = rankInTime + lowestPriority + 1
+	rankLate    = rankInTime + lowestPriority + 1
+	rankExpired = rankLate + lowestPriority + 1
 )
 
 // lowestPriority is the last priority with a rank of its own; those after it
@@ -143,6 +144,8 @@
 	switch {
 	case guaranteed[g.job]:
 		return rankGuaranteed
+	case g.expired(now):
+		return rankExpired + priority
 	case priority == 0 && inTime:
 		return rankUrgent
 	case priority == 0:
