Refuse only jobs behind more urgent work that keeps coming

Only more urgent groups now count while a job can be in time, and only as long as they can themselves, and a class must last for its objective, so that a single rush refuses nothing.

--- a/coordination/backlog/backlog.go
+++ b/coordination/backlog/backlog.go
@@ -38,7 +38,9 @@
 	Member, Total int
 	SameRack      bool
 	// RunTime is the least that its tasks run for.
-	RunTime   time.Duration
+	RunTime time.Duration
+	// Estimate is their declared run time.
+	Estimate  time.Duration
 	Objective time.Duration
 	// Deadline is when the job should be completed; Late is set if it can no longer be
 	// by then.
@@ -99,9 +101,7 @@
 		if c.priority == 0 {
 			supply = &urgent
 		}
-		first := supply.reaches(c.total)
-		w.InTime = max(first, supply.delivers(s.workAhead(&w, false)))
-		w.Late = max(first, supply.delivers(s.workAhead(&w, true)))
+		w.InTime, w.Late = s.startOf(&w, false, supply), s.startOf(&w, true, supply)
 		if w.wait(objective) > ExpiryFactor*objective {
 			waits = append(waits, w)
 		}
@@ -145,13 +145,14 @@
 	return tasks*member >= total
 }
 
-// workAhead returns the accelerator-seconds that must be done before a job of the class
-// starts: the work of the groups ahead of it, less what of it can still run beside the job,
-// which is at most that of the longest groups. A job that is already late also follows the
-// late groups. The waiting groups are ordered by their run time, the longest first.
-func (s *Service) workAhead(w *Wait, late bool) (work float64) {
+// startOf returns the least time after which a job of the class starts: each group ahead of
+// it has then started, or does not precede it any more. late is set for a job that can no
+// longer be in time.
+func (s *Service) startOf(w *Wait, late bool, supply *supply) time.Duration {
+	var ahead []*Group
+	work := 0.0
 	beside := max(s.Accelerators-w.Total, 0)
-	for i := range s.Waiting {
+	for i := range s.Waiting { // the longest first, which may run beside the job when it starts
 		g := &s.Waiting[i]
 		if !g.precedes(w, late) || !g.fitsLike(w) {
 			continue
@@ -159,22 +160,43 @@
 		running := min(g.Total, beside)
 		beside -= running
 		work += g.RunTime.Seconds() * float64(g.Total-running)
+		ahead = append(ahead, g)
+	}
+	slices.SortFunc(ahead, func(a, b *Group) int { return cmp.Compare(a.until(w, late), b.until(w, late)) })
+	earliest := supply.delivers(work)
+	for _, g := range ahead {
+		work -= g.RunTime.Seconds() * float64(g.Total)
+		earliest = min(earliest, max(g.until(w, late), supply.delivers(work)))
 	}
-	return work
+	return max(earliest, supply.reaches(w.Total))
+}
+
+// until returns how long the group precedes a job of the class at least. A job that can be
+// in time passes groups that no longer can, unless they are urgent. That those ahead of a
+// late job may expire is left out: jobs are refused so that the accepted ones do not.
+func (g *Group) until(w *Wait, late bool) time.Duration {
+	switch {
+	case late:
+		return maxWait
+	case g.Priority == 0 && w.Priority > 0:
+		return g.Deadline + (ExpiryFactor-1)*g.Objective
+	}
+	return g.Deadline - g.Estimate
 }
 
 // precedes reports whether the group goes before a new job of the class, by the ranks of
-// the planner.
+// the planner. As long as the job can be in time only more urgent groups do for certain:
+// those of its own priority that wait already are late before it is, and are then passed.
 func (g *Group) precedes(w *Wait, late bool) bool {
 	switch {
 	case g.Priority > w.Priority:
 		return false
 	case g.Priority == 0 && w.Priority > 0:
 		return true
-	case g.Late:
-		return late
+	case !late:
+		return g.Priority < w.Priority && !g.Late
 	}
-	return g.Priority < w.Priority || g.Deadline <= w.Objective
+	return g.Late || g.Priority < w.Priority || g.Deadline <= w.Objective
 }
 
 // fitsLike reports whether the group fits into any room that a group of the class could
@@ -232,6 +254,9 @@
 
 // delivers returns when the accelerator-seconds of work can be done.
 func (s *supply) delivers(work float64) time.Duration {
+	if work <= 0 {
+		return 0
+	}
 	at, free := 0.0, float64(s.free)
 	for _, r := range s.releases {
 		step := (r.Left.Seconds() - at) * free
--- a/coordination/backlog/gate.go
+++ b/coordination/backlog/gate.go
@@ -37,7 +37,10 @@
 	Now func() time.Time
 	// Guarantee returns the number of accelerators guaranteed to an organisation.
 	Guarantee func(organisation string) int
-	Log       zerolog.Logger
+	// Refused tells the planner of a refusal and returns how long ago the job was first
+	// refused by any entry, or an error if the planner does not say so.
+	Refused func(ctx context.Context, id workflow.ID) (time.Duration, error)
+	Log     zerolog.Logger
 
 	once sync.Once
 	// readDue holds a value while a read is due.
@@ -54,19 +57,21 @@
 	slow    bool
 	figures Figures
 	// seenAt is when figures of that time were first read.
-	seenAt   time.Time
-	refused  returns
-	lines    int
-	linesAt  time.Time
-	unlogged int
+	seenAt  time.Time
+	refused Returns
+	// lastReturn is the latest time at which a refused caller was told to return.
+	lastReturn time.Time
+	lines      int
+	linesAt    time.Time
+	unlogged   int
 }
 
 // Refusal is the error of a job that is not accepted because it would start too late to
 // count for anything.
 type Refusal struct {
 	Wait, Objective time.Duration
-	// Age is that of the figures.
-	Age time.Duration
+	// Age is that of the figures, Waited the time since the job was first refused.
+	Age, Waited time.Duration
 	// RetryAfter is when the caller should return.
 	RetryAfter time.Duration
 }
@@ -128,22 +133,40 @@
 		return nil
 	}
 	g.refresh(ctx)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.Now()
-	age, valid := g.age(now)
-	if !valid {
-		return nil
-	}
 	objective := job.Objective()
-	wait := g.wait(job, objective)
-	if wait <= ExpiryFactor*objective {
+	wait, age, valid := g.newest(job, objective)
+	if !valid || wait <= ExpiryFactor*objective {
 		return nil
 	}
+	waited := g.waited(ctx, job.ID)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return &Refusal{
-		Wait: wait, Objective: objective, Age: age,
-		RetryAfter: retryAfter(job.ID, wait-objective, g.refused.add(job.ID, now)),
+		Wait: wait, Objective: objective, Age: age, Waited: waited,
+		RetryAfter: retryAfter(job.ID, wait-objective, waited, g.Now(), &g.lastReturn),
+	}
+}
+
+// newest returns the least wait of the job by the newest figures, and their age; valid is
+// false if they may refuse nothing.
+func (g *Gate) newest(job *workflow.Job, objective time.Duration) (wait, age time.Duration, valid bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	age, valid = g.age(g.Now())
+	return g.wait(job, objective), age, valid
+}
+
+// waited returns how long ago the job was first refused, as far as the planner or this
+// entry knows.
+func (g *Gate) waited(ctx context.Context, id workflow.ID) time.Duration {
+	here := g.refused.Refused(id, g.Now())
+	ctx, cancel := context.WithTimeout(ctx, readPatience)
+	defer cancel()
+	anywhere, err := g.Refused(ctx, id)
+	if err != nil {
+		g.Log.Debug().Str("event", "refusalNotTold").Str("request", string(id)).Err(err).Send()
 	}
+	return max(here, anywhere)
 }
 
 // mayRefuse reports whether the job is of a kind that may be refused: it needs accelerators
@@ -253,5 +276,5 @@
 	g.Log.Info().Str("event", "callRefused").Str("request", string(job.ID)).Str("reason", "expectedWait").
 		Str("queue", job.Queue).Str("organisation", job.Organisation).Int("priority", job.Priority).
 		Int("acceleratorsPerTask", member).Int("accelerators", total).Dur("wait", r.Wait).Dur("objective", r.Objective).
-		Dur("age", r.Age).Dur("retryAfter", r.RetryAfter).Int("unlogged", unlogged).Send()
+		Dur("age", r.Age).Dur("waited", r.Waited).Dur("retryAfter", r.RetryAfter).Int("unlogged", unlogged).Send()
 }
--- a/coordination/backlog/gate_test.go
+++ b/coordination/backlog/gate_test.go
@@ -29,6 +29,11 @@
 	return j
 }
 
+// noPlanner is the answer to a refusal that no planner hears of.
+func noPlanner(context.Context, workflow.ID) (time.Duration, error) {
+	return 0, errors.New("no planner")
+}
+
 // tooLong is a wait of the class of newJob that is longer than three times its objective.
 var tooLong = backlog.Wait{Service: "render", Priority: 1, Member: 2, Total: 8, Objective: 4 * time.Second, InTime: 5 * time.Second, Late: 13 * time.Second}
 
@@ -102,7 +107,7 @@
 						pause.For(ctx, test.readTakes+10*time.Millisecond)
 						return figures, test.readErr
 					},
-					Now: time.Now, Guarantee: func(string) int { return test.guarantee }, Log: zerolog.Nop(),
+					Now: time.Now, Guarantee: func(string) int { return test.guarantee }, Log: zerolog.Nop(), Refused: noPlanner,
 				}
 				go g.Run(ctx)
 				if !test.noHint {
@@ -153,7 +158,7 @@
 						}
 						return figures, nil
 					},
-					Now: time.Now, Guarantee: func(string) int { return 0 }, Log: zerolog.Nop(),
+					Now: time.Now, Guarantee: func(string) int { return 0 }, Log: zerolog.Nop(), Refused: noPlanner,
 				}
 				go g.Run(ctx)
 				for i := 0; time.Since(began) < 20*time.Second; i++ {
@@ -185,55 +190,39 @@
 			Read: func(context.Context) (backlog.Figures, error) {
 				return backlog.Figures{Waits: []backlog.Wait{long}, At: time.Now()}, nil
 			},
-			Now: time.Now, Guarantee: func(string) int { return 0 }, Log: zerolog.Nop(),
+			Now: time.Now, Guarantee: func(string) int { return 0 }, Log: zerolog.Nop(), Refused: noPlanner,
 		}
 		go g.Run(ctx)
 		g.NoteWaiting()
-		const jobs = 200
-		before := time.Duration(0)
-		for wave := range 4 {
-			// The jobs of the last wave come for the first time, the others again.
-			first, last := time.Duration(0), time.Duration(0)
+		const jobs, waves = 200, 3
+		for wave := range waves {
 			times := make(map[time.Duration]int)
 			for i := range jobs {
 				refusal := g.Check(ctx, newJob(wave*jobs+i, nil))
-				if refusal == nil || refusal.RetryAfter%time.Second != 0 || refusal.RetryAfter < time.Second || refusal.RetryAfter > time.Minute {
-					t.Fatalf("wave %d, job %d: %v, want a refusal with whole seconds up to a minute", wave, i, refusal)
+				if refusal == nil || refusal.RetryAfter%time.Second != 0 || refusal.RetryAfter < 40*time.Second || refusal.RetryAfter > time.Minute {
+					t.Fatalf("wave %d, job %d: %v, want a refusal with whole seconds from 40 s to a minute", wave, i, refusal)
 				}
 				times[refusal.RetryAfter]++
-				if i == 0 {
-					first, last = refusal.RetryAfter, refusal.RetryAfter
-				}
-				first, last = min(first, refusal.RetryAfter), max(last, refusal.RetryAfter)
 			}
 			for at, count := range times {
-				if count > jobs/10 {
+				if count > jobs/5 {
 					t.Errorf("wave %d: %d of %d callers return after %v", wave, count, jobs, at)
 				}
 			}
-			if wave == 0 {
-				before = last
-			}
-			if first < 40*time.Second || last > time.Minute {
-				t.Errorf("wave %d: first return after %v, last after %v, want 40 s to a minute", wave, first, last)
-			}
-			time.Sleep(5 * time.Second)
+			time.Sleep(4 * time.Second)
 		}
-		// Those of the first wave have now waited for 20 s, those of the last for 5 s.
+		// Those of the first wave have now waited for 12 s, those of the last for 4 s.
 		previous := time.Duration(0)
-		for wave := range 4 {
+		for wave := range waves {
+			latest := time.Duration(0)
 			for i := range jobs {
 				refusal := g.Check(ctx, newJob(wave*jobs+i, nil))
-				if refusal == nil || refusal.RetryAfter < previous {
-					t.Fatalf("wave %d, job %d: %v, want a refusal with a time of at least %v, as of those who waited longer", wave, i, refusal, previous)
+				if refusal == nil || refusal.RetryAfter < previous || refusal.RetryAfter >= 40*time.Second {
+					t.Fatalf("wave %d, job %d: %v, want a refusal with a time between %v and that of new ones", wave, i, refusal, previous)
 				}
+				latest = max(latest, refusal.RetryAfter)
 			}
-			for i := range jobs {
-				previous = max(previous, g.Check(ctx, newJob(wave*jobs+i, nil)).RetryAfter)
-			}
-		}
-		if previous >= before {
-			t.Errorf("the last return of those who came again is after %v, that of new ones after %v", previous, before)
+			previous = latest
 		}
 	})
 }
--- a/coordination/backlog/harness_test.go
+++ b/coordination/backlog/harness_test.go
@@ -19,7 +19,6 @@
 	workers, perWorker = 16, 8
 	entries            = 10
 	round              = 100 * time.Millisecond
-	burst              = 40 * time.Second
 	dayLength          = 100 * time.Second
 	// patience is how long a caller comes back.
 	patience = 60 * time.Second
@@ -50,17 +49,19 @@
 // site is a planner, its workers and entries in virtual time.
 type site struct {
 	policy
-	began   time.Time
-	free    [workers]int
-	waiting []*simJob
-	running []*simJob
-	done    []*simJob
-	refused []*simJob
-	figures backlog.Figures
-	gates   []*backlog.Gate
-	// withRoom counts the refusals of a job for which room was free, returned the jobs that
-	// were accepted after a refusal.
-	withRoom, returned int
+	began     time.Time
+	free      [workers]int
+	waiting   []*simJob
+	running   []*simJob
+	done      []*simJob
+	refused   []*simJob
+	figures   backlog.Figures
+	returns   backlog.Returns
+	sustained backlog.Sustained
+	gates     []*backlog.Gate
+	// withRoom counts the refusals of a job for which room was free, accepted the jobs that
+	// were accepted after a refusal, reads those of the figures.
+	withRoom, accepted, reads int
 }
 
 func newSite(ctx context.Context, p policy) *site {
@@ -72,9 +73,13 @@
 		g := &backlog.Gate{
 			Read: func(context.Context) (backlog.Figures, error) {
 				time.Sleep(4 * time.Millisecond)
+				s.reads++
 				return s.figures, nil
 			},
 			Now: time.Now, Guarantee: func(string) int { return 0 }, Log: zerolog.Nop(),
+			Refused: func(_ context.Context, id workflow.ID) (time.Duration, error) {
+				return s.returns.Refused(id, time.Now()), nil
+			},
 		}
 		go g.Run(ctx)
 		s.gates = append(s.gates, g)
@@ -82,16 +87,34 @@
 	return s
 }
 
-// day returns the jobs of a day with the load of the burst, relative to the capacity, and of
-// the rest, in the order of arrival.
-func day(seed uint64, burstLoad, load float64) (jobs []*simJob) {
+// mix is the kind of jobs of a day, each shape and each priority as often as it is listed.
+type mix struct {
+	// shapes holds the accelerators of a task and the number of tasks.
+	shapes     [][2]int
+	priorities []int
+	// load is that of the burst, relative to the capacity, and burst how long it lasts.
+	load  float64
+	burst time.Duration
+}
+
+// meanWork returns the mean work of a job in accelerator-seconds: run times have a median
+// of 2 s, and are spread by 0.5 and, against what was declared, by 0.3.
+func (m *mix) meanWork() (work float64) {
+	for _, shape := range m.shapes {
+		work += float64(shape[0]*shape[1]) / float64(len(m.shapes))
+	}
+	return 2 * math.Exp((0.5*0.5+0.3*0.3)/2) * work
+}
+
+// day returns the jobs of a day with a burst and half of the load that fits after it, in
+// the order of arrival.
+func (m *mix) day(seed uint64) (jobs []*simJob) {
 	random := rand.New(rand.NewPCG(seed, 7))
-	shapes := [][2]int{{1, 1}, {4, 1}, {8, 1}, {8, 4}}
 	at := time.Duration(0)
 	for at < dayLength-patience/2 {
-		shape := shapes[random.IntN(len(shapes))]
+		shape := m.shapes[random.IntN(len(m.shapes))]
+		priority := m.priorities[random.IntN(len(m.priorities))]
 		estimate := time.Duration(2 * math.Exp(0.5*random.NormFloat64()) * float64(time.Second))
-		priority := []int{0, 1, 1, 1, 2, 2, 2}[random.IntN(7)]
 		j := &simJob{
 			Job: &workflow.Job{
 				ID: workflow.ID(fmt.Sprintf("%016x", random.Uint64())), Service: "render", Priority: priority,
@@ -102,12 +125,11 @@
 			runTime: time.Duration(math.Exp(0.3*random.NormFloat64()) * float64(estimate)),
 		}
 		jobs = append(jobs, j)
-		current := load
-		if at < burst {
-			current = burstLoad
+		load := 0.5
+		if at < m.burst {
+			load = m.load
 		}
-		// The mean work of a job: 11.25 accelerators for 2.27 s.
-		at += time.Duration(random.ExpFloat64() * 11.25 * 2.27 / (current * workers * perWorker) * float64(time.Second))
+		at += time.Duration(random.ExpFloat64() * m.meanWork() / (load * workers * perWorker) * float64(time.Second))
 	}
 	return jobs
 }
@@ -153,7 +175,7 @@
 	refusal := gate.Check(ctx, j.Job)
 	if refusal == nil {
 		if j.refusedAt > 0 {
-			s.returned++
+			s.accepted++
 		}
 		j.start = at
 		s.waiting = append(s.waiting, j)
@@ -245,12 +267,12 @@
 			continue
 		}
 		load.Waiting = append(load.Waiting, backlog.Group{
-			Priority: j.Priority, Member: j.member, Total: j.member * j.tasks, RunTime: time.Duration(certain * float64(j.Steps[0].Estimate)),
+			Priority: j.Priority, Member: j.member, Total: j.member * j.tasks, RunTime: time.Duration(certain * float64(j.Steps[0].Estimate)), Estimate: j.Steps[0].Estimate,
 			Objective: j.objective(), Deadline: j.deadline() - at, Late: at+j.Steps[0].Estimate > j.deadline(),
 		})
 	}
 	for _, j := range s.running {
 		load.Running = append(load.Running, backlog.Run{Priority: j.Priority, Accelerators: j.member * j.tasks, Left: time.Duration(certain * float64(j.ended-at))})
 	}
-	s.figures = backlog.Figures{Waits: backlog.Estimate(load), At: time.Now()}
+	s.figures = backlog.Figures{Waits: s.sustained.Filter(time.Now(), backlog.Estimate(load)), At: time.Now()}
 }
