Publish the waits of new jobs, and refuse at the entries by them

Entries could not know that a job would wait until it counts for nothing. The planner now estimates the waits each second from its queue and its workers and adds them to the record at the key pending. An entry reads it when the planner's answer to an accepted job says that some are to be refused, at most once a second; without that it reads nothing. A refused job is looked up first, as one that was accepted before runs and must not hear "not run". The planner remembers refusals, so that a caller which returns to another entry keeps its turn.

jobstore_test.go: SavePending and Pending take and return backlog.Figures in place of a map; what is checked is unchanged.

--- a/coordination/backlog/gate_test.go
+++ b/coordination/backlog/gate_test.go
@@ -114,7 +114,7 @@
 					g.NoteWaiting()
 				}
 				if test.then > 0 {
-					g.Check(ctx, newJob(1, nil))
+					_ = g.Check(ctx, newJob(1, nil))
 					time.Sleep(test.then)
 				}
 				if refusal := g.Check(ctx, newJob(2, test.job)); (refusal != nil) != test.refused {
@@ -166,7 +166,7 @@
 					if time.Since(began) >= test.hint && time.Since(began) < test.hint+time.Second {
 						g.NoteWaiting()
 					}
-					g.Check(ctx, newJob(i, nil))
+					_ = g.Check(ctx, newJob(i, nil))
 				}
 				cancel()
 				synctest.Wait()
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/policy"
 	"comfreystream/state"
@@ -24,7 +25,9 @@
 	Accepted  func(job *workflow.Job)
 	Cancelled func(id workflow.ID)
 	Count     func(reason state.Reason)
-	Log       zerolog.Logger
+	// Gate refuses jobs that would start too late to count for anything.
+	Gate *backlog.Gate
+	Log  zerolog.Logger
 }
 
 // Call holds what selects the queue and the organisation of a request.
@@ -111,6 +114,9 @@
 			Str("reason", string(state.Unsupported)).Str("queue", q.Name).Send()
 		return i.refuse("submit a job", state.Unsupported, nil)
 	}
+	if refusal := i.shed(ctx, job); refusal != nil {
+		return i.refuse("submit a job", state.ExpectedWait, refusal)
+	}
 	err := i.JobStore.Accept(ctx, job)
 	i.logRequest("jobSubmitted", job.ID, err, func(line *zerolog.Event) {
 		line.Str("queue", q.Name).Str("organisation", target.Organisation).Int64("version", target.Version)
@@ -121,6 +127,21 @@
 	return i.storeError("submit a job", err)
 }
 
+// shed returns why the job must not be accepted, or nil. A job that is stored already, or
+// may be, is never refused: it runs, so that "not run" would not be true.
+func (i *Intake) shed(ctx context.Context, job *workflow.Job) *backlog.Refusal {
+	refusal := i.Gate.Check(ctx, job)
+	if refusal == nil {
+		return nil
+	}
+	if stored, err := i.JobStore.Stored(ctx, job.ID); stored || err != nil {
+		i.Log.Info().Str("event", "refusalDropped").Str("request", string(job.ID)).Bool("stored", stored).Err(err).Send()
+		return nil
+	}
+	i.Gate.LogRefusal(job, refusal)
+	return refusal
+}
+
 // Cancel stores a cancellation of a job; the error's reason is unknownJob if there
 // is no such job.
 func (i *Intake) Cancel(ctx context.Context, id workflow.ID) error {
@@ -157,7 +178,7 @@
 	if err != nil {
 		return 0, i.storeError("count waiting jobs", err)
 	}
-	return pending[target.Queue.Name], nil
+	return pending.Pending[target.Queue.Name], nil
 }
 
 // logRequest logs the outcome of a request about a job; addFields, if not nil, adds
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/pause"
 	"comfreystream/state"
@@ -89,15 +90,21 @@
 	return workflow.Queued, known, err
 }
 
-// Pending returns the number of jobs without a started task, by queue. While no
-// planner counts them, it returns an error with the reason noPlanner.
-func (st *Store) Pending(ctx context.Context) (pending map[string]int, err error) {
+// Stored reports whether the job is stored.
+func (st *Store) Stored(ctx context.Context, id workflow.ID) (bool, error) {
+	_, known, err := st.get(ctx, jobKey(id))
+	return known, err
+}
+
+// Pending returns the planner's figures of the waiting jobs. While no planner counts
+// them, it returns an error with the reason noPlanner.
+func (st *Store) Pending(ctx context.Context) (backlog.Figures, error) {
 	item, known, err := st.get(ctx, pendingKey)
 	if err != nil {
-		return nil, err
+		return backlog.Figures{}, err
 	}
 	if !known {
-		return nil, state.NewStepError("read the numbers of waiting jobs", netip.AddrPort{}, state.NoPlanner, nil)
+		return backlog.Figures{}, state.NewStepError("read the numbers of waiting jobs", netip.AddrPort{}, state.NoPlanner, nil)
 	}
 	return st.DecodePending(item.Value)
 }
--- a/coordination/jobstore/jobstore.go
+++ b/coordination/jobstore/jobstore.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/state/workflow"
 )
@@ -28,8 +29,8 @@
 	EncodeProgress func(progress workflow.Progress) ([]byte, error)
 	DecodeProgress func(text []byte) (workflow.Progress, error)
 	DecodeStatus   func(text []byte) (workflow.Status, error)
-	EncodePending  func(pending map[string]int) ([]byte, error)
-	DecodePending  func(text []byte) (map[string]int, error)
+	EncodePending  func(figures backlog.Figures) ([]byte, error)
+	DecodePending  func(text []byte) (backlog.Figures, error)
 }
 
 func jobKey(id workflow.ID) string    { return intakePrefix + string(id) + jobSuffix }
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
@@ -248,10 +249,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := st.SavePending(t.Context(), keyvalue.Condition{Key: "seat"}, lease, map[string]int{"q": 3}); err != nil {
+	if err := st.SavePending(t.Context(), keyvalue.Condition{Key: "seat"}, lease, backlog.Figures{Pending: map[string]int{"q": 3}}); err != nil {
 		t.Fatal(err)
 	}
-	if pending, err := st.Pending(t.Context()); err != nil || pending["q"] != 3 {
+	if pending, err := st.Pending(t.Context()); err != nil || pending.Pending["q"] != 3 {
 		t.Errorf("pending %v, %v", pending, err)
 	}
 	if err := calls.Revoke(t.Context(), lease); err != nil {
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/state"
@@ -277,10 +278,10 @@
 	return err
 }
 
-// SavePending stores the number of jobs without a started task, by queue, until the
-// lease ends, which is that of the term.
-func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, lease keyvalue.LeaseID, pending map[string]int) error {
-	text, err := st.EncodePending(pending)
+// SavePending stores the figures of the waiting jobs until the lease ends, which is that
+// of the term.
+func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, lease keyvalue.LeaseID, figures backlog.Figures) error {
+	text, err := st.EncodePending(figures)
 	if err != nil {
 		return err
 	}
--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -8,9 +8,10 @@
 	// Workers counts the registered workers, Silent those of them whose newest report
 	// is too old for placing tasks there, Evacuated those in an evacuated zone.
 	Workers, Silent, Evacuated int
-	// Waiting counts the groups that wait to be placed, StartsPending the starts
-	// without an answer, Unsaved the jobs whose progress is not stored yet.
-	Waiting, StartsPending, Unsaved int
+	// Waiting counts the groups that wait to be placed, Expired those of them whose jobs
+	// count for nothing any more, StartsPending the starts without an answer, Unsaved the
+	// jobs whose progress is not stored yet.
+	Waiting, Expired, StartsPending, Unsaved int
 	// LongestRound is the longest planning round since the last call of Loads.
 	LongestRound time.Duration
 	// RenewWait is how long a worker may wait before it answers a renewal.
@@ -43,8 +44,12 @@
 		}
 	}
 	for g := range p.work.unstarted {
-		if g.phase == waiting {
-			l.Waiting++
+		if g.phase != waiting {
+			continue
+		}
+		l.Waiting++
+		if g.expired(now) {
+			l.Expired++
 		}
 	}
 	return l
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/election"
 	"comfreystream/coordination/intake"
 	"comfreystream/coordination/jobstore"
@@ -53,6 +54,7 @@
 	jobStore        *jobstore.Store
 	plannerJobStore *jobstore.Store
 	speedStore      *speed.Store
+	gate            *backlog.Gate
 	candidate       *election.Candidate
 	term            atomic.Pointer[term]
 	plannerClient   *peer.PlannerClient
@@ -92,6 +94,7 @@
 	i.jobStore = record.NewJobStore(i.store, valueBytes)
 	i.plannerJobStore = record.NewJobStore(i.directStore, valueBytes)
 	i.speedStore = record.NewSpeedStore(i.directStore, valueBytes)
+	i.gate = &backlog.Gate{Read: i.jobStore.Pending, Now: time.Now, Guarantee: i.guarantee, Refused: i.notifyRefused, Log: log}
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
@@ -104,6 +107,7 @@
 	i.initialised.Store(true)
 	i.loops.Go(func() { i.policy.Run(i.ctx) })
 	i.loops.Go(func() { i.candidate.Run(i.ctx) })
+	i.loops.Go(func() { i.gate.Run(i.ctx) })
 	log.Info().Str("event", "entryStarted").Str("instance", s.Instance).Stringer("address", i.Callers()).
 		Str("availabilityZone", s.AvailabilityZone).Send()
 	return i, nil
@@ -116,7 +120,7 @@
 	front := &platform.CallerHandler{
 		Intake: &intake.Intake{
 			Policy: i.policy, JobStore: i.jobStore, Now: time.Now, Accepted: i.notifyAccepted, Cancelled: i.notifyCancelled,
-			Count: i.metrics.CountRefusal, Log: i.log,
+			Count: i.metrics.CountRefusal, Gate: i.gate, Log: i.log,
 		},
 		Log:     i.log,
 		Observe: i.metrics.ObserveRequest,
@@ -153,7 +157,10 @@
 	status := func(ctx context.Context, request election.StatusRequest) election.TermStatus {
 		return i.candidate.Status(ctx, request)
 	}
-	forPeers := (&peer.PlannerService{TermStatus: status, NotifyAccepted: i.handleAccepted, NotifyCancelled: i.handleCancelled, Store: i.peerStore}).Handler()
+	forPeers := (&peer.PlannerService{
+		TermStatus: status, NotifyAccepted: i.handleAccepted, NotifyCancelled: i.handleCancelled, NotifyRefused: i.handleRefused,
+		Store: i.peerStore,
+	}).Handler()
 	return func(ctx *fasthttp.RequestCtx) {
 		switch {
 		case strings.HasPrefix(string(ctx.Path()), peer.PathPrefix):
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -54,12 +54,22 @@
 
 // notifyAccepted notifies the planner of an accepted job without waiting for it.
 func (i *Instance) notifyAccepted(job *workflow.Job) {
-	i.notifyPlanner(job.ID, func(t *term) { t.addJob(job) }, func(ctx context.Context, planner netip.AddrPort) error {
+	local := func(t *term) {
+		t.addJob(job)
+		if t.refuses() {
+			i.gate.NoteWaiting()
+		}
+	}
+	i.notifyPlanner(job.ID, local, func(ctx context.Context, planner netip.AddrPort) error {
 		text, err := record.EncodeSubmission(job)
 		if err != nil {
 			return err
 		}
-		return i.plannerClient.NotifyAccepted(ctx, planner, job.ID, text)
+		waiting, err := i.plannerClient.NotifyAccepted(ctx, planner, job.ID, text)
+		if waiting {
+			i.gate.NoteWaiting()
+		}
+		return err
 	})
 }
 
@@ -91,16 +101,19 @@
 	})
 }
 
-// handleAccepted handles another entry's notification of an accepted job.
-func (i *Instance) handleAccepted(id workflow.ID, text []byte) error {
+// handleAccepted handles another entry's notification of an accepted job. It returns
+// whether new jobs wait so long that some are to be refused.
+func (i *Instance) handleAccepted(id workflow.ID, text []byte) (waiting bool, err error) {
 	job, err := record.DecodeSubmission(id, text)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if t := i.term.Load(); t != nil {
-		t.addJob(job)
+	t := i.term.Load()
+	if t == nil {
+		return false, nil
 	}
-	return nil
+	t.addJob(job)
+	return t.refuses(), nil
 }
 
 // handleCancelled handles another entry's notification of a cancellation.
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/election"
 	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
@@ -24,9 +24,6 @@
 	registryInterval = 500 * time.Millisecond
 	// registryTimeout bounds one read of the registry.
 	registryTimeout = 1200 * time.Millisecond
-	// pendingInterval is the time between checks whether the numbers of waiting jobs
-	// have changed and must be stored.
-	pendingInterval = time.Second
 	// loadInterval is the time between log lines on the planner's load.
 	loadInterval = 5 * time.Second
 	// deleteInterval is the time between deletions of ended jobs.
@@ -50,6 +47,12 @@
 	loaded   chan struct{}
 	// zones holds the availability zones of the registered workers; nil is not read yet.
 	zones atomic.Pointer[map[string]bool]
+	// waits holds the newest waits by which jobs are refused; nil is none yet. observed
+	// holds their gauges, for savePending alone.
+	waits    atomic.Pointer[[]backlog.Wait]
+	observed map[waitKey]time.Duration
+	// returns remembers the refused jobs of all entries.
+	returns backlog.Returns
 	// listed starts the other loops after the first listing of the stored jobs.
 	listed sync.Once
 }
@@ -184,32 +187,16 @@
 	return workers
 }
 
-// savePending stores the numbers of waiting jobs whenever they have changed.
-func (t *term) savePending() {
-	i := t.instance
-	var last map[string]int
-	for t.ctx.Err() == nil {
-		pending := t.scheduler.Pending()
-		if (last == nil || !maps.Equal(pending, last)) && i.candidate.Valid(t.condition.Revision) {
-			if err := i.plannerJobStore.SavePending(t.ctx, t.condition, i.candidate.Lease(), pending); err == nil {
-				last = pending
-			} else if t.ctx.Err() == nil {
-				i.log.Warn().Str("event", "pendingNotRecorded").Err(err).Send()
-			}
-		}
-		pause.For(t.ctx, pendingInterval)
-	}
-}
-
 // logLoad logs how much the planner has to do, so that a planner under strain can be
 // told from one that is cut off.
 func (t *term) logLoad() {
 	for pause.For(t.ctx, loadInterval) {
 		for _, l := range t.scheduler.Loads() {
 			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
-				Int("workers", l.Workers).Int("silent", l.Silent).Int("evacuated", l.Evacuated).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
+				Int("workers", l.Workers).Int("silent", l.Silent).Int("evacuated", l.Evacuated).Int("waiting", l.Waiting).Int("expired", l.Expired).Int("startsPending", l.StartsPending).
 				Int("unsaved", l.Unsaved).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
 		}
+		t.logWaits()
 	}
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -105,6 +105,12 @@
 	m.Root.Histogram("planning_round_seconds", requestBuckets).RecordDuration(took)
 }
 
+// SetExpectedWait sets how long new jobs of a service and priority wait at least where some
+// are refused for it.
+func (m *Metrics) SetExpectedWait(service, priority string, wait time.Duration) {
+	m.Root.Tagged(map[string]string{"service": service, "priority": priority}).Gauge("expected_wait_seconds").Update(wait.Seconds())
+}
+
 // requestBuckets are the upper bounds of the latency histograms, from 1 ms to 4 s.
 var requestBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 
--- a/protocol/peer/planner.go
+++ b/protocol/peer/planner.go
@@ -20,6 +20,7 @@
 	stepStand     = "stand"
 	stepAccepted  = "accepted"
 	stepCancelled = "cancelled"
+	stepRefused   = "refused"
 )
 
 type termStatusRequest struct {
@@ -39,6 +40,15 @@
 	Record []byte      `cbor:"2,keyasint,omitempty"`
 }
 
+// acceptedResponse says whether new jobs wait so long that some are to be refused.
+type acceptedResponse struct {
+	Waiting bool `cbor:"1,keyasint,omitempty"`
+}
+
+type refusedResponse struct {
+	Waited time.Duration `cbor:"1,keyasint"`
+}
+
 // PlannerService holds the handlers that an entry serves to others when one
 // planner plans for all entries; every field must be set.
 type PlannerService struct {
@@ -46,9 +56,12 @@
 	// the result to change.
 	TermStatus func(ctx context.Context, request election.StatusRequest) election.TermStatus
 	// NotifyAccepted and NotifyCancelled notify the planner of a job or a
-	// cancellation that was just written to the store.
-	NotifyAccepted  func(id workflow.ID, record []byte) error
+	// cancellation that was just written to the store. NotifyAccepted returns whether new
+	// jobs wait so long that some are to be refused.
+	NotifyAccepted  func(id workflow.ID, record []byte) (waiting bool, err error)
 	NotifyCancelled func(id workflow.ID)
+	// NotifyRefused notes that a job was refused, and returns how long ago it first was.
+	NotifyRefused func(id workflow.ID) (time.Duration, error)
 	// Store serves entries that cannot reach the store themselves.
 	Store *keyvalue.Store
 }
@@ -59,13 +72,18 @@
 	handle(mux, stepStand, func(ctx context.Context, r termStatusRequest) (termStatusResponse, error) {
 		return termStatusResponse{s.TermStatus(ctx, election.StatusRequest(r))}, nil
 	})
-	handle(mux, stepAccepted, func(_ context.Context, r jobNotification) (emptyMessage, error) {
-		return emptyMessage{}, s.NotifyAccepted(r.Job, r.Record)
+	handle(mux, stepAccepted, func(_ context.Context, r jobNotification) (acceptedResponse, error) {
+		waiting, err := s.NotifyAccepted(r.Job, r.Record)
+		return acceptedResponse{waiting}, err
 	})
 	handle(mux, stepCancelled, func(_ context.Context, r jobNotification) (emptyMessage, error) {
 		s.NotifyCancelled(r.Job)
 		return emptyMessage{}, nil
 	})
+	handle(mux, stepRefused, func(_ context.Context, r jobNotification) (refusedResponse, error) {
+		waited, err := s.NotifyRefused(r.Job)
+		return refusedResponse{waited}, err
+	})
 	handleStore(mux, s.Store)
 	return transport.AdaptHandler(mux)
 }
@@ -74,8 +92,9 @@
 // concurrent use.
 type PlannerClient struct {
 	termStatus procedure[termStatusRequest, termStatusResponse]
-	accepted   procedure[jobNotification, emptyMessage]
+	accepted   procedure[jobNotification, acceptedResponse]
 	cancelled  procedure[jobNotification, emptyMessage]
+	refused    procedure[jobNotification, refusedResponse]
 }
 
 // NewPlannerClient returns a PlannerClient that sends its calls over the transport client.
@@ -83,8 +102,9 @@
 	h := transport.HTTPClient{Client: client}
 	return &PlannerClient{
 		termStatus: newProcedure[termStatusRequest, termStatusResponse](h, stepStand),
-		accepted:   newProcedure[jobNotification, emptyMessage](h, stepAccepted),
+		accepted:   newProcedure[jobNotification, acceptedResponse](h, stepAccepted),
 		cancelled:  newProcedure[jobNotification, emptyMessage](h, stepCancelled),
+		refused:    newProcedure[jobNotification, refusedResponse](h, stepRefused),
 	}
 }
 
@@ -98,10 +118,18 @@
 	return response.Status, err
 }
 
-// NotifyAccepted notifies the planner of an accepted job whose record is in the store.
-func (c *PlannerClient) NotifyAccepted(ctx context.Context, peer netip.AddrPort, id workflow.ID, record []byte) error {
-	_, err := c.accepted.call(ctx, peer, jobNotification{Job: id, Record: record})
-	return err
+// NotifyAccepted notifies the planner of an accepted job whose record is in the store. It
+// returns whether new jobs wait so long that some are to be refused.
+func (c *PlannerClient) NotifyAccepted(ctx context.Context, peer netip.AddrPort, id workflow.ID, record []byte) (waiting bool, err error) {
+	response, err := c.accepted.call(ctx, peer, jobNotification{Job: id, Record: record})
+	return response.Waiting, err
+}
+
+// NotifyRefused tells the planner that a job was refused, and returns how long ago it was
+// first refused by any entry.
+func (c *PlannerClient) NotifyRefused(ctx context.Context, peer netip.AddrPort, id workflow.ID) (time.Duration, error) {
+	response, err := c.refused.call(ctx, peer, jobNotification{Job: id})
+	return response.Waited, err
 }
 
 // NotifyCancelled notifies the planner of a cancellation that is in the store.
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -227,15 +227,3 @@
 	err := cbor.Unmarshal(data, &r)
 	return r.Status, errors.Wrap(err, "decode progress")
 }
-
-// EncodePending returns the encoded record of the number of waiting jobs by queue.
-func EncodePending(pending map[string]int) ([]byte, error) {
-	data, err := cbor.Marshal(pending)
-	return data, errors.Wrap(err, "encode waiting jobs")
-}
-
-// DecodePending returns the number of waiting jobs by queue in a record.
-func DecodePending(data []byte) (pending map[string]int, err error) {
-	err = cbor.Unmarshal(data, &pending)
-	return pending, errors.Wrap(err, "decode waiting jobs")
-}
--- a/state/reason.go
+++ b/state/reason.go
@@ -34,6 +34,7 @@
 	FailsEverywhere     Reason = "failsEverywhere"
 	AmbiguousStart      Reason = "ambiguousStart"
 	NoPlanner           Reason = "noPlanner"
+	ExpectedWait        Reason = "expectedWait"
 )
 
 // The reasons for which an attempt is given up or retried.
@@ -59,7 +60,7 @@
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
 	NoManifest, OlderGeneration, StoreUnavailable, TaskFailed, RetryBudgetSpent, FailsEverywhere,
-	AmbiguousStart, NoPlanner, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
+	AmbiguousStart, NoPlanner, ExpectedWait, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
 	ZoneEvacuated,
 }
