Bound the processor time of an estimate of waits

Each class summed the work again after each group that it passes: quadratic in the waiting groups, under a planner that may have 0.2 cores.

--- a/coordination/backlog/backlog.go
+++ b/coordination/backlog/backlog.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 	// Waiting holds the groups that wait to be placed and whose jobs still count.
 	Waiting []Group
 	Running []Run
+	// byPassing holds the waiting groups in the order in which other jobs pass them.
+	byPassing []*Group
 }
 
 // Group is a group that waits to be placed. Its times are counted from now.
@@ -85,12 +88,16 @@
 type class struct{ priority, member, total int }
 
 // Estimate returns the waits of the service by which a job may be refused, the longest
-// first. Each is a lower bound as long as the run times are: it counts only work that goes
+// first. It reorders the waiting groups. Each is a lower bound as long as the run times are: it counts only work that goes
 // first and would take the room that the class could use, lets that work fill all
 // accelerators, and has it unfinished where it can be when the new job starts. Classes for
 // which room is free are left out.
 func Estimate(s *Service) (waits []Wait) {
 	slices.SortFunc(s.Waiting, func(a, b Group) int { return cmp.Compare(b.RunTime, a.RunTime) })
+	for i := range s.Waiting {
+		s.byPassing = append(s.byPassing, &s.Waiting[i])
+	}
+	slices.SortFunc(s.byPassing, func(a, b *Group) int { return cmp.Compare(a.passedAt(), b.passedAt()) })
 	urgent, other := s.supply(true), s.supply(false)
 	for c, objective := range s.classes() {
 		if s.hasRoom(c.member, c.total) {
@@ -149,36 +156,50 @@
 // it has then started, or does not precede it any more. late is set for a job that can no
 // longer be in time.
 func (s *Service) startOf(w *Wait, late bool, supply *supply) time.Duration {
-	var ahead []*Group
 	work := 0.0
 	beside := max(s.Accelerators-w.Total, 0)
 	for i := range s.Waiting { // the longest first, which may run beside the job when it starts
-		g := &s.Waiting[i]
-		if !g.precedes(w, late) || !g.fitsLike(w) {
-			continue
+		if g := &s.Waiting[i]; g.precedes(w, late) && g.fitsLike(w) {
+			running := min(g.Total, beside)
+			beside -= running
+			work += g.RunTime.Seconds() * float64(g.Total-running)
 		}
-		running := min(g.Total, beside)
-		beside -= running
-		work += g.RunTime.Seconds() * float64(g.Total-running)
-		ahead = append(ahead, g)
 	}
-	slices.SortFunc(ahead, func(a, b *Group) int { return cmp.Compare(a.until(w, late), b.until(w, late)) })
-	earliest := supply.delivers(work)
-	for _, g := range ahead {
-		work -= g.RunTime.Seconds() * float64(g.Total)
-		earliest = min(earliest, max(g.until(w, late), supply.delivers(work)))
+	start := supply.delivers(work)
+	if !late {
+		start = min(start, s.startAsOthersTurnLate(w, work, supply))
 	}
-	return max(earliest, supply.reaches(w.Total))
+	return max(start, supply.reaches(w.Total))
 }
 
-// until returns how long the group precedes a job of the class at least. A job that can be
-// in time passes groups that no longer can, unless they are urgent. That those ahead of a
-// late job may expire is left out: jobs are refused so that the accepted ones do not.
-func (g *Group) until(w *Wait, late bool) time.Duration {
-	switch {
-	case late:
-		return maxWait
-	case g.Priority == 0 && w.Priority > 0:
+// startAsOthersTurnLate returns the least time after which a job of the class that can be in
+// time starts, as it passes the groups ahead that no longer can. That those ahead of a late
+// job may expire is left out: jobs are refused so that the accepted ones do not.
+func (s *Service) startAsOthersTurnLate(w *Wait, work float64, supply *supply) time.Duration {
+	var passed []time.Duration
+	var left []float64 // after as many groups are passed
+	for _, g := range s.byPassing {
+		if g.precedes(w, false) && g.fitsLike(w) {
+			work -= g.RunTime.Seconds() * float64(g.Total)
+			passed, left = append(passed, g.passedAt()), append(left, work)
+		}
+	}
+	// The more groups are passed, the later that is, and the sooner the others are started.
+	i := sort.Search(len(passed), func(i int) bool { return passed[i] >= supply.delivers(left[i]) })
+	start := time.Duration(math.MaxInt64)
+	if i < len(passed) {
+		start = passed[i]
+	}
+	if i > 0 {
+		start = min(start, supply.delivers(left[i-1]))
+	}
+	return start
+}
+
+// passedAt returns when less urgent jobs that can be in time pass the group: when it is
+// late, or counts for nothing if it is urgent.
+func (g *Group) passedAt() time.Duration {
+	if g.Priority == 0 {
 		return g.Deadline + (ExpiryFactor-1)*g.Objective
 	}
 	return g.Deadline - g.Estimate
