--- a/state/reason.go
+++ b/state/reason.go
@@ -36,7 +36,8 @@
 	AmbiguousStart      Reason = "ambiguousStart"
 	NoPlanner           Reason = "noPlanner"
 	// OverBudget is for what clients make an instance hold beyond its memory.
-	OverBudget Reason = "overBudget"
+	OverBudget   Reason = "overBudget"
+	ExpectedWait Reason = "expectedWait"
 )
 
 // The reasons for which an attempt is given up or retried.
@@ -62,7 +63,7 @@
 	OverQuota, OverBurst, QueueFull, DeadlineTooClose, DeadlinePassed, ShedByShare, ShedByUrgency,
 	DuplicateKey, ClaimUnavailable, NotDurable, Cancelled, Draining, HomeUnreachable,
 	NoManifest, OlderGeneration, StoreUnavailable, TooManyCalls, TaskFailed, RetryBudgetSpent, FailsEverywhere,
-	AmbiguousStart, NoPlanner, OverBudget, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
+	AmbiguousStart, NoPlanner, OverBudget, ExpectedWait, LeaseRefused, LeaseLapsed, StaleToken, WorkerLeaving, WorkerLost,
 	WorkerFailed, WorkerSilent, Reclaimed, RackMoved, HomeMoved, ConnectionLost,
 	ZoneEvacuated,
 }
