Keep a file's order and places for checks after decoding

Cause: a decoded manifest is sorted and its document is gone, so that a check of whole values cannot name a line. Change: manifest.DecodeInOrder keeps the file's order and returns the document; document.Problem finds the place of a field, or of the closest value around it. Decode sorts as before.

--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -18,6 +18,7 @@
 type Document struct {
 	name     string
 	data     []byte
+	root     *hujson.Value
 	problems []Problem
 }
 
@@ -38,6 +39,7 @@
 		d.problems = append(d.problems, d.syntaxProblem(err))
 		return d, Node{}, d.Err()
 	}
+	d.root = &value
 	return d, Node{document: d, value: &value}, nil
 }
 
@@ -53,11 +55,32 @@
 	if len(d.problems) == maxProblems {
 		return
 	}
-	line := 1 + bytes.Count(d.data[:offset], []byte("\n"))
-	column := offset - bytes.LastIndexByte(d.data[:offset], '\n')
-	d.problems = append(d.problems, Problem{
-		File: d.name, Line: line, Column: column, Field: field, Message: message, Remedy: remedy,
-	})
+	d.problems = append(d.problems, d.ProblemAt(offset, field, message, remedy))
+}
+
+// ProblemAt returns a problem at an offset in bytes, which is bounded by the file's length.
+func (d *Document) ProblemAt(offset int, field, message, remedy string) Problem {
+	before := d.data[:min(max(offset, 0), len(d.data))]
+	return Problem{
+		File: d.name, Line: 1 + bytes.Count(before, []byte("\n")), Column: len(before) - bytes.LastIndexByte(before, '\n'),
+		Field: field, Message: message, Remedy: remedy,
+	}
+}
+
+// pointer turns a field's path into a JSON pointer (RFC 6901).
+var pointer = strings.NewReplacer(".", "/", "[", "/", "]", "")
+
+// Problem returns a problem at a field, such as routes[0].name, or at the closest value
+// around it that the file has.
+func (d *Document) Problem(field, message, remedy string) Problem {
+	path := "/" + pointer.Replace(field)
+	for path != "" {
+		if value := d.root.Find(path); value != nil {
+			return d.ProblemAt(value.StartOffset, field, message, remedy)
+		}
+		path = path[:strings.LastIndexByte(path, '/')]
+	}
+	return d.ProblemAt(d.root.StartOffset, field, message, remedy)
 }
 
 // syntaxProblem extracts line and column from the parser's message, the only
--- a/protocol/manifest/decode.go
+++ b/protocol/manifest/decode.go
@@ -24,15 +24,27 @@
 // messages. An invalid file gives a *document.Error with the position and remedy
 // of each problem. Decode does not check whether the guarantees fit the zones.
 func Decode(name string, data []byte) (*state.Manifest, error) {
-	d, root, err := document.Parse(name, data, maxFileBytes)
+	m, _, err := DecodeInOrder(name, data)
 	if err != nil {
 		return nil, err
 	}
+	slices.Sort(m.Evacuated)
+	slices.SortStableFunc(m.Organisations, func(a, b state.Organisation) int { return cmp.Compare(a.Name, b.Name) })
+	return m, nil
+}
+
+// DecodeInOrder decodes like Decode, but keeps zones and organisations in the file's order, so
+// that their indices are those of the document's fields.
+func DecodeInOrder(name string, data []byte) (*state.Manifest, *document.Document, error) {
+	d, root, err := document.Parse(name, data, maxFileBytes)
+	if err != nil {
+		return nil, nil, err
+	}
 	m := decodeManifest(root)
 	if err := d.Err(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return m, nil
+	return m, d, nil
 }
 
 func decodeManifest(root document.Node) *state.Manifest {
@@ -58,7 +70,6 @@
 	return w
 }
 
-// decodeEvacuated returns the zones in order.
 func decodeEvacuated(n document.Node) (zones []string) {
 	for _, node := range n.List() {
 		zone := node.Name()
@@ -67,7 +78,6 @@
 		}
 		zones = append(zones, zone)
 	}
-	slices.Sort(zones)
 	return zones
 }
 
@@ -83,7 +93,6 @@
 		seen[organisation.Name] = i
 		organisations = append(organisations, organisation)
 	}
-	slices.SortStableFunc(organisations, func(a, b state.Organisation) int { return cmp.Compare(a.Name, b.Name) })
 	return organisations
 }
 
