--- a/protocol/manifest/manifest_test.go
+++ b/protocol/manifest/manifest_test.go
@@ -157,3 +157,21 @@
 		}
 	})
 }
+
+// FuzzDecodeWorkers guards against panics, and racks that a check cannot calculate with.
+func FuzzDecodeWorkers(f *testing.F) {
+	example, err := os.ReadFile("../../docs/examples/texas.workers.jsonc")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Add([]byte(`{"racks": [{"availabilityZone": "z", "workers": 1048576, "capacity": {"memoryBytes": 4398046511104}}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		racks, err := DecodeWorkers("w", data)
+		for _, r := range racks {
+			if err == nil && (r.Workers < 1 || r.AvailabilityZone == "" || r.Capacity.Times(r.Workers).MemoryBytes < 0) {
+				t.Fatalf("decoded %+v", r)
+			}
+		}
+	})
+}
