Ask a closed port in the test of an entry that is away

Cause: the test named port 1, which something may listen on. Change: it takes the port of a server that it has closed. Measured: go test -race of the ten packages that depend on the decoders passes (the command, configcheck, rollout, instance, hosted, platform, manifest, settings, standin/fleet, workload).

--- a/cmd_check_test.go
+++ b/cmd_check_test.go
@@ -25,6 +25,14 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = server.Close() }()
+	closed, err := transport.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(*fasthttp.RequestCtx) {}, transport.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	away := closed.Address().String()
+	if err := closed.Close(); err != nil {
+		t.Fatal(err)
+	}
 	folder := t.TempDir()
 	write := func(name, text string) string {
 		file := filepath.Join(folder, name)
@@ -61,7 +69,7 @@
 		{"the same in force", append(inForce, sound), 0, "well-formed"},
 		{"another in force", append(inForce, share), 0, "differs: organisations[north].share: in force 2, file 3"},
 		{"an older generation", append(inForce, stale), 1, "generation 41 is in force"},
-		{"entry that is away", []string{"--in-force", "--entry", "127.0.0.1:1", sound}, 2, "read the manifest in force"},
+		{"entry that is away", []string{"--in-force", "--entry", away, sound}, 2, "read the manifest in force"},
 		{"against a broken file", []string{"--against", broken, sound}, 2, "quotas"},
 		{"flag without a use", []string{"--kind", "platform", "--in-force", sound}, 2, "--against"},
 		{"settings", []string{"--kind", "settings", "docs/examples/entry-a.json"}, 0, "well-formed settings"},
