Share the store and the keeper of the workers' speeds

Cause: the slowdowns of kinds are kept in the store in the same way.

Change: package modelstore holds the key format, the load, the conditional save and the keeper's loop for any kind of row; speed keeps its interface.

Result: the tests of coordination/speed pass unchanged.

--- a/coordination/speed/keeper.go
+++ b/coordination/speed/keeper.go
@@ -2,21 +2,11 @@
 
 import (
 	"context"
-	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"comfreystream/coordination/keyvalue"
-	"comfreystream/coordination/pause"
-)
-
-const (
-	// saveInterval is the least time between two saves.
-	saveInterval = time.Second
-	// retryInterval is the wait after a failed call: the speeds are never urgent, and the
-	// store may be slow because it has too many calls.
-	retryInterval = 5 * time.Second
+	"comfreystream/coordination/modelstore"
 )
 
 // The counted events.
@@ -49,67 +39,20 @@
 // Run loads once and saves until the context or the term ends. It saves nothing before
 // it has loaded, as it would overwrite what it does not know.
 func (k *Keeper) Run(ctx context.Context) {
-	for !k.load(ctx) {
-		if !pause.For(ctx, retryInterval) {
-			return
-		}
-	}
-	interval := saveInterval
-	for pause.For(ctx, interval) {
-		interval = saveInterval
-		if !k.Authorised() {
-			continue
-		}
-		for _, r := range k.Due(1) {
-			err := k.save(ctx, r)
-			var conflict *keyvalue.ConflictError
-			if errors.As(err, &conflict) {
-				return
+	keeper := &modelstore.Keeper[WorkerSpeed]{
+		Store: k.Store.records(), Term: k.Term, Authorised: k.Authorised,
+		Restore: func(r modelstore.Record[WorkerSpeed]) error { return k.Restore(fromStored(r)) },
+		Due: func(limit int) (due []modelstore.Record[WorkerSpeed]) {
+			for _, r := range k.Due(limit) {
+				due = append(due, r.toStored())
 			}
-			if err != nil {
-				interval = retryInterval
-			}
-		}
-	}
-}
-
-// load reports whether the store was read.
-func (k *Keeper) load(ctx context.Context) bool {
-	records, unreadable, err := k.Store.Load(ctx)
-	if err != nil {
-		if ctx.Err() == nil {
-			k.Log.Warn().Str("event", "speedsNotLoaded").Err(err).Send()
-		}
-		return false
-	}
-	workers := 0
-	for _, r := range records {
-		if err := k.Restore(r); err != nil {
-			unreadable = append(unreadable, err)
-			continue
-		}
-		workers += len(r.Workers)
-	}
-	k.Log.Info().Str("event", "speedsLoaded").Int("records", len(records)).Int("workers", workers).Int("unreadable", len(unreadable)).Send()
-	for range unreadable {
-		k.Count(RecordUnreadable)
-	}
-	if len(unreadable) > 0 {
-		k.Log.Warn().Str("event", RecordUnreadable).Int("records", len(unreadable)).Err(unreadable[0]).Send()
-	}
-	return true
-}
-
-// save saves one record. One that the store refuses counts as saved: it is tried again
-// once it has changed, and holds up no other.
-func (k *Keeper) save(ctx context.Context, r StoredRecord) error {
-	err := k.Store.Save(ctx, k.Term, r)
-	if err == nil || keyvalue.IsRefused(err) {
-		k.Saved(r)
-	}
-	if err != nil && ctx.Err() == nil {
-		k.Count(RecordNotSaved)
-		k.Log.Warn().Str("event", RecordNotSaved).Str("service", r.Service).Int("record", r.Number).Err(err).Send()
-	}
-	return err
+			return due
+		},
+		Saved: func(r modelstore.Record[WorkerSpeed]) { k.Saved(fromStored(r)) },
+		Events: modelstore.Events{
+			Loaded: "speedsLoaded", NotLoaded: "speedsNotLoaded", NotSaved: RecordNotSaved, Unreadable: RecordUnreadable, Rows: "workers",
+		},
+		Count: k.Count, Log: k.Log,
+	}
+	keeper.Run(ctx)
 }
