Keep kinds of work apart that slow each other down, where there is room

Cause: tasks that run slower beside others were placed beside them again, and counted against their workers.

Change: reports feed package interference with the neighbours of each task. Placement adds the expected slowdown of the group, and of what runs there by it, to a worker's tier while a quarter of the accelerators stays idle after all waiting groups are placed. Time lost to neighbours by a significant pair is left out of the workers' speeds, which are learnt anew once one is found. The pairs are kept in the store under interference/ for the next planner, and plannerLoad shows their number. The stand-in runner slows tasks down.

Equal work gives no pair.

--- a/coordination/interference/kind.go
+++ b/coordination/interference/kind.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"comfreystream/state/workflow"
 )
@@ -59,3 +60,12 @@
 	}
 	return only, inFirst, found
 }
+
+// String returns the image, or the queue and the shape as QUEUE/CORES/MEMORY/ACCELERATORS
+// with cores in thousandths and memory in MiB.
+func (k Kind) String() string {
+	if k.Image != "" {
+		return k.Image
+	}
+	return k.Queue + "/" + strconv.Itoa(k.Cores) + "/" + strconv.Itoa(k.MemoryMiB) + "/" + strconv.Itoa(k.Accelerators)
+}
--- a/coordination/interference/model.go
+++ b/coordination/interference/model.go
@@ -41,6 +41,13 @@
 	forgetting = 0.02
 )
 
+// The counted events.
+const (
+	// PairFound and PairLost count pairs that have begun and ceased to be significant.
+	PairFound = "interferenceFound"
+	PairLost  = "interferenceLost"
+)
+
 // Pair is a kind of work and a kind that runs beside it.
 type Pair struct{ Kind, Beside Kind }
 
--- a/coordination/interference/record.go
+++ b/coordination/interference/record.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"comfreystream/coordination/modelstore"
 )
 
 const (
@@ -23,11 +25,8 @@
 	restoredDeviation = 0.02
 )
 
-// Record is the stored state of some pairs.
-type Record struct {
-	Number int
-	Pairs  []PairEstimate
-}
+// Record is the stored state of some pairs of a service.
+type Record = modelstore.Record[PairEstimate]
 
 // PairEstimate is a pair with its estimate.
 type PairEstimate struct {
@@ -54,28 +53,28 @@
 	for of, p := range m.pairs {
 		if p.significant {
 			r := &all[of.recordOf()]
-			r.Pairs = append(r.Pairs, PairEstimate{of, p.estimate(now)})
+			r.Rows = append(r.Rows, PairEstimate{of, p.estimate(now)})
 		}
 	}
 	for i := range all {
 		r := &all[i]
 		r.Number = i
-		slices.SortFunc(r.Pairs, func(a, b PairEstimate) int {
+		slices.SortFunc(r.Rows, func(a, b PairEstimate) int {
 			return cmp.Or(cmp.Compare(b.Slowdown, a.Slowdown), a.Kind.Compare(b.Kind), a.Beside.Compare(b.Beside))
 		})
-		r.Pairs = r.Pairs[:min(len(r.Pairs), recordPairs)]
-		for j := range r.Pairs {
-			r.Pairs[j].Slowdown = min(r.Pairs[j].Slowdown, maxSlowdown)
+		r.Rows = r.Rows[:min(len(r.Rows), recordPairs)]
+		for j := range r.Rows {
+			r.Rows[j].Slowdown = min(r.Rows[j].Slowdown, maxSlowdown)
 		}
-		if len(due) < limit && r.differs(m.stored[i]) {
+		if len(due) < limit && differs(r, m.stored[i]) {
 			due = append(due, *r)
 		}
 	}
 	return due
 }
 
-func (r *Record) differs(stored map[Pair]Estimate) bool {
-	return len(r.Pairs) != len(stored) || slices.ContainsFunc(r.Pairs, func(p PairEstimate) bool {
+func differs(r *Record, stored map[Pair]Estimate) bool {
+	return len(r.Rows) != len(stored) || slices.ContainsFunc(r.Rows, func(p PairEstimate) bool {
 		s, known := stored[p.Pair]
 		change := math.Abs(math.Log(p.Slowdown) - math.Log(s.Slowdown))
 		return !known || change > minSavedChange || math.Abs(p.Deviation-s.Deviation) > minSavedDeviation
@@ -87,8 +86,8 @@
 	if r.Number < 0 || r.Number >= records {
 		return
 	}
-	stored := make(map[Pair]Estimate, len(r.Pairs))
-	for _, p := range r.Pairs {
+	stored := make(map[Pair]Estimate, len(r.Rows))
+	for _, p := range r.Rows {
 		stored[p.Pair] = p.Estimate
 	}
 	m.stored[r.Number] = stored
@@ -97,11 +96,11 @@
 // Restore merges a stored record: pairs that have an estimate keep it. It takes nothing
 // over from a record with impossible content.
 func (m *Model) Restore(now time.Time, r Record) error {
-	if err := r.Validate(); err != nil {
+	if err := Validate(r); err != nil {
 		return err
 	}
 	m.Saved(r)
-	for _, s := range r.Pairs {
+	for _, s := range r.Rows {
 		p := m.pairs[s.Pair]
 		if p == nil && len(m.pairs) >= maxPairs && !m.evict(math.Log(s.Slowdown)) || p != nil && p.deviation > 0 {
 			continue
@@ -117,15 +116,15 @@
 }
 
 // Validate reports what cannot be in a record that Records has returned.
-func (r Record) Validate() error {
+func Validate(r Record) error {
 	if r.Number < 0 || r.Number >= records {
 		return errors.Errorf("interference record %d: the number is not in 0 to %d", r.Number, records-1)
 	}
-	if len(r.Pairs) > recordPairs {
-		return errors.Errorf("interference record %d: %d pairs, more than %d", r.Number, len(r.Pairs), recordPairs)
+	if len(r.Rows) > recordPairs {
+		return errors.Errorf("interference record %d: %d pairs, more than %d", r.Number, len(r.Rows), recordPairs)
 	}
-	seen := make(map[Pair]bool, len(r.Pairs))
-	for _, p := range r.Pairs {
+	seen := make(map[Pair]bool, len(r.Rows))
+	for _, p := range r.Rows {
 		if seen[p.Pair] || p.Pair.recordOf() != r.Number {
 			return errors.Errorf("interference record %d: pair %+v is listed twice or belongs elsewhere", r.Number, p.Pair)
 		}
--- a/coordination/interference/track.go
+++ b/coordination/interference/track.go
@@ -21,6 +21,8 @@
 	maxFactorDistance = 0.2
 	// maxFactorDeviation is the most uncertainty of the ratio of two workers' factors.
 	maxFactorDeviation = 0.15
+	// maxContrast bounds one contrast: a slowdown of 100 times.
+	maxContrast = 4.6
 )
 
 // Report is what a worker reports of a running attempt.
@@ -123,6 +125,7 @@
 	if inFirst {
 		slowdown = -slowdown
 	}
+	slowdown = min(max(slowdown, -maxContrast), maxContrast)
 	m.add(now, Pair{a.kind, kind}, contrast{slowdown, [2]workflow.WorkerID{a.worker, b.worker}, now})
 	return true
 }
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"comfreystream/coordination/interference"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/standin/runner"
@@ -107,6 +108,10 @@
 	// old they may be.
 	unread        bool
 	evacuationAge time.Duration
+	// restored is a record of pairs that planners begin with; nil is none.
+	restored *interference.Record
+	// last is the planner of runWaves, which is closed.
+	last *scheduling.Scheduler
 	// cores is how many processor cores the planner may use.
 	cores float64
 	// calls are the calls to the workers, and counts the counted events.
@@ -196,6 +201,11 @@
 		ObserveRound: func(time.Duration) {}, Log: zerolog.Nop(),
 	}
 	s.Open()
+	if h.restored != nil {
+		if err := s.RestoreInterference(*h.restored); err != nil {
+			panic(err) // a mistake in the test
+		}
+	}
 	for _, j := range h.jobs {
 		progress := workflow.Progress{Groups: make(map[workflow.GroupID]workflow.Group)}
 		revisions := make(map[int]keyvalue.Revision)
--- /dev/null
+++ b/coordination/scheduling/interference_records.go
@@ -0,0 +1,39 @@
+package scheduling
+
+import "comfreystream/coordination/interference"
+
+// RestoreInterference merges a stored record of the pairs of a service into what is
+// observed of them. It takes nothing over from a record with impossible content.
+func (s *Scheduler) RestoreInterference(r interference.Record) error {
+	p := s.pool(r.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interference.Restore(s.Now(), r)
+}
+
+// DueInterference returns records of pairs that have changed since they were saved, at
+// most limit.
+func (s *Scheduler) DueInterference(limit int) (due []interference.Record) {
+	for _, p := range s.allPools() {
+		due = p.appendDueInterference(due, limit-len(due))
+	}
+	return due
+}
+
+func (p *pool) appendDueInterference(due []interference.Record, limit int) []interference.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.interference.Records(p.scheduler.Now(), limit) {
+		r.Service = p.service
+		due = append(due, r)
+	}
+	return due
+}
+
+// InterferenceSaved notes that a record that DueInterference returned is stored.
+func (s *Scheduler) InterferenceSaved(r interference.Record) {
+	p := s.pool(r.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.interference.Saved(r)
+}
--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -11,6 +11,9 @@
 	// Waiting counts the groups that wait to be placed, StartsPending the starts
 	// without an answer, Unsaved the jobs whose progress is not stored yet.
 	Waiting, StartsPending, Unsaved int
+	// InterferencePairs counts the pairs of kinds of work of which one significantly
+	// slows down the other.
+	InterferencePairs int
 	// LongestRound is the longest planning round since the last call of Loads.
 	LongestRound time.Duration
 	// RenewWait is how long a worker may wait before it answers a renewal.
@@ -31,7 +34,7 @@
 	now, maxReportAge := p.scheduler.Now(), p.maxReportAge()
 	l := Load{
 		Service: p.service, Workers: p.registered, StartsPending: p.startsPending, Unsaved: len(p.dirty),
-		LongestRound: p.longestRound, RenewWait: p.renewWait(),
+		InterferencePairs: p.interference.Significant(), LongestRound: p.longestRound, RenewWait: p.renewWait(),
 	}
 	p.longestRound = 0
 	for _, w := range p.ordered {
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"comfreystream/coordination/interference"
 	"comfreystream/state/workflow"
 )
 
@@ -44,6 +45,12 @@
 	mark        progressMark
 	// runTime is the member's whole run time by its progress; 0 means that it is not known.
 	runTime time.Duration
+	// track is the progress beside the present neighbours, whose kinds beside holds.
+	track       interference.Track
+	beside      []interference.Kind
+	besideKnown bool
+	// excess is the time since mark that the neighbours took, until excessClock.
+	excess, excessClock time.Duration
 	// percentChangedAt is when percent last changed.
 	percentChangedAt time.Time
 	// stopWanted is set once the member is to be stopped. stopSentAt is when the
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -21,6 +21,7 @@
 // accelerators are idle, it waits less and also uses workers that are currently avoided.
 // An urgent group uses workers that are slow after their start only if no others hold it.
 func (p *pool) place(g *group, now time.Time) *placement {
+	p.separate(g)
 	var choice *placement
 	if g.job.Priority == 0 && len(p.round.warm.workers) < len(p.round.suitable.workers) {
 		choice = p.placeOn(g, p.round.warm.filter(g, g.hasFailedOn), now)
@@ -149,9 +150,9 @@
 // order compares two workers for a placement.
 type order func(a, b *worker) int
 
-func fastestFirst(a, b *worker) int { return cmp.Compare(a.tier, b.tier) }
+func fastestFirst(a, b *worker) int { return cmp.Compare(a.tier+a.extraTiers, b.tier+b.extraTiers) }
 
-func slowestFirst(a, b *worker) int { return cmp.Compare(b.tier, a.tier) }
+func slowestFirst(a, b *worker) int { return cmp.Compare(b.tier-b.extraTiers, a.tier-a.extraTiers) }
 
 // unsuspectedFirst orders workers for a group that has failed and has few attempts left: those
 // on which other work has failed lately come last.
--- a/coordination/scheduling/placement_test.go
+++ b/coordination/scheduling/placement_test.go
@@ -39,6 +39,7 @@
 	}
 	time.Sleep(time.Until(began.Add(duration)))
 	_ = s.Close()
+	h.last = s
 	return h.fleet.Runs()
 }
 
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"comfreystream/coordination/interference"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/speed"
 	"comfreystream/state/workflow"
@@ -41,6 +42,12 @@
 	// speeds estimates how fast the workers are, fittedAt is when it was last fitted.
 	speeds   *speed.Model
 	fittedAt time.Time
+	// interference estimates which kinds of work slow each other down. separated is set
+	// while workers have a slowdown for the group that is placed, kindsScratch is memory
+	// of observeNeighbours.
+	interference *interference.Model
+	separated    bool
+	kindsScratch []interference.Kind
 	// stragglersCheckedAt is the time of the last check for work to move off slow workers.
 	stragglersCheckedAt time.Time
 	// round is what the current planning round knows.
@@ -96,6 +103,7 @@
 	job      *job
 	record   *record
 	step     *workflow.Step
+	kind     interference.Kind
 	phase    groupPhase
 	attempt  int
 	members  []*member
@@ -134,8 +142,8 @@
 		workers: make(map[workflow.WorkerID]*worker),
 		dirty:   make(map[*record]struct{}), unknownRuns: make(map[workflow.Task]int),
 		meanWork: make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
-		speeds: speed.New(),
-		work:   newWorklist(),
+		speeds: speed.New(), interference: interference.New(),
+		work: newWorklist(),
 	}
 }
 
@@ -212,7 +220,10 @@
 
 // addGroup adds a group that waits for its first attempt.
 func (p *pool) addGroup(j *job, id workflow.GroupID) *group {
-	g := &group{id: id, job: j, record: j.recordOf(id), step: &j.Steps[id.Step], waitingSince: p.scheduler.Now()}
+	step := &j.Steps[id.Step]
+	g := &group{
+		id: id, job: j, record: j.recordOf(id), step: step, kind: interference.KindOf(j.Queue, step), waitingSince: p.scheduler.Now(),
+	}
 	g.record.groups = append(g.record.groups, g)
 	j.groups[id] = g
 	p.work.addUnstarted(g)
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -211,6 +211,10 @@
 		p.applyRunning(m, task, now, wasSilent)
 	}
 	p.endMissing(w, report, reported, r.sentAt)
+	if wasSilent {
+		w.forgetNeighbours()
+	}
+	p.observeNeighbours(w, report, now)
 	if firstReport {
 		wake(p.planDue)
 		wake(p.saveDue)
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -18,6 +18,8 @@
 	// at is when the round began.
 	at                  time.Time
 	freeCores, allCores int
+	// room is set if kinds of work that slow each other down may be kept apart.
+	room bool
 	// unsent counts the members that are placed, but whose starts were not sent.
 	unsent int
 	// reachable holds the workers that accept tasks, suitable those of them that are
@@ -76,6 +78,7 @@
 			}
 		}
 	}
+	r.room = p.hasRoom(&r)
 	return r
 }
 
--- a/coordination/scheduling/speeds.go
+++ b/coordination/scheduling/speeds.go
@@ -33,8 +33,10 @@
 	}
 	if !m.mark.set || percent < m.mark.percent {
 		m.mark = progressMark{percent, w.reportedClock, true}
+		m.excess, m.excessClock = 0, w.reportedClock
 		return
 	}
+	p.addExcess(m, w.reportedClock)
 	declared := g.step.Estimate
 	if g.size() == 1 && g.step.PreferredRack != "" && g.step.PreferredRack != w.rack() {
 		declared = time.Duration(p.scheduler.Bounds.FarFactor * float64(declared))
@@ -43,7 +45,7 @@
 		Worker: w.id, Task: m.task, Attempt: m.attempt,
 		Cohort:   speed.Cohort{Job: g.job.ID, Occurrence: g.id.Occurrence, Step: g.id.Step, Queue: g.job.Queue},
 		Equal:    g.size() > 1,
-		Fraction: float64(percent-m.mark.percent) / 100, Elapsed: w.reportedClock - m.mark.clock, Declared: declared,
+		Fraction: float64(percent-m.mark.percent) / 100, Elapsed: w.reportedClock - m.mark.clock - m.excess, Declared: declared,
 		Urgency: g.job.Priority,
 	}
 	m.runTime = 0
@@ -66,6 +68,8 @@
 	p.fittedAt = now
 	p.speeds.Fit(now)
 	p.logSpeedChanges()
+	p.interference.Refresh(now)
+	p.logInterference(now)
 	for _, w := range p.ordered {
 		w.setSpeed(p.speeds.Estimate(w.id))
 	}
@@ -100,7 +104,7 @@
 	tier = math.MinInt
 	slowest := 0.0
 	for _, w := range workers {
-		slowest, tier = max(slowest, w.factor), max(tier, w.tier)
+		slowest, tier = max(slowest, w.factor*math.Exp(w.slowdown)), max(tier, w.tier+w.extraTiers)
 		cost += w.price
 	}
 	return tier, cost * slowest
--- a/coordination/scheduling/straggler.go
+++ b/coordination/scheduling/straggler.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"math"
 	"time"
 )
 
@@ -65,7 +66,7 @@
 	}
 	factor := 0.0
 	for _, w := range choice.workers {
-		factor = max(factor, p.speeds.Estimate(w.id).Factor)
+		factor = max(factor, p.speeds.Estimate(w.id).Factor*math.Exp(w.slowdown))
 	}
 	remaining := time.Duration(factor * float64(work))
 	if g.checkpoint != "" {
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"comfreystream/coordination/interference"
 	"comfreystream/state/workflow"
 )
 
@@ -80,6 +81,12 @@
 	factor float64
 	tier   int
 	price  float64
+	// kinds holds the kinds of the tasks in the newest report, in order.
+	kinds []interference.Kind
+	// slowdown is the logarithm of the expected slowdown of the group that is placed,
+	// extraTiers that with the slowdown of what runs here, in tiers.
+	slowdown   float64
+	extraTiers int
 	// stopSenders counts the goroutines that send stops to the worker.
 	stopSenders int
 }
--- a/coordination/speed/model.go
+++ b/coordination/speed/model.go
@@ -187,6 +187,14 @@
 	m.setPrior(w, w.mean, variance, m.since(now))
 }
 
+// Doubt drops the observations of all workers and keeps their estimates as uncertain ones,
+// after something else than the workers was found to have slowed their tasks down.
+func (m *Model) Doubt(now time.Time) {
+	for i := range m.workers {
+		m.Restarted(now, m.workers[i].id)
+	}
+}
+
 // Retain forgets all workers that are not registered.
 func (m *Model) Retain(registered func(workflow.WorkerID) bool) {
 	for i := len(m.workers) - 1; i >= 0; i-- {
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -14,8 +14,10 @@
 
 	"comfreystream/coordination/election"
 	"comfreystream/coordination/intake"
+	"comfreystream/coordination/interference"
 	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/modelstore"
 	"comfreystream/coordination/policy"
 	"comfreystream/coordination/speed"
 	"comfreystream/metrics"
@@ -53,10 +55,12 @@
 	jobStore        *jobstore.Store
 	plannerJobStore *jobstore.Store
 	speedStore      *speed.Store
-	candidate       *election.Candidate
-	term            atomic.Pointer[term]
-	plannerClient   *peer.PlannerClient
-	peerClient      *transport.Client
+	// interferenceStore keeps the slowdowns of kinds beside each other.
+	interferenceStore *modelstore.Store[interference.PairEstimate]
+	candidate         *election.Candidate
+	term              atomic.Pointer[term]
+	plannerClient     *peer.PlannerClient
+	peerClient        *transport.Client
 
 	callerServer    *transport.Server
 	readinessServer *transport.Server
@@ -92,6 +96,7 @@
 	i.jobStore = record.NewJobStore(i.store, valueBytes)
 	i.plannerJobStore = record.NewJobStore(i.directStore, valueBytes)
 	i.speedStore = record.NewSpeedStore(i.directStore, valueBytes)
+	i.interferenceStore = record.NewInterferenceStore(i.directStore, valueBytes)
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -80,6 +80,7 @@
 	i.term.Store(t)
 	t.loops.Go(t.run)
 	t.loops.Go(t.keepSpeeds)
+	t.loops.Go(t.keepInterference)
 	t.loops.Go(t.followEvacuations)
 }
 
@@ -208,7 +209,7 @@
 		for _, l := range t.scheduler.Loads() {
 			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
 				Int("workers", l.Workers).Int("silent", l.Silent).Int("evacuated", l.Evacuated).Int("waiting", l.Waiting).Int("startsPending", l.StartsPending).
-				Int("unsaved", l.Unsaved).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
+				Int("unsaved", l.Unsaved).Int("interferencePairs", l.InterferencePairs).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
 		}
 	}
 }
--- a/protocol/record/speed.go
+++ b/protocol/record/speed.go
@@ -26,9 +26,9 @@
 	Deviation uint32
 }
 
-// maxSpeedWorkers is more workers than a record has, so that a damaged one is refused
+// maxModelRows is more rows than a model's record has, so that a damaged one is refused
 // before memory is taken for it.
-const maxSpeedWorkers = 1 << 10
+const maxModelRows = 1 << 10
 
 // NewSpeedStore returns a store of the speeds of workers in the platform's store, with
 // the record encoding of this package. valueBytes returns the most bytes of a value there.
@@ -51,7 +51,7 @@
 // DecodeSpeeds returns the speeds of workers in a record.
 func DecodeSpeeds(data []byte) ([]speed.WorkerSpeed, error) {
 	var r speedRecord
-	if err := speedDecoder.Unmarshal(data, &r); err != nil {
+	if err := modelDecoder.Unmarshal(data, &r); err != nil {
 		return nil, errors.Wrap(err, "decode speeds")
 	}
 	workers := make([]speed.WorkerSpeed, len(r.Workers))
@@ -64,10 +64,10 @@
 	return workers, nil
 }
 
-var speedDecoder = newSpeedDecoder()
+var modelDecoder = newModelDecoder()
 
-func newSpeedDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxSpeedWorkers}.DecMode()
+func newModelDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxModelRows}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
--- a/standin/runner/advance.go
+++ b/standin/runner/advance.go
@@ -10,6 +10,7 @@
 // advance ends every attempt whose end is due by now, in order of time.
 func (f *Fleet) advance() {
 	now := time.Now()
+	f.accountSlowdowns(now)
 	for {
 		r, outcome, at := f.nextEnd()
 		if r == nil || at.After(now) {
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -52,6 +52,9 @@
 	// ends; nil means one second and workflow.Done.
 	RunTime func(task workflow.Task, attempt int, worker workflow.WorkerID) time.Duration
 	Outcome func(task workflow.Task, attempt int, worker workflow.WorkerID) workflow.Outcome
+	// Slowdown returns how many times as long a task takes while others run on its
+	// worker; nil means that tasks do not slow each other down.
+	Slowdown func(task workflow.Task, beside []workflow.Task) float64
 	// Checkpoint is the checkpoint of every attempt; empty is none.
 	Checkpoint string
 	// Fault returns the fault of each call by the call's name, such as "Start";
@@ -85,6 +88,9 @@
 	endNumber   int64
 	stopsAt     time.Time
 	workStarted time.Time
+	// lost is the time lost to neighbours until accountedAt.
+	lost        time.Duration
+	accountedAt time.Time
 }
 
 type worker struct {
@@ -327,14 +333,15 @@
 		return 0
 	}
 	// A member of a gang that has done its work waits for the slower ones.
-	return min(100, int(100*time.Since(r.workStarted)/f.runTime(r)))
+	return min(100, int(100*(time.Since(r.workStarted)-r.lost)/(f.runTime(r)-r.lost)))
 }
 
+// runTime returns the whole run time of the attempt, with the time lost so far.
 func (f *Fleet) runTime(r *Run) time.Duration {
 	if f.RunTime == nil {
-		return time.Second
+		return time.Second + r.lost
 	}
-	return f.RunTime(r.Task, r.Attempt, r.Worker)
+	return f.RunTime(r.Task, r.Attempt, r.Worker) + r.lost
 }
 
 // errNotRunning indicates a bug in the simulation itself.
