--- a/coordination/interference/harness_test.go
+++ b/coordination/interference/harness_test.go
@@ -54,12 +54,12 @@
 	started int
 }
 
-func newSimulation(seed uint64, workers int) *simulation {
+func newSimulation(seed uint64) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), model: interference.New(), now: time.Unix(1000, 0), uneven: 0.05,
 		slowdown: func(_, _ interference.Kind) float64 { return 1 },
 	}
-	for range workers {
+	for range 16 {
 		s.factors = append(s.factors, 1)
 	}
 	s.estimate = func(i int) speed.Estimate { return speed.Estimate{Factor: s.factors[i], Deviation: 0.05} }
--- a/coordination/interference/model_test.go
+++ b/coordination/interference/model_test.go
@@ -30,7 +30,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			runs, late, blamed := []int{}, 0, 0
 			for seed := range uint64(40) {
-				s := newSimulation(seed, 16)
+				s := newSimulation(seed)
 				s.slowdown = hurts(test.times)
 				for !s.found(victim, bully) && s.started < 4*test.maxRuns {
 					if s.random.IntN(2) == 0 {
@@ -88,7 +88,7 @@
 			alarms := 0
 			const seeds, steps = 50, 480
 			for seed := range uint64(seeds) {
-				s := newSimulation(seed, 16)
+				s := newSimulation(seed)
 				s.uneven = test.uneven
 				for step := range steps {
 					if test.before != nil {
@@ -116,7 +116,7 @@
 // while it is also what makes them differ.
 func TestSlowWorkersBesidePair(t *testing.T) {
 	for seed := range uint64(20) {
-		s := newSimulation(seed, 16)
+		s := newSimulation(seed)
 		s.slowdown = hurts(2)
 		for i := range s.factors {
 			s.factors[i] = 0.7 + float64(i%3/2)
@@ -147,7 +147,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(10) {
-				s := newSimulation(seed, 16)
+				s := newSimulation(seed)
 				s.slowdown = hurts(2)
 				start := func() {
 					if s.random.IntN(2) == 0 {
--- a/coordination/interference/record.go
+++ b/coordination/interference/record.go
@@ -125,7 +125,7 @@
 	}
 	seen := make(map[Pair]bool, len(r.Rows))
 	for _, p := range r.Rows {
-		if seen[p.Pair] || p.Pair.recordOf() != r.Number {
+		if seen[p.Pair] || p.recordOf() != r.Number {
 			return errors.Errorf("interference record %d: pair %+v is listed twice or belongs elsewhere", r.Number, p.Pair)
 		}
 		seen[p.Pair] = true
--- a/coordination/interference/record_test.go
+++ b/coordination/interference/record_test.go
@@ -11,7 +11,7 @@
 
 // foundPair returns a model that has found the pair of victim and bully.
 func foundPair() *simulation {
-	s := newSimulation(1, 16)
+	s := newSimulation(1)
 	s.slowdown = hurts(2)
 	for !s.found(victim, bully) {
 		s.start(kinds[s.random.IntN(len(kinds))], 4, 8)
