--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"comfreystream/coordination/interference"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/standin/runner"
@@ -109,6 +110,10 @@
 	// old they may be.
 	unread        bool
 	evacuationAge time.Duration
+	// restored is a record of pairs that planners begin with; nil is none.
+	restored *interference.Record
+	// last is the planner of runWaves, which is closed.
+	last *scheduling.Scheduler
 	// cores is how many processor cores the planner may use.
 	cores float64
 	// answer returns how the store answers the next change; nil answers at once.
@@ -207,6 +212,11 @@
 		ObserveRound: func(time.Duration) {}, Log: zerolog.Nop(),
 	}
 	s.Open()
+	if h.restored != nil {
+		if err := s.RestoreInterference(*h.restored); err != nil {
+			panic(err) // a mistake in the test
+		}
+	}
 	for _, j := range h.jobs {
 		progress := workflow.Progress{Groups: make(map[workflow.GroupID]workflow.Group)}
 		revisions := make(map[int]keyvalue.Revision)
--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -19,6 +19,9 @@
 	// PlanToStored is the longest time from the plan of an attempt until it was stored
 	// since the last call of Loads.
 	PlanToStored time.Duration
+	// InterferencePairs counts the pairs of kinds of work of which one significantly
+	// slows down the other.
+	InterferencePairs int
 	// LongestRound is the longest planning round since the last call of Loads.
 	LongestRound time.Duration
 	// RenewWait is how long a worker may wait before it answers a renewal.
@@ -41,6 +44,7 @@
 		Service: p.service, Workers: p.registered, StartsPending: p.startsPending, Unsaved: len(p.dirty),
 		LongestRound: p.longestRound, RenewWait: p.renewWait(), Saves: len(p.saves.underWay),
 		LongestSave: max(p.saves.longestSave, p.saves.longestUnanswered(now)), PlanToStored: p.saves.longestUnstored,
+		InterferencePairs: p.interference.Significant(),
 	}
 	p.longestRound, p.saves.longestSave, p.saves.longestUnstored = 0, 0, 0
 	for _, w := range p.ordered {
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -15,8 +15,10 @@
 	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/election"
 	"comfreystream/coordination/intake"
+	"comfreystream/coordination/interference"
 	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
+	"comfreystream/coordination/modelstore"
 	"comfreystream/coordination/policy"
 	"comfreystream/coordination/speed"
 	"comfreystream/metrics"
@@ -57,10 +59,12 @@
 	plannerJobStore *jobstore.Store
 	speedStore      *speed.Store
 	gate            *backlog.Gate
-	candidate       *election.Candidate
-	term            atomic.Pointer[term]
-	plannerClient   *peer.PlannerClient
-	peerClient      *transport.Client
+	// interferenceStore keeps the slowdowns of kinds beside each other.
+	interferenceStore *modelstore.Store[interference.PairEstimate]
+	candidate         *election.Candidate
+	term              atomic.Pointer[term]
+	plannerClient     *peer.PlannerClient
+	peerClient        *transport.Client
 
 	callerServer    *transport.Server
 	readinessServer *transport.Server
@@ -99,6 +103,7 @@
 	i.speedStore = record.NewSpeedStore(i.directStore, valueBytes)
 	i.plannerJobStore.IDStarts = platform.JobIDStarts
 	i.gate = &backlog.Gate{Read: i.jobStore.Pending, Now: time.Now, Guarantee: i.guarantee, Refused: i.notifyRefused, Log: log}
+	i.interferenceStore = record.NewInterferenceStore(i.directStore, valueBytes)
 	if err := i.listen(s); err != nil {
 		i.cancel()
 		_ = i.metrics.Close()
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -83,6 +83,7 @@
 	i.term.Store(t)
 	t.loops.Go(t.run)
 	t.loops.Go(t.keepSpeeds)
+	t.loops.Go(t.keepInterference)
 	t.loops.Go(t.followEvacuations)
 }
 
@@ -214,7 +215,7 @@
 			t.instance.log.Info().Str("event", "plannerLoad").Int64("term", int64(t.condition.Revision)).Str("service", l.Service).
 				Int("workers", l.Workers).Int("silent", l.Silent).Int("evacuated", l.Evacuated).Int("waiting", l.Waiting).Int("expired", l.Expired).Int("startsPending", l.StartsPending).
 				Int("unsaved", l.Unsaved).Int("saves", l.Saves).Dur("longestSave", l.LongestSave).Dur("planToStored", l.PlanToStored).
-				Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
+				Int("interferencePairs", l.InterferencePairs).Dur("longestRound", l.LongestRound).Dur("renewWait", l.RenewWait).Send()
 		}
 		t.logWaits()
 	}
