Move no work off slow workers while nothing may start

Placement waits while the last reading of the evacuations is too old. Moving stragglers did not: it stopped urgent work that could not start again.

--- a/coordination/scheduling/straggler.go
+++ b/coordination/scheduling/straggler.go
@@ -13,12 +13,16 @@
 
 // moveStragglers stops urgent groups that will miss their deadline on the workers where they
 // run and would meet it on faster ones that are free now, even after the stop. It answers
-// work that began on workers of unknown speed, or on one that has turned slow.
+// work that began on workers of unknown speed, or on one that has turned slow. It stops
+// nothing while the evacuations are not known, as nothing may start then.
 func (p *pool) moveStragglers(now time.Time) {
 	if now.Sub(p.stragglersCheckedAt) < fitInterval {
 		return
 	}
 	p.stragglersCheckedAt = now
+	if p.scheduler.orderValidity(now) == 0 {
+		return // the work could not start again
+	}
 	for g := range p.work.started {
 		if g.job.Priority == 0 && g.phase == placed && g.moves < maxMoves && p.moveHelps(g, now) {
 			g.moves++
