Stop one straggler only for the room of one

Two urgent gangs, each with a member on a slow worker, were both stopped for the same free worker; one of them then started on a slow worker and ended 9.9 s after its acceptance, where its work took 8 s. A check now reserves the workers on which a move counts, and does not count on the workers of the group's slowest members, as the next attempt avoids these.

TestMoveOneOfTwoStragglers fails without the change.

--- a/coordination/scheduling/speeds_test.go
+++ b/coordination/scheduling/speeds_test.go
@@ -128,3 +128,33 @@
 		})
 	}
 }
+
+// TestMoveOneOfTwoStragglers has one worker of each of two urgent gangs turn slow while one
+// worker is free. It guards against both gangs being stopped for the room of one.
+func TestMoveOneOfTwoStragglers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(5)
+		const turnsSlow = 8 * time.Second
+		began := time.Now()
+		h.fleet.RunTime = func(task workflow.Task, _ int, id workflow.WorkerID) time.Duration {
+			if time.Since(began) >= turnsSlow && (id == "w0" || id == "w2") {
+				return 2 * h.step(task).Estimate
+			}
+			return h.step(task).Estimate
+		}
+		gang := workflow.Step{Tasks: 2, Accelerators: 8, Gang: true, Estimate: 4 * time.Second}
+		known := workflow.Step{Tasks: 5, Accelerators: 3, SpreadLimit: 1, Gang: true, Estimate: 2 * time.Second}
+		runs := h.runWaves([]jobWave{
+			{count: 2, priority: 1, step: known, stretch: 8},
+			{at: turnsSlow, count: 2, step: gang, stretch: 1.6},
+		}, 30*time.Second)
+		if moved := h.counted("stopMoved"); moved != 1 {
+			t.Errorf("moved %d times, want 1", moved)
+		}
+		for _, r := range runs {
+			if r.Outcome == workflow.Done && r.Ended.Sub(began) > turnsSlow+8100*time.Millisecond {
+				t.Errorf("%s ended after %v, want at most 8.1s", r.Task, r.Ended.Sub(began)-turnsSlow)
+			}
+		}
+	})
+}
--- a/coordination/scheduling/straggler.go
+++ b/coordination/scheduling/straggler.go
@@ -24,10 +24,20 @@
 		return // the work could not start again
 	}
 	for g := range p.work.started {
-		if g.job.Priority == 0 && g.phase == placed && g.moves < maxMoves && p.moveHelps(g, now) {
+		if g.job.Priority != 0 || g.phase != placed || g.moves >= maxMoves {
+			continue
+		}
+		if choice := p.fasterPlacement(g, now); choice != nil {
 			g.moves++
 			g.avoidSlowest(now)
 			p.stopGroup(g, reasonMoved)
+			// The workers are reserved during this check, so that no other group is
+			// stopped for the same ones.
+			needs := g.step.Needs()
+			for _, w := range choice.workers {
+				w.used = w.used.Plus(needs)
+				defer func() { w.used = w.used.Minus(needs) }()
+			}
 		}
 	}
 }
@@ -40,32 +50,37 @@
 func (g *group) avoidSlowest(now time.Time) {
 	slowest := g.slowestMember()
 	for _, m := range g.members {
-		if float64(m.runTime) >= alikeSlow*float64(slowest.runTime) {
+		if m.alike(slowest) {
 			g.noteFailure(m.worker.id, now)
 		}
 	}
 }
 
-// moveHelps reports whether the group misses its deadline where it runs, by the progress of
-// its slowest member, and would meet it on free workers.
-func (p *pool) moveHelps(g *group, now time.Time) bool {
+// alike reports whether the member is about as slow as the slowest of its group.
+func (m *member) alike(slowest *member) bool {
+	return float64(m.runTime) >= alikeSlow*float64(slowest.runTime)
+}
+
+// fasterPlacement returns a placement on free workers where the group would meet its deadline,
+// or nil if there is none or it does so where it runs, by the progress of its slowest member.
+func (p *pool) fasterPlacement(g *group, now time.Time) *placement {
 	slowest := g.slowestMember()
 	if slowest == nil {
-		return false
+		return nil
 	}
 	done := float64(slowest.percent) / 100
 	end := slowest.percentChangedAt.Add(time.Duration((1 - done) * float64(slowest.runTime)))
 	work := p.workOf(g)
 	deadline := g.deadline().Add(time.Duration(g.job.Stretch * float64(work-g.step.Estimate)))
 	if !end.After(deadline) {
-		return false
+		return nil
 	}
 	if p.round.at != now {
 		p.round = p.newRound(now)
 	}
-	choice := p.placeAgain(g, now)
+	choice := p.placeAgain(g, slowest, now)
 	if choice == nil {
-		return false
+		return nil
 	}
 	factor := 0.0
 	for _, w := range choice.workers {
@@ -76,20 +91,23 @@
 		remaining = time.Duration(factor * (1 - done) * float64(work))
 	}
 	moved := now.Add(p.scheduler.Bounds.StopLimit + moveOverhead + remaining)
-	return !moved.After(deadline)
+	if moved.After(deadline) {
+		return nil
+	}
+	return choice
 }
 
-// placeAgain returns where the group would be placed if it had been stopped.
-func (p *pool) placeAgain(g *group, now time.Time) *placement {
+// placeAgain returns where the group would be placed if it had been stopped. The room of
+// its slowest members is left out, as the next attempt avoids their workers.
+func (p *pool) placeAgain(g *group, slowest *member, now time.Time) *placement {
 	needs := g.step.Needs()
 	for _, m := range g.members {
-		m.worker.used = m.worker.used.Minus(needs)
-	}
-	choice := p.place(g, now)
-	for _, m := range g.members {
-		m.worker.used = m.worker.used.Plus(needs)
+		if !m.alike(slowest) {
+			m.worker.used = m.worker.used.Minus(needs)
+			defer func() { m.worker.used = m.worker.used.Plus(needs) }()
+		}
 	}
-	return choice
+	return p.place(g, now)
 }
 
 // workOf returns the run time of the group's work on a typical worker by the progress of its
