Wait for new zones before a job goes to an evacuated one

Cause: an entry takes the zones for a job from its copy of the instance list, which it reads again 1 s after each answer. The membership can know the entries of a second zone before that. In this time the entry lists its own zone alone; if that is evacuated, the job is sent to it, accepted by its planner and queued as zoneEvacuated until the zone is restored. TestEvacuatedZone then saw the client's timeout of 10 s, and the log shows the job start in za as soon as za is restored.

Change: if all listed zones are evacuated and a live entry belongs to an unlisted zone, the front waits up to 4 s for a list that has it. Zones of live entries are not tried without being listed: one without workers would keep the job for good. If the list is later than 4 s, the job is still queued in the evacuated zone until that is restored.

--- a/instance/front.go
+++ b/instance/front.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreystream/coordination/front"
+	"comfreystream/coordination/pause"
 	"comfreystream/state"
 )
 
@@ -24,11 +25,31 @@
 	}
 }
 
+// newZoneWait bounds how long a job waits for the instance list to show a zone that the
+// membership already knows. The list is read listPause after each answer; the rest is for
+// a slow read.
+const newZoneWait = 4 * listPause
+
 // zonesFor returns the zones to try for a job, in order: those where its
 // organisation has a guarantee that the job fits into, then the entry's own,
-// then the others; evacuated ones come last.
+// then the others; evacuated ones come last. If all of them are evacuated, it first waits
+// for a list with the zones of all live entries: in an evacuated zone the job would be
+// queued until the zone is restored, although another zone may have room.
 func (i *Instance) zonesFor(job *state.Job) []string {
-	zones := append([]string{i.settings.AvailabilityZone}, i.list.zones()...)
+	ctx, cancel := context.WithTimeout(i.ctx, newZoneWait)
+	defer cancel()
+	for {
+		zones, allEvacuated := i.listedZonesFor(job)
+		if !allEvacuated || containsZones(zones, i.members.Live()) || !pause.For(ctx, discoveryInterval) {
+			return zones
+		}
+	}
+}
+
+// listedZonesFor returns the zones to try for a job by the latest instance list, and
+// whether all of them are evacuated.
+func (i *Instance) listedZonesFor(job *state.Job) (zones []string, allEvacuated bool) {
+	zones = append([]string{i.settings.AvailabilityZone}, i.list.zones()...)
 	manifest := i.rollout.Current()
 	if manifest != nil {
 		zones = append(guaranteedZones(manifest, job, i.settings.AvailabilityZone), zones...)
@@ -39,10 +60,16 @@
 			unique = append(unique, zone)
 		}
 	}
-	if manifest != nil {
-		slices.SortStableFunc(unique, func(a, b string) int { return compareEvacuated(manifest.Evacuated, a, b) })
+	if manifest == nil {
+		return unique, false
 	}
-	return unique
+	slices.SortStableFunc(unique, func(a, b string) int { return compareEvacuated(manifest.Evacuated, a, b) })
+	return unique, slices.Contains(manifest.Evacuated, unique[0])
+}
+
+// containsZones reports whether the zones include those of all members.
+func containsZones(zones []string, members []state.Member) bool {
+	return !slices.ContainsFunc(members, func(m state.Member) bool { return !slices.Contains(zones, m.AvailabilityZone) })
 }
 
 // compareEvacuated orders evacuated zones after others.
