Keep a connection that holds nothing when it is to be cut short

A connection that was chosen because of what it held may have released it by the time that its event loop runs cutShort. It then got a refusal without a request, which a client takes for the response to its next one.

--- a/transport/budget_test.go
+++ b/transport/budget_test.go
@@ -192,3 +192,35 @@
 	}
 	t.Errorf("%d bytes held without clients", s.limits.Budget.Held())
 }
+
+// TestCutShortTooLate guards against a refusal without a request: a connection that was
+// chosen to be cut short but holds nothing any more when that happens must be kept.
+func TestCutShortTooLate(t *testing.T) {
+	h := newBlockingHandler()
+	close(h.open)
+	var counted counters
+	s, err := Listen(loopback, h.handle, Limits{Count: counted.add})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	client := dial(t, s)
+	sendText(client, getRequest)
+	<-h.entered
+	s.limits.Budget.mu.Lock()
+	for c := range s.limits.Budget.connections {
+		c.evicted.Store(true)
+		for c.pendingCount.Load() > 0 {
+			wait(time.Millisecond)
+		}
+		c.runOnLoop(c.cutShort)
+	}
+	s.limits.Budget.mu.Unlock()
+	sendText(client, "GET /last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	if got := readAll(client); strings.Count(got, "whole") != 2 || strings.Contains(got, "503") {
+		t.Errorf("got %q, want two responses", got)
+	}
+	if count := counted.of(OverBudget); count != 0 {
+		t.Errorf("%d refusals were counted, want none", count)
+	}
+}
--- a/transport/held.go
+++ b/transport/held.go
@@ -95,11 +95,16 @@
 }
 
 // cutShort releases what the connection holds beyond the request in service. Each
-// request that is dropped is refused, before any handler has seen it.
+// request that is dropped is refused, before any handler has seen it. A connection that has
+// released everything since it was chosen is kept: its client awaits no response.
 func (c *connection) cutShort() {
 	if c.closed {
 		return
 	}
+	if c.reclaimable.Load() == 0 {
+		c.evicted.Store(false)
+		return
+	}
 	if c.unsentBytes > 0 {
 		c.server.limits.Count(OverBudget)
 		c.close()
