--- a/coordination/backlog/retry.go
+++ b/coordination/backlog/retry.go
@@ -28,6 +28,9 @@
 	returnSpacing = 100 * time.Millisecond
 	// returnsKept bounds the refused jobs that are remembered.
 	returnsKept = 4096
+	// maxIDBytes is the length up to which IDs are remembered; those of jobs are shorter,
+	// but a notification may hold any text.
+	maxIDBytes = 64
 )
 
 // retryAfter returns when the caller of a refused job should return, in whole seconds:
@@ -66,6 +69,9 @@
 
 // Refused notes a refusal and returns how long ago the job was first refused.
 func (r *Returns) Refused(id workflow.ID, now time.Time) time.Duration {
+	if len(id) > maxIDBytes {
+		return 0
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if since, known := r.first[id]; known {
