--- a/protocol/peer/planner.go
+++ b/protocol/peer/planner.go
@@ -85,7 +85,7 @@
 		return refusedResponse{waited}, err
 	})
 	handleStore(mux, s.Store)
-	return transport.AdaptHandler(mux)
+	return boundDecompression(transport.AdaptHandler(mux))
 }
 
 // PlannerClient calls the PlannerService of another entry; it is safe for
--- a/protocol/peer/service.go
+++ b/protocol/peer/service.go
@@ -71,7 +71,7 @@
 	s.handleJobs(mux)
 	s.handleRacks(mux)
 	s.handleManifest(mux)
-	return transport.AdaptHandler(mux)
+	return boundDecompression(transport.AdaptHandler(mux))
 }
 
 type emptyMessage struct{}
