--- a/protocol/peer/codec.go
+++ b/protocol/peer/codec.go
@@ -10,6 +10,9 @@
 	maxArrayElements = 1 << 18
 	maxMapPairs      = 1 << 10
 	maxNestedLevels  = 16
+	// maxPlannerElements is the limit of arrays that a PlannerService accepts. An element
+	// of one byte takes 64 once decoded, and a change of the store has 32.
+	maxPlannerElements = 1 << 10
 )
 
 // codec implements connect.Codec for CBOR (RFC 8949).
@@ -18,17 +21,20 @@
 	decode cbor.DecMode
 }
 
-var messageCodec = newCodec()
+var (
+	messageCodec = newCodec(maxArrayElements)
+	plannerCodec = newCodec(maxPlannerElements)
+)
 
 // newCodec ignores the errors of EncMode and DecMode, which report invalid
 // options only; the options are constant here.
-func newCodec() codec {
+func newCodec(arrayElements int) codec {
 	encode, _ := cbor.EncOptions{}.EncMode()
 	decode, _ := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
-		MaxArrayElements: maxArrayElements,
+		MaxArrayElements: arrayElements,
 		MaxMapPairs:      maxMapPairs,
 		MaxNestedLevels:  maxNestedLevels,
 	}.DecMode()
--- a/protocol/peer/planner.go
+++ b/protocol/peer/planner.go
@@ -71,19 +71,19 @@
 	mux := http.NewServeMux()
 	handle(mux, stepStand, func(ctx context.Context, r termStatusRequest) (termStatusResponse, error) {
 		return termStatusResponse{s.TermStatus(ctx, election.StatusRequest(r))}, nil
-	})
+	}, forPlanner)
 	handle(mux, stepAccepted, func(_ context.Context, r jobNotification) (acceptedResponse, error) {
 		waiting, err := s.NotifyAccepted(r.Job, r.Record)
 		return acceptedResponse{waiting}, err
-	})
+	}, forPlanner)
 	handle(mux, stepCancelled, func(_ context.Context, r jobNotification) (emptyMessage, error) {
 		s.NotifyCancelled(r.Job)
 		return emptyMessage{}, nil
-	})
+	}, forPlanner)
 	handle(mux, stepRefused, func(_ context.Context, r jobNotification) (refusedResponse, error) {
 		waited, err := s.NotifyRefused(r.Job)
 		return refusedResponse{waited}, err
-	})
+	}, forPlanner)
 	handleStore(mux, s.Store)
 	return boundDecompression(transport.AdaptHandler(mux))
 }
--- a/protocol/peer/procedure.go
+++ b/protocol/peer/procedure.go
@@ -47,6 +47,9 @@
 	connect.WithReadMaxBytes(maxMessageBytes),
 )
 
+// forPlanner is an option of the handlers of a PlannerService.
+var forPlanner = connect.WithCodec(plannerCodec)
+
 func path(step string) string { return "/peer/" + step }
 
 func newProcedure[Request, Response any](client connect.HTTPClient, step string) procedure[Request, Response] {
@@ -71,7 +74,7 @@
 // handle registers the procedure of the step on the mux; serve takes and returns
 // wire types, and its error is sent as part of the result.
 func handle[Request, Response any](mux *http.ServeMux, step string,
-	serve func(ctx context.Context, request Request) (Response, error),
+	serve func(ctx context.Context, request Request) (Response, error), options ...connect.HandlerOption,
 ) {
 	unary := func(ctx context.Context, request *connect.Request[Request]) (*connect.Response[result[Response]], error) {
 		value, err := serve(ctx, *request.Msg)
@@ -81,7 +84,7 @@
 		}
 		return connect.NewResponse(&result[Response]{Value: value}), nil
 	}
-	mux.Handle(path(step), connect.NewUnaryHandler(path(step), unary, connectOptions))
+	mux.Handle(path(step), connect.NewUnaryHandler(path(step), unary, append([]connect.HandlerOption{connectOptions}, options...)...))
 }
 
 // classifyCallError returns a *state.StepError for a call that got no complete
--- a/protocol/peer/store.go
+++ b/protocol/peer/store.go
@@ -62,18 +62,18 @@
 		}
 		response.AsOf = asOf
 		return response, err
-	})
+	}, forPlanner)
 	handle(mux, stepStoreList, func(ctx context.Context, r storeReadRequest) (storeResponse, error) {
 		items, asOf, err := store.List(ctx, r.Name)
 		return storeResponse{Items: toStoreItems(items), AsOf: asOf}, err
-	})
+	}, forPlanner)
 	handle(mux, stepStoreWatch, func(ctx context.Context, r storeReadRequest) (storeResponse, error) {
 		items, asOf, err := store.Watch(ctx, r.Name, r.After, r.Wait)
 		if errors.Is(err, keyvalue.ErrHistoryLost) {
 			return storeResponse{HistoryLost: true}, nil
 		}
 		return storeResponse{Items: toStoreItems(items), AsOf: asOf}, err
-	})
+	}, forPlanner)
 	handle(mux, stepStoreCommit, func(ctx context.Context, c storeCommitRequest) (storeResponse, error) {
 		revision, err := store.Commit(ctx, c.change())
 		var conflict *keyvalue.ConflictError
@@ -81,7 +81,7 @@
 			return storeResponse{Conflict: true, Items: toStoreItems(conflict.Current)}, nil
 		}
 		return storeResponse{AsOf: revision}, err
-	})
+	}, forPlanner)
 }
 
 func toStoreItems(items []keyvalue.Item) (wire []storeItem) {
