--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -19,6 +19,10 @@
 // planner also watches the store.
 const notifyTimeout = 500 * time.Millisecond
 
+// maxNotifiedBytes bounds the record of a job in a notification. A record may take 450
+// times its bytes once decoded; the planner reads larger ones from the store alone.
+const maxNotifiedBytes = 16 << 10
+
 // newIdentity returns the process's address for other entries and a random text, so
 // that a restarted process does not take its predecessor's key for its own.
 func newIdentity(entry netip.AddrPort) []byte { return []byte(entry.String() + " " + rand.Text()) }
@@ -74,7 +78,7 @@
 	}
 	i.notifyPlanner(job.ID, local, func(ctx context.Context, planner netip.AddrPort) error {
 		text, err := record.EncodeSubmission(job)
-		if err != nil {
+		if err != nil || len(text) > maxNotifiedBytes {
 			return err
 		}
 		waiting, err := i.plannerClient.NotifyAccepted(ctx, planner, job.ID, text)
@@ -116,18 +120,28 @@
 // handleAccepted handles another entry's notification of an accepted job. It returns
 // whether new jobs wait so long that some are to be refused.
 func (i *Instance) handleAccepted(id workflow.ID, text []byte) (waiting bool, err error) {
-	job, err := record.DecodeSubmission(id, text)
-	if err != nil {
-		return false, err
-	}
 	t := i.term.Load()
 	if t == nil {
 		return false, nil
 	}
+	if len(text) > maxNotifiedBytes {
+		return t.refuses(), nil
+	}
+	job, err := t.decodeNotified(id, text)
+	if err != nil {
+		return false, err
+	}
 	t.addJob(job)
 	return t.refuses(), nil
 }
 
+// decodeNotified decodes the job in a notification, one at a time to bound the memory.
+func (t *term) decodeNotified(id workflow.ID, text []byte) (*workflow.Job, error) {
+	t.decoding.Lock()
+	defer t.decoding.Unlock()
+	return record.DecodeSubmission(id, text)
+}
+
 // handleCancelled handles another entry's notification of a cancellation.
 func (i *Instance) handleCancelled(id workflow.ID) {
 	if t := i.term.Load(); t != nil {
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -55,6 +55,8 @@
 	observed map[waitKey]time.Duration
 	// returns remembers the refused jobs of all entries.
 	returns backlog.Returns
+	// decoding is held while a notified job is decoded.
+	decoding sync.Mutex
 }
 
 // beginTerm starts the scheduler. The candidate calls it and endTerm alternately.
