--- a/transport/budget_test.go
+++ b/transport/budget_test.go
@@ -224,3 +224,30 @@
 		t.Errorf("%d refusals were counted, want none", count)
 	}
 }
+
+// TestCutShortQueue guards against a refusal without a request behind those of dropped
+// requests: each request must get one response, and the connection must end after them.
+func TestCutShortQueue(t *testing.T) {
+	h := newBlockingHandler()
+	s, err := Listen(loopback, h.handle, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	client := dial(t, s)
+	sendText(client, getRequest)
+	<-h.entered
+	sendText(client, getRequest+getRequest)
+	s.limits.Budget.mu.Lock()
+	for c := range s.limits.Budget.connections {
+		for c.pendingCount.Load() < 3 {
+			wait(time.Millisecond)
+		}
+		c.runOnLoop(func() { c.cutShort(); close(h.open) })
+	}
+	s.limits.Budget.mu.Unlock()
+	got := readAll(client)
+	if strings.Count(got, "whole") != 1 || strings.Count(got, "HTTP/1.1 503") != 2 || strings.Count(got, "Connection: close") != 1 {
+		t.Errorf("got %q, want one response and two refusals, the last of which closes", got)
+	}
+}
--- a/transport/held.go
+++ b/transport/held.go
@@ -124,7 +124,13 @@
 		c.updateReclaimable()
 		return
 	}
-	c.refuse(OverBudget)
+	if c.partialBytes > 0 || len(c.pending) < 2 {
+		c.refuse(OverBudget)
+	} else { // the last of the dropped requests ends the connection
+		c.discardsInput, c.lingersOnClose = true, true
+		c.pending[len(c.pending)-1].closesConnection = true
+		c.updateReclaimable()
+	}
 	_, _ = c.conn.Discard(-1)
 	c.updateDeadline()
 }
