Start guaranteed jobs that need guaranteed or long-running work to make room

A guaranteed job never started if guaranteed tasks of others held a part of each worker, or if only long-running tasks held the room: neither could be stopped. Shortly before ReclaimLimit, and if nothing else makes room, the planner now moves the least guaranteed work for which there is room elsewhere, and after that stops long-running tasks of priority 2. The new room of moved work is reserved until it is placed again. A group is moved at most once, so that two organisations cannot move each other in turn.

--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -141,3 +142,43 @@
 	}
 	return p
 }
+
+// BenchmarkLastResort measures a planning round of 350 workers on each of which guaranteed
+// tasks hold 2 of 8 accelerators, while guaranteed jobs of 8 wait. Either others hold the
+// rest, or guaranteed tasks do, so that nothing can be moved.
+func BenchmarkLastResort(b *testing.B) {
+	for _, test := range []struct {
+		name            string
+		guaranteedTasks int
+	}{{"movable", 2}, {"unmovable", 8}} {
+		b.Run(test.name, func(b *testing.B) {
+			var took []time.Duration
+			for b.Loop() {
+				b.StopTimer()
+				p := fullPool(350, 8)
+				p.scheduler.Guarantee = func(string) int { return math.MaxInt }
+				for _, w := range p.ordered {
+					for _, m := range w.members {
+						if m.group.id.Index < test.guaranteedTasks {
+							j := &job{Job: &workflow.Job{ID: workflow.ID(fmt.Sprint("g", w.id, m.group.id.Index)), Steps: m.group.job.Steps}, acceptedAt: time.Now(), objective: time.Hour}
+							m.group.job = j
+							p.work.urgent[j] = struct{}{}
+						}
+					}
+				}
+				for i := range 20 {
+					p.addJob(&workflow.Job{
+						ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", MaxAttempts: 3, Stretch: 3,
+						Steps: []workflow.Step{{Tasks: 1, Accelerators: 8, Estimate: time.Second}}, Accepted: time.Now().Add(-time.Minute),
+					}, workflow.Progress{}, nil)
+				}
+				b.StartTimer()
+				began := time.Now()
+				p.planRound()
+				took = append(took, time.Since(began))
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+		})
+	}
+}
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -41,7 +41,7 @@
 
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
-	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonStalled, reasonMoved, reasonLeaving, reasonAlreadyDone,
+	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonDisplaced, reasonStalled, reasonMoved, reasonLeaving, reasonAlreadyDone,
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled, reasonEvacuated,
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -9,11 +9,12 @@
 	"comfreystream/state/workflow"
 )
 
-// placement holds a worker for each member of a group, and the groups to stop
-// for it.
+// placement holds a worker for each member of a group, the groups to stop for it, and
+// those of them that are moved, as they are guaranteed.
 type placement struct {
 	workers []*worker
 	victims []*group
+	moved   []*group
 }
 
 // place returns a placement for the group, or nil. A group that has waited may also use
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -57,6 +57,7 @@
 	p.updateSpeeds(now)
 	p.moveStragglers(now)
 	p.stopLeaving(now)
+	p.releaseExpired(now)
 	var candidates []*group
 	unsent := 0
 	for j := range p.work.timed {
@@ -187,24 +188,30 @@
 	if p.tooManyUnsent() && !guaranteed[g.job] || p.shouldDefer(g, now) {
 		return
 	}
+	reserved, kept := p.reservations[g]
+	p.release(g)
 	choice := p.placeUnlessTried(g, now)
 	if choice == nil {
 		choice = p.reclaimIfWorthwhile(g, now, guaranteed)
 	}
-	if choice != nil {
+	switch {
+	case choice != nil:
 		p.beginAttempt(g, choice)
+	case kept:
+		p.reservations[g] = reserved
+		g.addUsageOn(reserved.hosts, 1)
 	}
 }
 
 // reclaimIfWorthwhile preempts other groups for an urgent group once waiting
 // longer would make it late, if its value exceeds the cost. Shortly before
-// ReclaimLimit it does so for a guaranteed job at any cost.
+// ReclaimLimit it does so for a guaranteed job at any cost, and for one that was moved.
 func (p *pool) reclaimIfWorthwhile(g *group, now time.Time, guaranteed map[*job]bool) *placement {
 	if g.job.Priority != 0 {
 		return nil
 	}
 	limit := p.scheduler.Bounds.ReclaimLimit - p.scheduler.Bounds.StopLimit - reclaimMargin
-	mustStart := guaranteed[g.job] && now.Sub(g.job.acceptedAt) >= limit
+	mustStart := guaranteed[g.job] && (now.Sub(g.job.acceptedAt) >= limit || g.displaced)
 	slack := g.slack(now)
 	if !mustStart && (slack < minReclaimSlack || slack > maxReclaimSlack) {
 		return nil
@@ -216,7 +223,20 @@
 		return nil
 	}
 	g.searchedAt = now
-	return p.reclaim(g, now, guaranteed, maxCost)
+	choice := p.reclaim(g, now, guaranteed, maxCost)
+	if choice == nil && mustStart && now.Sub(g.startWanted()) >= limit {
+		choice = p.reclaimLastResort(g, now, guaranteed)
+	}
+	return choice
+}
+
+// startWanted returns from when on ReclaimLimit counts for the group: the acceptance of its
+// job or, once something of the job has run, when the group began to wait.
+func (g *group) startWanted() time.Time {
+	if g.job.begun {
+		return g.waitingSince
+	}
+	return g.job.acceptedAt
 }
 
 const (
@@ -242,6 +262,10 @@
 	for i, task := range g.job.Members(g.id) {
 		p.assign(g, task, choice.workers[i], choice.workers[i].incarnation)
 	}
+	for _, v := range choice.moved {
+		v.displaced = true
+		p.stopGroup(v, reasonDisplaced)
+	}
 	for _, v := range choice.victims {
 		p.stopGroup(v, reasonReclaimed)
 	}
@@ -251,7 +275,7 @@
 	}
 	p.scheduler.Log.Info().Str("event", "attemptPlanned").Str("request", string(g.job.ID)).
 		Int("step", g.id.Step).Int("index", g.id.Index).Int("attempt", g.attempt).
-		Int("members", len(g.members)).Int("victims", len(g.victims)).
+		Int("members", len(g.members)).Int("victims", len(g.victims)).Int("moved", len(choice.moved)).
 		Int("priority", g.job.Priority).Dur("slack", g.slack(g.placedAt)).Dur("estimate", g.step.Estimate).
 		Dur("waited", g.placedAt.Sub(g.waitingSince)).Send()
 	p.round.free -= g.size() * g.step.Accelerators
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -51,6 +51,8 @@
 	// shortLoggedAt is when a guarantee was last logged as short, by organisation.
 	shortLoggedAt map[string]time.Time
 	work          worklist
+	// reservations holds the room that is kept for groups which are moved.
+	reservations map[*group]reservation
 }
 
 // job is a job and its progress. The pool's lock guards it.
@@ -110,8 +112,9 @@
 	checkpoint    string
 	// waitingSince is when the group was created or its last attempt ended.
 	waitingSince time.Time
-	// searchedAt is when attempts to preempt were last searched for.
-	searchedAt time.Time
+	// searchedAt is when attempts to preempt were last searched for, lastResortAt when
+	// those that are stopped as a last resort.
+	searchedAt, lastResortAt time.Time
 	// placedAt is when the attempt was placed and, later, when its starts were sent.
 	placedAt time.Time
 	// failedWorkers holds the workers on which the group failed or stalled.
@@ -127,6 +130,8 @@
 	startsSent bool
 	// moves counts how often the group was moved off slow workers.
 	moves int
+	// displaced is set once the group was moved for a guaranteed job.
+	displaced bool
 	// done is set once the work is complete.
 	done    bool
 	earlier earlierAttempt
@@ -142,7 +147,7 @@
 		unknownRuns: make(map[workflow.Task]int),
 		meanWork:    make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
 		speeds: speed.New(),
-		work:   newWorklist(),
+		work:   newWorklist(), reservations: make(map[*group]reservation),
 	}
 }
 
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -12,10 +12,27 @@
 // more than maxCost, or nil. It prefers the group's rack; only a guaranteed job is
 // placed away from it.
 func (p *pool) reclaim(g *group, now time.Time, guaranteed map[*job]bool, maxCost float64) *placement {
+	level := overLessUrgent
+	if guaranteed[g.job] {
+		level = overUnguaranteed
+	}
+	pp := p.searchVictims(level, g, now, guaranteed, maxCost, nil)
+	if pp == nil {
+		return nil
+	}
+	return &placement{workers: pp.hosts, victims: pp.victims}
+}
+
+// searchVictims returns the cheapest plan for the group on the level, or nil. The groups
+// in taken count as stopped and are among the plan's victims.
+func (p *pool) searchVictims(level preemptionLevel, g *group, now time.Time, guaranteed map[*job]bool, maxCost float64, taken []*group) *preemptionPlan {
 	among := p.round.suitable.filter(g, g.hasFailedOn)
 	var best *preemptionPlan
 	consider := func(workers []*worker) {
-		pp := newPreemptionPlan(g, workers, &p.round, now, guaranteed, maxCost)
+		pp := &preemptionPlan{
+			level: level, group: g, workers: workers, round: &p.round, now: now, guaranteed: guaranteed, maxCost: maxCost,
+			victims: slices.Clone(taken),
+		}
 		if pp.placeMembers() {
 			best, maxCost = pp, math.Nextafter(pp.cost, 0)
 		}
@@ -31,15 +48,13 @@
 	if best == nil && (guaranteed[g.job] || !g.needsLocality()) {
 		consider(among.workers)
 	}
-	if best == nil {
-		return nil
-	}
-	return &placement{workers: best.hosts, victims: best.victims}
+	return best
 }
 
 // preemptionPlan chooses workers for the members of a group, and the groups to
 // stop so that they fit.
 type preemptionPlan struct {
+	level      preemptionLevel
 	group      *group
 	workers    []*worker
 	round      *round
@@ -73,10 +88,6 @@
 	fits    bool
 }
 
-func newPreemptionPlan(g *group, workers []*worker, r *round, now time.Time, guaranteed map[*job]bool, maxCost float64) *preemptionPlan {
-	return &preemptionPlan{group: g, workers: workers, round: r, now: now, guaranteed: guaranteed, maxCost: maxCost}
-}
-
 // placeMembers chooses for one member after another the worker with the lowest
 // cost. It reports false if a member fits nowhere or the cost exceeds maxCost.
 func (pp *preemptionPlan) placeMembers() bool {
@@ -115,7 +126,7 @@
 	if pp.group.step.SpreadLimit > 0 {
 		return pp.cheapestOption(w)
 	}
-	key := optionKey{victimsKey{w, pp.guaranteed[pp.group.job]}, pp.group.step.Needs()}
+	key := optionKey{victimsKey{w, pp.level}, pp.group.step.Needs()}
 	o, known := pp.round.firstOptions[key]
 	if !known {
 		o = pp.cheapestOption(w)
@@ -152,23 +163,23 @@
 	if needs.FitsIn(capacity) {
 		return option{fits: true}
 	}
-	var victims []*group
-	for _, v := range pp.round.preemptible(w, pp.guaranteed[pp.group.job], pp.now, pp.guaranteed) {
+	var victims, last []*group
+	for _, v := range pp.round.preemptible(w, pp.level, pp.now, pp.guaranteed) {
 		// An attempt of this round may have stopped the group.
-		if v.phase != placed && v.phase != saving || slices.Contains(pp.victims, v) {
+		if v.phase != placed && v.phase != saving || slices.Contains(pp.victims, v) || pp.round.unmovable[v] {
+			continue
+		}
+		if pp.round.isLastResort(v) {
+			last = append(last, v)
 			continue
 		}
 		victims = append(victims, v)
 		capacity = capacity.Plus(v.usedOn(w))
 		if needs.FitsIn(capacity) {
-			o := option{victims: dropUnneeded(victims, w, needs, capacity), fits: true}
-			for _, v := range o.victims {
-				o.cost += pp.round.preemptionCost(v, pp.now)
-			}
-			return o
+			return pp.optionOf(dropUnneeded(victims, w, needs, capacity))
 		}
 	}
-	return option{}
+	return pp.lastResortOption(w, capacity, victims, last)
 }
 
 // dropUnneeded removes victims without which the capacity still suffices, the
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -37,6 +37,9 @@
 	// attempt began, options is the memory of the current search.
 	firstOptions map[optionKey]option
 	options      []option
+	// movable holds the guaranteed groups that may be moved, once it was asked for them;
+	// unmovable those that had no room after all.
+	movable, unmovable map[*group]bool
 	// searchUntil is when the round stops to search for attempts to preempt.
 	searchUntil time.Time
 }
@@ -159,6 +162,9 @@
 	cost, known := r.costs[g]
 	if !known {
 		cost = g.preemptionCost(now)
+		if r.isLastResort(g) {
+			cost += lastResortCost * g.step.Needs().CoreEquivalents() * float64(g.size())
+		}
 		r.costs[g] = cost
 	}
 	return cost
@@ -171,28 +177,40 @@
 }
 
 // victimsKey names what the groups that may be preempted depend on: the worker,
-// and whether the group that needs room is guaranteed.
+// and the level of the search.
 type victimsKey struct {
-	worker     *worker
-	guaranteed bool
+	worker *worker
+	level  preemptionLevel
+}
+
+// isLastResort reports whether the group is stopped only if nothing else makes room.
+func (r *round) isLastResort(g *group) bool { return g.step.LongRunning || r.movable[g] }
+
+// mayPreempt reports whether a search on the level may stop the group.
+func (r *round) mayPreempt(v *group, level preemptionLevel, guaranteed map[*job]bool) bool {
+	switch {
+	case v.phase != placed && v.phase != saving:
+		return false
+	case guaranteed[v.job]:
+		return level.moves() && r.movable[v] && (!v.step.LongRunning || level.stopsLongRunning())
+	case v.step.LongRunning:
+		return level.stopsLongRunning() && v.job.Priority >= longRunningPriority
+	default:
+		return level > overLessUrgent || v.job.Priority > 0
+	}
 }
 
 // preemptible returns the groups on a worker that an urgent group may preempt, by
-// ascending cost per accelerator. Groups without a guarantee preempt only those of
-// lower urgency.
-func (r *round) preemptible(w *worker, forGuaranteed bool, now time.Time, guaranteed map[*job]bool) []*group {
-	key := victimsKey{w, forGuaranteed}
+// ascending cost per accelerator.
+func (r *round) preemptible(w *worker, level preemptionLevel, now time.Time, guaranteed map[*job]bool) []*group {
+	key := victimsKey{w, level}
 	victims, known := r.victims[key]
 	if known {
 		return victims
 	}
 	for _, m := range w.members {
-		v := m.group
-		if v.phase != placed && v.phase != saving || guaranteed[v.job] || v.step.LongRunning {
-			continue
-		}
-		if (forGuaranteed || v.job.Priority > 0) && !slices.Contains(victims, v) {
-			victims = append(victims, v)
+		if r.mayPreempt(m.group, level, guaranteed) && !slices.Contains(victims, m.group) {
+			victims = append(victims, m.group)
 		}
 	}
 	slices.SortFunc(victims, func(a, b *group) int {
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -15,6 +15,8 @@
 	reasonIncomplete = "stopIncomplete"
 	reasonReclaimed  = "stopReclaimed"
 	reasonStalled    = "stopStalled"
+	// reasonDisplaced: a guaranteed group makes room for another and is placed elsewhere.
+	reasonDisplaced = "stopDisplaced"
 	// reasonMoved: the work finishes earlier on faster workers, after a new start.
 	reasonMoved = "stopMoved"
 	// reasonEvacuated: the attempt was placed in a zone that is evacuated and was not sent.
