Limit the concurrent starts to a worker

A worker accepts 64 connections. Stops are limited to 16 at a time, but starts only by the planner's processor time: 160 with one core, all to one worker if it has small tasks. The stand-in workers now keep the limit, as they do the longest wait of a renewal, and refuse further calls: jobstore TestLargeJob then started tasks of gangs and occurrences again. At most 32 starts are sent to a worker at a time; the test passes. TestInvariantsUnderFaults draws both limits small.

--- a/coordination/scheduling/pacing.go
+++ b/coordination/scheduling/pacing.go
@@ -62,12 +62,12 @@
 	return max(int(startsPerCore*s.Cores), minConcurrentStarts)
 }
 
-// acquireStart waits until one more start may be unanswered; release must be
+// acquire waits until one more start may be unanswered; release must be
 // called afterwards if ok is true.
-func (s *Scheduler) acquireStart(ctx context.Context) (release func(), ok bool) {
+func acquire(ctx context.Context, starts chan struct{}) (release func(), ok bool) {
 	select {
-	case s.starts <- struct{}{}:
-		return func() { <-s.starts }, true
+	case starts <- struct{}{}:
+		return func() { <-starts }, true
 	case <-ctx.Done():
 		return nil, false
 	}
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -58,6 +58,10 @@
 	recordBytes int
 	// listedEnds is the most ends that one report lists; 0 is the fleet's default.
 	listedEnds int
+	// connections is the most calls to a worker at a time, renewWait the longest wait of a
+	// renewal; 0 is the fleet's default.
+	connections int
+	renewWait   time.Duration
 }
 
 func drawScenario(t *rapid.T) scenario {
@@ -73,6 +77,8 @@
 		cores:       rapid.SampledFrom([]float64{0, 0.001}).Draw(t, "cores"),
 		recordBytes: rapid.SampledFrom([]int{0, 1}).Draw(t, "recordBytes"),
 		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
+		connections: rapid.SampledFrom([]int{0, 2, 4}).Draw(t, "connections"),
+		renewWait:   rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond}).Draw(t, "renewWait"),
 		storeDelay:  milliseconds([]int64{rapid.SampledFrom([]int64{0, 2, 195}).Draw(t, "storeDelay")})[0],
 		lostRate:    rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "lostRate"),
 		storeOutage: time.Duration(rapid.Int64Range(0, faultPeriod.Milliseconds()).Draw(t, "storeOutage")) * time.Millisecond,
@@ -175,6 +181,12 @@
 	if s.listedEnds > 0 {
 		h.fleet.ListedEnds = s.listedEnds
 	}
+	if s.connections > 0 {
+		h.fleet.Connections = s.connections
+	}
+	if s.renewWait > 0 {
+		h.fleet.MaxWait = s.renewWait
+	}
 	began := time.Now()
 	random := rand.New(rand.NewPCG(s.seed, 1))
 	var mu sync.Mutex
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -21,6 +21,9 @@
 	// less than startValidity.
 	firstStartTimeout = 200 * time.Millisecond
 	maxStartTries     = 3
+	// maxStartSenders is how many starts are sent to a worker at a time. Together with the
+	// stops and renewals they stay under the 64 connections that a worker accepts.
+	maxStartSenders = 32
 )
 
 // startGroup starts the members of a group whose attempt is stored, once its
@@ -127,7 +130,12 @@
 
 // tryStart sends the order once its turn has come; the time limit begins then.
 func (p *pool) tryStart(m *member, target workflow.Worker, order StartOrder, timeout time.Duration) (StartResult, error) {
-	release, ok := p.scheduler.acquireStart(p.scheduler.ctx)
+	releaseWorker, ok := acquire(p.scheduler.ctx, m.worker.starts)
+	if !ok {
+		return "", errNotSent
+	}
+	defer releaseWorker()
+	release, ok := acquire(p.scheduler.ctx, p.scheduler.starts)
 	if !ok {
 		return "", errNotSent
 	}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -89,6 +89,8 @@
 	price  float64
 	// stopSenders counts the goroutines that send stops to the worker.
 	stopSenders int
+	// starts holds a value for each start order to the worker that is under way.
+	starts chan struct{}
 }
 
 // workerInfo is a worker's registration, and whether it is still registered.
@@ -109,6 +111,7 @@
 		w = &worker{
 			id: id, info: workerInfo{Worker: workflow.Worker{ID: id}}, members: make(map[attemptKey]*member),
 			leaseExpiry: latestLeaseExpiry(p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap), p.scheduler.Bounds.LeaseLimit), renewDue: make(chan struct{}, 1),
+			starts: make(chan struct{}, maxStartSenders),
 		}
 		w.setSpeed(p.speeds.Estimate(id))
 		p.workers[id] = w
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -45,6 +45,10 @@
 	// ListedEnds is the most ends that one report lists, the oldest first; the others
 	// are listed once these are acknowledged.
 	ListedEnds int
+	// Connections is the most calls to a worker at a time; further ones are refused.
+	Connections int
+	// MaxWait is the longest wait of a renewal; longer ones are cut short.
+	MaxWait time.Duration
 	// GangSize returns the number of members of a task's gang; nil makes every
 	// task a gang of one.
 	GangSize func(task workflow.Task) int
@@ -60,6 +64,8 @@
 
 	mu      sync.Mutex
 	workers map[workflow.WorkerID]*worker
+	// open counts the calls to each worker that are under way.
+	open map[workflow.WorkerID]int
 	// ordered holds the IDs of the workers, sorted.
 	ordered []workflow.WorkerID
 	runs    []*Run
@@ -104,7 +110,8 @@
 func New() *Fleet {
 	return &Fleet{
 		LeaseLimit: 6 * time.Second, GangTimeout: 3 * time.Second, StopTime: 300 * time.Millisecond, ListedEnds: 500,
-		workers: make(map[workflow.WorkerID]*worker),
+		Connections: 64, MaxWait: 2 * time.Second,
+		workers: make(map[workflow.WorkerID]*worker), open: make(map[workflow.WorkerID]int),
 	}
 }
 
@@ -148,7 +155,46 @@
 
 // Calls returns the functions through which the scheduler calls the workers.
 func (f *Fleet) Calls() scheduling.WorkerCalls {
-	return scheduling.WorkerCalls{Start: f.start, Stop: f.stop, Renew: f.renew}
+	return scheduling.WorkerCalls{
+		Start: func(ctx context.Context, at workflow.Worker, order scheduling.StartOrder) (scheduling.StartResult, error) {
+			if err := f.connect("Start", at); err != nil {
+				return "", err
+			}
+			defer f.disconnect(at)
+			return f.start(ctx, at, order)
+		},
+		Stop: func(ctx context.Context, at workflow.Worker, order scheduling.StopOrder) error {
+			if err := f.connect("Stop", at); err != nil {
+				return err
+			}
+			defer f.disconnect(at)
+			return f.stop(ctx, at, order)
+		},
+		Renew: func(ctx context.Context, at workflow.Worker, order scheduling.RenewOrder) (workflow.Report, error) {
+			if err := f.connect("Renew", at); err != nil {
+				return workflow.Report{}, err
+			}
+			defer f.disconnect(at)
+			return f.renew(ctx, at, order)
+		},
+	}
+}
+
+// connect counts a call to the worker, and refuses it if the worker accepts no more.
+func (f *Fleet) connect(call string, at workflow.Worker) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open[at.ID] >= f.Connections {
+		return state.NewStepError(call, at.Address, state.WorkerSilent, nil)
+	}
+	f.open[at.ID]++
+	return nil
+}
+
+func (f *Fleet) disconnect(at workflow.Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[at.ID]--
 }
 
 // perform executes a call on a worker under the lock, subject to the fault
@@ -244,7 +290,7 @@
 // the worker restarts in the meantime, as a restart closes real connections.
 func (f *Fleet) renew(ctx context.Context, at workflow.Worker, order scheduling.RenewOrder) (workflow.Report, error) {
 	const pollInterval = 5 * time.Millisecond
-	deadline := time.Now().Add(order.Wait)
+	deadline := time.Now().Add(min(order.Wait, f.MaxWait))
 	f.mu.Lock()
 	original := f.workers[at.ID]
 	f.mu.Unlock()
