Store the checkpoint that a stop brings before its end is acknowledged

An end that only brought a checkpoint did not mark the group's record as changed, so that the end was acknowledged at once and the checkpoint stored with the next attempt only. A change of the planner between the two lost it. TestStopStoresCheckpoint: stored checkpoint "" before, "c" after. Such a stop costs one change of the store.

--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -91,6 +91,7 @@
 	m.worker.used = m.worker.used.Minus(m.group.step.Needs())
 	if checkpoint != "" && m.group.attempt == m.attempt {
 		m.group.checkpoint = checkpoint
+		p.markDirty(m.group.record) // stored before the end is acknowledged
 	}
 	switch outcome {
 	case workflow.Faulted:
--- a/standin/runner/fleet.go
+++ b/standin/runner/fleet.go
@@ -344,7 +344,7 @@
 	listed := min(len(w.unacknowledged), f.ListedEnds)
 	report.MoreEnds = listed < len(w.unacknowledged)
 	for _, r := range w.unacknowledged[:listed] {
-		report.Ended = append(report.Ended, workflow.EndedTask{Number: r.endNumber, Task: r.Task, Attempt: r.Attempt, Outcome: r.Outcome})
+		report.Ended = append(report.Ended, workflow.EndedTask{Number: r.endNumber, Task: r.Task, Attempt: r.Attempt, Outcome: r.Outcome, Checkpoint: f.checkpointOf(r)})
 	}
 	return report, nil
 }
@@ -385,3 +385,11 @@
 
 // errNotRunning indicates a bug in the simulation itself.
 var errNotRunning = errors.New("simulated workers: an attempt ended that its worker was not running")
+
+// checkpointOf returns the checkpoint that an end brings: a stop takes one.
+func (f *Fleet) checkpointOf(r *Run) string {
+	if r.Outcome == workflow.Stopped {
+		return f.Checkpoint
+	}
+	return ""
+}
