Keep the platform's limits of the store in the stand-in

The stand-in of the store had limits for values and changes only. Keys, rates, history and waits are fields now, which TestLimits crosses one by one; rates have no limit unless a test sets one, as many tests fill a store within an instant.

--- a/standin/keyvalue/store.go
+++ b/standin/keyvalue/store.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/state"
 )
@@ -39,21 +37,26 @@
 	// Fault returns the fault of each call by the call's name, such as "Commit";
 	// nil injects no faults.
 	Fault func(call string) Fault
-	// ValueBytes is the most bytes of a value, ChangeEntries the most conditions, puts
-	// and deletes of a change together; larger ones are refused.
-	ValueBytes    int
-	ChangeEntries int
+	Limits
 
 	mu       sync.Mutex
 	revision keyvalue.Revision
 	items    map[string]keyvalue.Item
-	history  []keyvalue.Item
+	history  []historyItem
+	writes   rate
+	reads    rate
 	leases   map[keyvalue.LeaseID]*lease
 	changed  chan struct{}
 	// compacted is the newest revision that was removed from the history.
 	compacted keyvalue.Revision
 }
 
+// historyItem is a change of one key, and when it was made.
+type historyItem struct {
+	item keyvalue.Item
+	at   time.Time
+}
+
 type lease struct {
 	ttl     time.Duration
 	expires time.Time
@@ -63,7 +66,7 @@
 func New() *Store {
 	return &Store{
 		items: make(map[string]keyvalue.Item), leases: make(map[keyvalue.LeaseID]*lease),
-		changed: make(chan struct{}), revision: 1, ValueBytes: 1 << 20, ChangeEntries: 32,
+		changed: make(chan struct{}), revision: 1, Limits: platformLimits(),
 	}
 }
 
@@ -93,16 +96,27 @@
 	return found
 }
 
+// watchPoll names the further looks of one watch, which is one call to the store.
+const watchPoll = "WatchPoll"
+
 // perform executes a call under the lock, subject to the fault injected for it.
 func (s *Store) perform(ctx context.Context, call string, execute func()) error {
 	fault := None
-	if s.Fault != nil {
+	if s.Fault != nil && call == watchPoll {
+		fault = s.Fault("Watch")
+	} else if s.Fault != nil {
 		fault = s.Fault(call)
 	}
+	if call != watchPoll {
+		if err := s.checkRate(call); err != nil {
+			return err
+		}
+	}
 	executeLocked := func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.expireLeases()
+		s.trimHistory()
 		execute()
 	}
 	switch fault {
@@ -154,15 +168,20 @@
 }
 
 func (s *Store) watch(ctx context.Context, prefix string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Item, keyvalue.Revision, error) {
-	deadline := time.Now().Add(wait)
-	for {
+	deadline := time.Now().Add(min(wait, s.MaxWait))
+	for first := true; ; first = false {
 		var events []keyvalue.Item
 		var asOf keyvalue.Revision
 		var changed chan struct{}
 		historyLost := false
-		err := s.perform(ctx, "Watch", func() {
-			historyLost = after < s.compacted
-			for _, item := range s.history {
+		call := "Watch"
+		if !first {
+			call = watchPoll
+		}
+		err := s.perform(ctx, call, func() {
+			historyLost = first && after < s.compacted
+			for _, change := range s.history {
+				item := change.item
 				if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
 					events = append(events, item)
 				}
@@ -239,25 +258,13 @@
 	return s.revision, nil
 }
 
-func (s *Store) checkLimits(change keyvalue.Change) error {
-	if entries := len(change.Conditions) + len(change.Puts) + len(change.Deletes); entries > s.ChangeEntries {
-		return errors.Errorf("a change of %d entries, %d are allowed", entries, s.ChangeEntries)
-	}
-	for _, put := range change.Puts {
-		if len(put.Value) > s.ValueBytes {
-			return errors.Errorf("a value of %d bytes at key %s, %d are allowed", len(put.Value), put.Key, s.ValueBytes)
-		}
-	}
-	return nil
-}
-
 func (s *Store) recordItem(item keyvalue.Item) {
 	if item.Deleted {
 		delete(s.items, item.Key)
 	} else {
 		s.items[item.Key] = item
 	}
-	s.history = append(s.history, item)
+	s.history = append(s.history, historyItem{item, time.Now()})
 }
 
 func (s *Store) notifyWatchers() {
