--- a/coordination/scheduling/move_test.go
+++ b/coordination/scheduling/move_test.go
@@ -45,28 +45,37 @@
 		evacuated bool
 	}{
 		{"guaranteed work on each worker", 6, 16, []orderedJobs{
-			{0, 6, "andina", 1, long(6)}, {time.Second, 6, "brazos", 0, long(2)},
+			{0, 6, "andina", 1, long(6)},
+			{time.Second, 6, "brazos", 0, long(2)},
 			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{1, 2, 0}, false},
 		{"the smallest of it is moved", 3, 24, []orderedJobs{
-			{0, 1, "andina", 1, long(4)}, {0, 1, "andina", 1, long(6)}, {0, 1, "andina", 1, long(5)},
-			{time.Second, 1, "brazos", 0, long(4)}, {time.Second, 1, "brazos", 0, long(2)}, {time.Second, 1, "brazos", 0, long(3)},
+			{0, 1, "andina", 1, long(4)},
+			{0, 1, "andina", 1, long(6)},
+			{0, 1, "andina", 1, long(5)},
+			{time.Second, 1, "brazos", 0, long(4)},
+			{time.Second, 1, "brazos", 0, long(2)},
+			{time.Second, 1, "brazos", 0, long(3)},
 			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{1, 2, 0}, false},
 		{"a gang on one rack", 6, 16, []orderedJobs{
-			{0, 6, "andina", 1, long(6)}, {time.Second, 6, "brazos", 0, long(2)},
+			{0, 6, "andina", 1, long(6)},
+			{time.Second, 6, "brazos", 0, long(2)},
 			{2 * time.Second, 1, "condor", 0, gang},
 		}, true, [3]int{2, 3, 0}, false},
 		{"a spread limit", 6, 16, []orderedJobs{
-			{0, 6, "andina", 1, long(6)}, {time.Second, 6, "brazos", 0, long(2)},
+			{0, 6, "andina", 1, long(6)},
+			{time.Second, 6, "brazos", 0, long(2)},
 			{2 * time.Second, 1, "condor", 0, spread},
 		}, true, [3]int{2, 3, 0}, false},
 		{"two jobs at once", 6, 16, []orderedJobs{
-			{0, 6, "andina", 1, long(6)}, {time.Second, 6, "brazos", 0, long(2)},
+			{0, 6, "andina", 1, long(6)},
+			{time.Second, 6, "brazos", 0, long(2)},
 			{2 * time.Second, 2, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{2, 3, 0}, false},
 		{"two jobs at once, and room to move one", 2, 16, []orderedJobs{
-			{0, 2, "andina", 1, long(6)}, {time.Second, 2, "brazos", 0, long(2)},
+			{0, 2, "andina", 1, long(6)},
+			{time.Second, 2, "brazos", 0, long(2)},
 			{2 * time.Second, 2, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{1, 2, 0}, false},
 		{"no room for what would be moved", 2, 16, []orderedJobs{
@@ -79,7 +88,9 @@
 			{0, 6, "andina", 2, lasting}, {2 * time.Second, 1, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{0, 0, 1}, false},
 		{"long-running tasks come last", 6, 16, []orderedJobs{
-			{0, 4, "andina", 2, lasting}, {0, 2, "andina", 1, long(6)}, {time.Second, 2, "brazos", 0, long(2)},
+			{0, 4, "andina", 2, lasting},
+			{0, 2, "andina", 1, long(6)},
+			{time.Second, 2, "brazos", 0, long(2)},
 			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{1, 2, 0}, false},
 	}
--- a/standin/keyvalue/limits_test.go
+++ b/standin/keyvalue/limits_test.go
@@ -25,7 +25,8 @@
 		_, _, _, err := s.Get(context.Background(), "a")
 		return err
 	}
-	watch := func(s keyvalue.Store) error {
+	watchAfter := func(s keyvalue.Store, age time.Duration) error {
+		time.Sleep(age)
 		_, _, err := s.Watch(context.Background(), "a", 1, time.Minute)
 		return err
 	}
@@ -45,13 +46,13 @@
 		{"reads", get, 6, 0, keyvalue.IsThrottled},
 		{"reads within the rate", get, 10, 210 * time.Millisecond, nil},
 		{"history", func(s keyvalue.Store) error {
-			return errors.WithMessage(firstError(put("a", "")(s), sleep(3*time.Second), watch(s)), "history")
+			return firstError(put("a", "")(s), watchAfter(s, 3*time.Second))
 		}, 1, 0, func(err error) bool { return errors.Is(err, keyvalue.ErrHistoryLost) }},
 		{"history within the limit", func(s keyvalue.Store) error {
-			return firstError(put("a", "")(s), sleep(time.Second), watch(s))
+			return firstError(put("a", "")(s), watchAfter(s, time.Second))
 		}, 1, 0, nil},
 		{"a pending watch", func(s keyvalue.Store) error {
-			return firstError(put("b", "")(s), watch(s))
+			return firstError(put("b", "")(s), watchAfter(s, 0))
 		}, 1, 0, nil},
 	}
 	for _, test := range tests {
@@ -78,11 +79,6 @@
 	}
 }
 
-func sleep(d time.Duration) error {
-	time.Sleep(d)
-	return nil
-}
-
 func firstError(list ...error) error {
 	for _, err := range list {
 		if err != nil {
