--- a/coordination/scheduling/acknowledge_test.go
+++ b/coordination/scheduling/acknowledge_test.go
@@ -60,9 +60,10 @@
 }
 
 // isStored reports whether the store shows the effect of the end: that the group is done,
-// or that the attempt has failed. Nothing of a job that has ended starts again.
+// that the attempt has failed, or the checkpoint of a stop. Nothing of a job that has ended starts again.
 func (h *harness) isStored(end workflow.EndedTask) bool {
-	if end.Outcome != workflow.Done && end.Outcome != workflow.Faulted || h.store.status(end.Task.Job).Final() {
+	checkpointed := end.Outcome == workflow.Stopped && end.Checkpoint != ""
+	if end.Outcome != workflow.Done && end.Outcome != workflow.Faulted && !checkpointed || h.store.status(end.Task.Job).Final() {
 		return true
 	}
 	h.mu.Lock()
@@ -80,6 +81,9 @@
 			continue
 		}
 		if g, found := r.Progress.Groups[id]; found {
+			if checkpointed {
+				return g.Done || g.Attempt > end.Attempt || g.Checkpoint != ""
+			}
 			return g.Done || end.Outcome == workflow.Faulted && g.FailedAttempt >= end.Attempt
 		}
 	}
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -62,6 +62,8 @@
 	// renewal; 0 is the fleet's default.
 	connections int
 	renewWait   time.Duration
+	// checkpoint is what every attempt reports and brings when it is stopped; empty is none.
+	checkpoint string
 }
 
 func drawScenario(t *rapid.T) scenario {
@@ -78,6 +80,7 @@
 		recordBytes: rapid.SampledFrom([]int{0, 1}).Draw(t, "recordBytes"),
 		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
 		connections: rapid.SampledFrom([]int{0, 2, 4}).Draw(t, "connections"),
+		checkpoint:  rapid.SampledFrom([]string{"", "c"}).Draw(t, "checkpoint"),
 		renewWait:   rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond}).Draw(t, "renewWait"),
 		storeDelay:  milliseconds([]int64{rapid.SampledFrom([]int64{0, 2, 195}).Draw(t, "storeDelay")})[0],
 		lostRate:    rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "lostRate"),
@@ -181,6 +184,7 @@
 	if s.listedEnds > 0 {
 		h.fleet.ListedEnds = s.listedEnds
 	}
+	h.fleet.Checkpoint = s.checkpoint
 	if s.connections > 0 {
 		h.fleet.Connections = s.connections
 	}
