--- a/coordination/scheduling/move_test.go
+++ b/coordination/scheduling/move_test.go
@@ -63,6 +63,11 @@
 			{time.Second, 6, "brazos", 0, long(2)},
 			{2 * time.Second, 1, "condor", 0, gang},
 		}, true, [3]int{2, 3, 0}, false},
+		{"a gang is moved as a whole", 4, 16, []orderedJobs{
+			{0, 4, "andina", 1, long(6)},
+			{time.Second, 1, "brazos", 0, workflow.Step{Tasks: 4, Accelerators: 2, Gang: true, Estimate: 20 * time.Second}},
+			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
+		}, true, [3]int{1, 2, 0}, false}, // the other members end with the one that is stopped
 		{"a spread limit", 6, 16, []orderedJobs{
 			{0, 6, "andina", 1, long(6)},
 			{time.Second, 6, "brazos", 0, long(2)},
