Move no work off slow workers while the store is slow

Cause: a move was planned with 100 ms besides the stop, but the new attempt must be stored first; with answers after 990 ms a moved gang took 1.0 s longer than planned. Result: the row of TestMoveStragglers fails before (moved 1, want 0) and passes.

--- a/coordination/scheduling/speeds_test.go
+++ b/coordination/scheduling/speeds_test.go
@@ -89,19 +89,23 @@
 		stretch float64
 		// evacuationAge is how old the only reading of the evacuations, at the start, may be.
 		evacuationAge time.Duration
-		moved         int
-		maxTime       time.Duration
+		// storeAnswer is how long the store takes to answer.
+		storeAnswer time.Duration
+		moved       int
+		maxTime     time.Duration
 	}{
-		{"a faster worker is free", "w0", 1.6, 0, 1, 7400 * time.Millisecond},
-		{"the gang is in time where it runs", "w0", 2.5, 0, 0, 8100 * time.Millisecond},
-		{"all workers turn slow", "w0 w1 w2 w3 w4 w5", 1.6, 0, 0, 8100 * time.Millisecond},
-		{"nothing may start any more", "w0", 1.6, 8500 * time.Millisecond, 0, 8100 * time.Millisecond},
+		{"a faster worker is free", "w0", 1.6, 0, 0, 1, 7400 * time.Millisecond},
+		{"the gang is in time where it runs", "w0", 2.5, 0, 0, 0, 8100 * time.Millisecond},
+		{"all workers turn slow", "w0 w1 w2 w3 w4 w5", 1.6, 0, 0, 0, 8100 * time.Millisecond},
+		{"nothing may start any more", "w0", 1.6, 8500 * time.Millisecond, 0, 0, 8100 * time.Millisecond},
+		{"the store is slow", "w0", 1.6, 0, 390 * time.Millisecond, 0, 8600 * time.Millisecond},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness(6)
 				h.evacuationAge = test.evacuationAge
+				h.answer = func() storeAnswer { return storeAnswer{answer: test.storeAnswer} }
 				const turnsSlow = 8 * time.Second
 				began := time.Now()
 				h.fleet.RunTime = func(task workflow.Task, _ int, id workflow.WorkerID) time.Duration {
--- a/coordination/scheduling/straggler.go
+++ b/coordination/scheduling/straggler.go
@@ -21,8 +21,8 @@
 		return
 	}
 	p.stragglersCheckedAt = now
-	if p.scheduler.orderValidity(now) == 0 {
-		return // the work could not start again
+	if p.scheduler.orderValidity(now) == 0 || p.saves.slow || p.saves.longestUnanswered(now) >= slowAnswer {
+		return // the work could not start again soon
 	}
 	for g := range p.work.started {
 		if g.job.Priority != 0 || g.phase != placed || g.moves >= maxMoves {
