Skip notices that have passed, and begin the progress anew after a restart

A worker that stays beyond its notice hid the notice of another one of the same gang; and members that go on after a restart compared percentages by the clocks of two incarnations. Change: notices in the past are left out; marks are cleared at a restart. Result: the package's tests pass; no test of its own, as neither is simple to reach in the harness.

--- a/coordination/scheduling/leaving.go
+++ b/coordination/scheduling/leaving.go
@@ -66,7 +66,7 @@
 // stopIfCutShort stops a group that is to start or runs on workers that leave, unless
 // it may finish in time. A worker that stays longer than it said is left alone.
 func (p *pool) stopIfCutShort(g *group, now time.Time) {
-	staysUntil, leavesBy := g.departure()
+	staysUntil, leavesBy := g.departure(now)
 	switch {
 	case g.phase == saving || g.phase == placed && !g.startsSent:
 	case g.phase != placed || leavesBy.Before(now):
@@ -90,12 +90,12 @@
 }
 
 // departure returns until when all workers of the group surely stay, and by when the
-// first of them may have left at the latest.
-func (g *group) departure() (staysUntil, leavesBy time.Time) {
+// first of them may have left at the latest; zero if none is about to leave.
+func (g *group) departure(now time.Time) (staysUntil, leavesBy time.Time) {
 	for _, m := range g.members {
 		n := &m.worker.notice
-		if m.phase == ended || !n.given() {
-			continue
+		if m.phase == ended || !n.given() || n.leavesBy.Before(now) {
+			continue // a worker that stays longer than it said hides no other notice
 		}
 		if staysUntil.IsZero() || n.staysUntil.Before(staysUntil) {
 			staysUntil = n.staysUntil
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -283,6 +283,7 @@
 			p.endMember(m, workflow.Lost, "")
 		}
 		m.incarnation = report.Incarnation
+		m.mark, m.progress = progressMark{}, progress{} // by the clock of the former one
 	}
 }
 
