Let relayed lists through seeds take their time

Cause: a list through any entry but the first had 500 ms for all its pages, one of which takes up to 390 ms while the store is slow. Change: the limit holds for reads of a key and changes.

--- a/protocol/peer/store.go
+++ b/protocol/peer/store.go
@@ -186,12 +186,12 @@
 	return storeResponse{}, err
 }
 
-// nextEntryTimeout bounds a call through any entry but the first: an address may be that of
+// nextEntryTimeout bounds a read of a key or a change through any entry but the first: an address may be that of
 // an instance that is gone, where connections hang, and the caller waits meanwhile.
 const nextEntryTimeout = 500 * time.Millisecond
 
 func callEntry[Request any](ctx context.Context, p procedure[Request, storeResponse], entry netip.AddrPort, request Request, bounded bool) (storeResponse, error) {
-	if bounded && p.step != stepStoreWatch {
+	if bounded && p.step != stepStoreWatch && p.step != stepStoreList {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, nextEntryTimeout)
 		defer cancel()
