Collect garbage of serve sooner, and play long tests of the planner at the same time

Change: serve's collector works harder from 45 percent of the memory on instead of 60; thirteen tests in virtual time run in parallel.

--- a/cmd_serve.go
+++ b/cmd_serve.go
@@ -24,6 +24,10 @@
 	Settings string `help:"Settings file, JSON with comments." placeholder:"FILE" required:"" type:"path"`
 }
 
+// serveCollectAbovePercent is that part for an entry of serve. With 60, a crowd that sent
+// pipelined requests reached 84 MB of 80 once while the machine was busy.
+const serveCollectAbovePercent = 45
+
 // Run validates the settings, starts the entry, and drains it on SIGTERM,
 // SIGINT or an operator's request.
 func (a *serveArguments) Run() error {
@@ -36,7 +40,7 @@
 		return &usageError{err}
 	}
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryBytes / 100 * collectAbovePercent)
+		debug.SetMemoryLimit(s.MemoryBytes / 100 * serveCollectAbovePercent)
 	}
 	i, err := instance.Start(s, logs.New(a.out.diagnostics, level))
 	if err != nil {
--- a/coordination/scheduling/evacuation_test.go
+++ b/coordination/scheduling/evacuation_test.go
@@ -53,6 +53,7 @@
 // TestEvacuated checks where tasks start while zone a is evacuated. Six tasks take half
 // of the workers each, so that they fit into zone b alone, and 12 into both.
 func TestEvacuated(t *testing.T) {
+	t.Parallel()
 	type set struct {
 		zones map[string]bool
 		asOf  keyvalue.Revision
@@ -98,6 +99,7 @@
 // single tasks are on their way there. It guards against starts in the zone from then
 // on, against parts of a gang that run, and against stops of what runs.
 func TestEvacuatedLater(t *testing.T) {
+	t.Parallel()
 	gang := workflow.Step{Tasks: 6, Accelerators: 8, Gang: true}
 	smallGang := workflow.Step{Tasks: 3, Accelerators: 8, Gang: true}
 	singles := workflow.Step{Tasks: 12, Accelerators: 4}
--- a/coordination/scheduling/interference_test.go
+++ b/coordination/scheduling/interference_test.go
@@ -56,6 +56,7 @@
 // TestSeparatesPair checks that a pair which hurts is found and kept apart where there is
 // room, and that equal work is not separated. The fullest worker would be chosen otherwise.
 func TestSeparatesPair(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		times float64
@@ -70,6 +71,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness(6)
 				h.bullied(test.times)
@@ -105,6 +107,7 @@
 // two runs without a pair differ by up to 0.8 percent for a seed, as workers answer in any
 // order, and by 0.12 percent for all.
 func TestFullDeployment(t *testing.T) {
+	t.Parallel()
 	var started, ended [2]time.Duration
 	for seed := range uint64(3) {
 		for i := range started {
--- a/coordination/scheduling/move_test.go
+++ b/coordination/scheduling/move_test.go
@@ -22,6 +22,7 @@
 // others or by long-running tasks. It guards against guaranteed jobs that never start, and
 // against guaranteed work that is stopped more often than needed or not started again.
 func TestReclaimLastResort(t *testing.T) {
+	t.Parallel()
 	const reclaimLimit = 3400 * time.Millisecond
 	// restartLimit covers a stop, a save and the calls, and again a stop if room has to be made.
 	const restartLimit = 2 * time.Second
--- a/coordination/scheduling/pacing_test.go
+++ b/coordination/scheduling/pacing_test.go
@@ -13,6 +13,7 @@
 // TestBurstOnSlowPlanner hands a planner more starts at once than it can send
 // within the time limit of one. They must take longer, but none may be given up.
 func TestBurstOnSlowPlanner(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		cores float64
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -106,6 +106,7 @@
 // other or get lost, an outage of it, an evacuated zone, and overlapping planners on three
 // workers.
 func TestInvariantsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
 		var problems []string
@@ -119,6 +120,7 @@
 // TestPastFailures runs scenarios that once violated an invariant, several times
 // each, since the interleaving of goroutines differs.
 func TestPastFailures(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		scenario
--- a/coordination/scheduling/room_test.go
+++ b/coordination/scheduling/room_test.go
@@ -14,6 +14,7 @@
 // TestRoom checks that workers are ordered by a slowdown only if a quarter of the
 // deployment stays idle after all waiting groups were placed.
 func TestRoom(t *testing.T) {
+	t.Parallel()
 	victim, bully := interference.Kind{Image: "victim"}, interference.Kind{Image: "bully"}
 	tests := []struct {
 		name          string
--- a/coordination/scheduling/slow_store_test.go
+++ b/coordination/scheduling/slow_store_test.go
@@ -15,6 +15,7 @@
 // while the store is slow, and against more changes of the store than before while it
 // is not.
 func TestUrgentDuringBurst(t *testing.T) {
+	t.Parallel()
 	const burst, urgent, urgentPerSecond = 120, 21, 7
 	tests := []struct {
 		name   string
@@ -75,6 +76,7 @@
 // TestThrottledSaves has a slow store turn one change away for too many calls while many
 // saves are under way. Half as many at most may begin for a second, and all after it.
 func TestThrottledSaves(t *testing.T) {
+	t.Parallel()
 	const answerTime, burst, most = 390 * time.Millisecond, 1500, 8
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(40)
--- a/coordination/scheduling/speeds_test.go
+++ b/coordination/scheduling/speeds_test.go
@@ -47,6 +47,7 @@
 // beside work with slack, on workers a third of which is slow. A planner that takes the
 // workers for equal is late with one urgent job in three and more, with room to spare.
 func TestUrgentWorkOnFastWorkers(t *testing.T) {
+	t.Parallel()
 	slack := workflow.Step{Tasks: 3, Accelerators: 1, Estimate: 2 * time.Second}
 	tests := []struct {
 		name   string
--- a/coordination/scheduling/stop_test.go
+++ b/coordination/scheduling/stop_test.go
@@ -14,6 +14,7 @@
 // TestCancelLargeJob cancels a job of many tasks. A worker accepts 64 connections, and
 // everything must have ended 3.9 s after the cancellation.
 func TestCancelLargeJob(t *testing.T) {
+	t.Parallel()
 	const connections, within = 64, 3900 * time.Millisecond
 	tests := []struct {
 		name           string
