Review: keep a trial of guarantees against tasks that last

Cause: tasks that last in a queue of priority 0 or 1 are never stopped for a guaranteed job. Change: one more play of the driver.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -24,6 +24,7 @@
 	cases["cancel"] = cancelCase
 	cases["moved-queue"] = movedQueueCase
 	cases["foreign-entry"] = foreignEntryCase
+	cases["guarantee"] = guaranteeCase
 	cases["pending-restart"] = pendingRestartCase
 	cases["pending-late"] = pendingLateCase
 	cases["lasting-restart"] = lastingRestartCase
@@ -437,3 +438,41 @@
 	time.Sleep(5 * time.Second)
 	w.checkTwice()
 }
+
+// guaranteeCase: jobs of a tenant within its guarantee come while the workers have room.
+// With trouble, large jobs of tasks that last have come before, of another tenant and of
+// lower priority, and use all that was idle.
+func guaranteeCase(w *world, trouble bool) {
+	const reclaimLimit = 3400 * time.Millisecond
+	w.deployment(8)
+	if trouble {
+		for range 4 {
+			j := newJob(0, stepSpec{amount: amount{CPU: 4000, Memory: 8000, GPU: 4}, Count: 4, Estimate: 60000, Persistent: true})
+			j.key = "key-2"
+			w.submitUntil("/q2/", j)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	var jobs []*job
+	for range 3 {
+		j := newJob(4*time.Second, stepSpec{amount: amount{CPU: 4000, Memory: 8000, GPU: 4}, Count: 2, Estimate: 4000})
+		jobs = append(jobs, j)
+		w.submitUntil("/q1/", j)
+		time.Sleep(12 * time.Second)
+	}
+	time.Sleep(8 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range jobs {
+		begun, last := map[string]bool{}, time.Time{}
+		for _, r := range w.runs {
+			if id, _, _, _ := parseTask(r.task); id == j.id && !begun[r.task] {
+				begun[r.task], last = true, r.started
+			}
+		}
+		w.log("job %s, accepted at %.3f, has begun %d of 2 tasks, the last at %.3f", j.id, w.at(j.accepted), len(begun), w.at(last))
+		if len(begun) < 2 || last.Sub(j.accepted) > reclaimLimit {
+			w.broken("RECLAIM: job %s of priority 0 needs 8 accelerators of the 16 guaranteed to its tenant; of its 2 tasks %d have begun in %.1f s", j.id, len(begun), time.Since(j.accepted).Seconds())
+		}
+	}
+}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -51,6 +51,8 @@
 	// cancelAcked is when its cancelling was acknowledged.
 	cancelAcked time.Time
 	begun       time.Time
+	// key is the API key that its client uses.
+	key string
 }
 
 // world is the platform of a small deployment with its workers, clients and operator, and
@@ -457,6 +459,11 @@
 
 // call makes a client's call to an entry.
 func (w *world) call(e *entry, method, path string, body any, patience time.Duration, deadline time.Duration) (int, string, error) {
+	return w.callAs("key-1", e, method, path, body, patience, deadline)
+}
+
+// callAs makes a call with an API key.
+func (w *world) callAs(key string, e *entry, method, path string, body any, patience time.Duration, deadline time.Duration) (int, string, error) {
 	var text []byte
 	if body != nil {
 		text, _ = json.Marshal(body)
@@ -466,7 +473,7 @@
 	r, _ := http.NewRequestWithContext(ctx, method, "http://"+e.front+path, bytes.NewReader(text))
 	r.Host = "jobs.example"
 	r.Close = true
-	r.Header.Set("Authorization", "Bearer key-1")
+	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Comfreystream-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	answer, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
@@ -489,7 +496,7 @@
 	w.jobs[j.id] = j
 	j.sent = time.Now()
 	w.mu.Unlock()
-	status, _, _ := w.call(e, "POST", prefix+j.id, j.spec, patience, 3*time.Second)
+	status, _, _ := w.callAs(j.key, e, "POST", prefix+j.id, j.spec, patience, 3*time.Second)
 	if status/100 == 2 {
 		w.mu.Lock()
 		j.accepted = time.Now()
@@ -538,7 +545,8 @@
 			"timeout_ms": 3000, "priority": i, "max_attempts": 3, "stretch": 3.0, "target_runtime_ms": 3000})
 	}
 	w.store.put("op/config", map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "svc", "admission_check": check}, map[string]any{"name": "svc2", "admission_check": check}},
-		"tenants": []any{map[string]any{"name": "t1", "api_keys": []string{"key-1"}, "guaranteed": map[string]any{"gpu": 16}}}, "limits": map[string]any{"max_body_bytes": 262144}})
+		"tenants": []any{map[string]any{"name": "t1", "api_keys": []string{"key-1"}, "guaranteed": map[string]any{"gpu": 16}},
+			map[string]any{"name": "t2", "api_keys": []string{"key-2"}}}, "limits": map[string]any{"max_body_bytes": 262144}})
 }
 
 var nextID int
@@ -547,5 +555,5 @@
 func newJob(runs time.Duration, step stepSpec) *job {
 	nextID++
 	text, _ := json.Marshal(taskSpec{Runs: runs.Milliseconds()})
-	return &job{id: fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, nextID), spec: jobSpec{Spec: string(text), Steps: []stepSpec{step}}}
+	return &job{key: "key-1", id: fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, nextID), spec: jobSpec{Spec: string(text), Steps: []stepSpec{step}}}
 }
