Review: keep a play of starts on a worker that is back as another kind

Cause: the first start of an attempt is sent to a worker that has restarted since its newest report. Change: one more play of the driver.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -25,6 +25,7 @@
 	cases["moved-queue"] = movedQueueCase
 	cases["foreign-entry"] = foreignEntryCase
 	cases["guarantee"] = guaranteeCase
+	cases["kind"] = kindCase
 	cases["pending-restart"] = pendingRestartCase
 	cases["pending-late"] = pendingLateCase
 	cases["lasting-restart"] = lastingRestartCase
@@ -476,3 +477,42 @@
 		}
 	}
 }
+
+// kindCase: jobs come that need a label which two of eight workers have. With trouble, these
+// crash in turn, and are back under their id and address 0.3 s later as the other kind.
+func kindCase(w *world, trouble bool) {
+	w.deployment(6)
+	specials := []*worker{w.addWorker("svc", node, true, "b", "r2"), w.addWorker("svc", node, true, "b", "r2")}
+	time.Sleep(3 * time.Second)
+	for round := range 8 {
+		wk := specials[round%2]
+		if trouble {
+			w.mu.Lock()
+			wk.crash()
+			w.mu.Unlock()
+			time.Sleep(300 * time.Millisecond)
+			w.mu.Lock()
+			if wk.labels[0] == "b" {
+				wk.labels = []string{"a", "r2"}
+			} else {
+				wk.labels = []string{"b", "r2"}
+			}
+			wk.begin()
+			w.log("platform: worker %s is back as kind %s", wk.id, wk.labels[0])
+			w.mu.Unlock()
+		}
+		for i := range 4 {
+			j := newJob(500*time.Millisecond, stepSpec{amount: amount{CPU: 1000, Memory: 1000, GPU: 4}, Count: 1, Estimate: 500, Requires: "b"})
+			w.submit(w.entries[i%3], "/q2/", j, 3*time.Second)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		if r.kind != "b" {
+			w.broken("ROUTE: %s, which requires b, was started at %.3f on %s, which was of kind %s", r.task, w.at(r.started), r.worker.id, r.kind)
+		}
+	}
+}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -42,6 +42,8 @@
 	step         *stepSpec
 	fails        bool
 	workDuration time.Duration
+	// kind is the worker's kind at the start.
+	kind string
 }
 
 // worker is one of the platform's workers. The world's lock guards its fields.
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -201,7 +201,7 @@
 func (w *world) start(wk *worker, task string, number int, fence int64, spec, checkpoint string, step *stepSpec) {
 	var t taskSpec
 	_ = json.Unmarshal([]byte(spec), &t)
-	r := &run{task: task, number: number, worker: wk, life: wk.life, fence: fence, checkpoint: checkpoint, started: time.Now(), step: step,
+	r := &run{task: task, number: number, worker: wk, life: wk.life, fence: fence, checkpoint: checkpoint, started: time.Now(), step: step, kind: wk.labels[0],
 		workDuration: time.Duration(float64(t.Runs) * wk.slow * float64(time.Millisecond))}
 	failed := 0
 	for _, other := range w.runs {
