--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -115,8 +115,10 @@
 		state = "draining"
 	}
 	w.seq++
-	return map[string]any{"service": w.service, "address": w.address, "zone": "z1", "version": "1", "slots": 8, "state": state,
-		"cold_left_ms": 0, "seq": w.seq, "capacity": w.capacity, "labels": w.labels, "born": w.born.UnixMilli()}
+	return map[string]any{
+		"service": w.service, "address": w.address, "zone": "z1", "version": "1", "slots": 8, "state": state,
+		"cold_left_ms": 0, "seq": w.seq, "capacity": w.capacity, "labels": w.labels, "born": w.born.UnixMilli(),
+	}
 }
 
 func (w *worker) refuse(out http.ResponseWriter, status int, reason string) {
