Log how a job or a cancellation reaches the planner

Change: the planner logs jobLoaded and cancellationRead with their source, the queue's service and whether the job was known; the entry adds the service to jobSubmitted and whether there was a job to jobCancelled. One line for each job and cancellation; the first listing of a term stays one line in all.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -119,7 +119,7 @@
 	}
 	err := i.JobStore.Accept(ctx, job)
 	i.logRequest("jobSubmitted", job.ID, err, func(line *zerolog.Event) {
-		line.Str("queue", q.Name).Str("organisation", target.Organisation).Int64("version", target.Version)
+		line.Str("queue", q.Name).Str("service", q.Service).Str("organisation", target.Organisation).Int64("version", target.Version)
 	})
 	if err == nil {
 		i.Accepted(job)
@@ -146,7 +146,7 @@
 // is no such job.
 func (i *Intake) Cancel(ctx context.Context, id workflow.ID) error {
 	known, err := i.JobStore.Cancel(ctx, id)
-	i.logRequest("jobCancelled", id, err, nil)
+	i.logRequest("jobCancelled", id, err, func(line *zerolog.Event) { line.Bool("stored", known) })
 	if err == nil && !known {
 		return i.refuse("cancel a job", state.UnknownJob, nil)
 	}
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -159,11 +159,12 @@
 	}
 }
 
-func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
+// addJob reports whether the job was added, which it is not if it is known.
+func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, known := p.jobs[w.ID]; known {
-		return
+		return false
 	}
 	j := &job{
 		Job: w, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
@@ -189,6 +190,7 @@
 	}
 	p.createReadyGroups(j)
 	wake(p.planDue)
+	return true
 }
 
 // maxJobAge bounds what a jump of the time of day can add to a job's age.
@@ -311,15 +313,17 @@
 // deadline.
 func (g *group) slack(now time.Time) time.Duration { return g.deadline().Sub(now) - g.step.Estimate }
 
-func (p *pool) cancelJob(id workflow.ID) {
+// cancelJob cancels a job unless it has ended; known is false if the pool has no such job.
+func (p *pool) cancelJob(id workflow.ID) (known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	j, known := p.jobs[id]
 	if !known || j.status.Final() {
-		return
+		return known
 	}
 	p.endJob(j, workflow.Cancelled)
 	wake(p.planDue)
+	return true
 }
 
 // endJob sets the job's final status and, unless it completed, stops its groups.
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -72,16 +72,17 @@
 }
 
 // Load adds a job with its stored progress and the revisions of the records that
-// hold it, or does nothing if the job is already known.
-func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
-	s.pool(job.Service).addJob(job, progress, revisions)
+// hold it. It does nothing and returns false if the job's pool already knows the job.
+func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) bool {
+	return s.pool(job.Service).addJob(job, progress, revisions)
 }
 
-// Cancel cancels a job and stops its tasks.
-func (s *Scheduler) Cancel(id workflow.ID) {
+// Cancel cancels a job and stops its tasks; known is false if no pool has the job.
+func (s *Scheduler) Cancel(id workflow.ID) (known bool) {
 	for _, p := range s.allPools() {
-		p.cancelJob(id)
+		known = p.cancelJob(id) || known
 	}
+	return known
 }
 
 // SetWorkers replaces the set of registered workers by a listing of the registry
--- a/instance/hosted/peers.go
+++ b/instance/hosted/peers.go
@@ -71,7 +71,7 @@
 // notifyAccepted notifies the planner of an accepted job without waiting for it.
 func (i *Instance) notifyAccepted(job *workflow.Job) {
 	local := func(t *term) {
-		t.addJob(job)
+		t.addJob(job, jobNotified)
 		if t.refuses() {
 			i.gate.NoteWaiting()
 		}
@@ -91,7 +91,7 @@
 
 // notifyCancelled notifies the planner of a cancellation without waiting for it.
 func (i *Instance) notifyCancelled(id workflow.ID) {
-	i.notifyPlanner(id, func(t *term) { t.cancelJob(id) }, func(ctx context.Context, planner netip.AddrPort) error {
+	i.notifyPlanner(id, func(t *term) { t.cancelJob(id, jobNotified) }, func(ctx context.Context, planner netip.AddrPort) error {
 		return i.plannerClient.NotifyCancelled(ctx, planner, id)
 	})
 }
@@ -131,7 +131,7 @@
 	if err != nil {
 		return false, err
 	}
-	t.addJob(job)
+	t.addJob(job, jobNotified)
 	return t.refuses(), nil
 }
 
@@ -145,6 +145,6 @@
 // handleCancelled handles another entry's notification of a cancellation.
 func (i *Instance) handleCancelled(id workflow.ID) {
 	if t := i.term.Load(); t != nil {
-		t.cancelJob(id)
+		t.cancelJob(id, jobNotified)
 	}
 }
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/election"
 	"comfreystream/coordination/jobstore"
@@ -116,8 +118,8 @@
 			t.progress = progress
 			close(t.loaded)
 		},
-		Accepted:  t.addJob,
-		Cancelled: t.cancelJob,
+		Accepted:  func(job *workflow.Job) { t.addJob(job, jobStored) },
+		Cancelled: func(id workflow.ID) { t.cancelJob(id, jobStored) },
 		Listed: func() {
 			t.listOnce.Do(func() {
 				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Dur("after", time.Since(t.began)).Send()
@@ -131,9 +133,18 @@
 	})
 }
 
+// jobSource says in the log from where the planner knows of a job or a cancellation.
+type jobSource string
+
+const (
+	// jobStored is for what was read from the store, jobNotified for what an entry sent.
+	jobStored   jobSource = "store"
+	jobNotified jobSource = "notification"
+)
+
 // addJob passes a job to the scheduler, possibly again. Before the progress is loaded
 // it ignores the job, as the listing that follows reports it.
-func (t *term) addJob(job *workflow.Job) {
+func (t *term) addJob(job *workflow.Job, source jobSource) {
 	select {
 	case <-t.loaded:
 		loaded := t.progress[job.ID]
@@ -145,12 +156,32 @@
 			t.instance.log.Error().Str("event", "progressUnreadable").Str("request", string(job.ID)).Err(err).Send()
 			return
 		}
-		t.scheduler.Load(job, loaded.Progress, loaded.Revisions)
+		if t.scheduler.Load(job, loaded.Progress, loaded.Revisions) {
+			t.logJob("jobLoaded", job.ID, source, func(line *zerolog.Event) {
+				line.Str("queue", job.Queue).Str("service", job.Service).Time("accepted", job.Accepted)
+			})
+		}
 	default:
 	}
 }
 
-func (t *term) cancelJob(id workflow.ID) { t.scheduler.Cancel(id) }
+func (t *term) cancelJob(id workflow.ID, source jobSource) {
+	known := t.scheduler.Cancel(id)
+	t.logJob("cancellationRead", id, source, func(line *zerolog.Event) { line.Bool("known", known) })
+}
+
+// logJob logs how the planner learnt of a job or a cancellation. What the first listing of
+// a term reports is logged as a count alone.
+func (t *term) logJob(event string, id workflow.ID, source jobSource, addFields func(line *zerolog.Event)) {
+	select {
+	case <-t.listed:
+		line := t.instance.log.Info().Str("event", event).Str("request", string(id)).
+			Int64("term", int64(t.condition.Revision)).Str("source", string(source))
+		addFields(line)
+		line.Send()
+	default:
+	}
+}
 
 // followWorkers reads the registry until the term ends.
 func (t *term) followWorkers() {
