Notify the planner of the stored job, not of a repeated submission

Cause: Accept took the conflict on the job's key for success. The entry then notified the planner of the job that it had built from its own configuration. The planner looked for a known job in the pool of the named service only.

Evidence: jobLoaded source=store service=svc, and 4 s later in the same term jobLoaded source=notification service=svc2, followed by attempt 1 of each task. Ruled out: an overwritten record, a planner without its state.

Change: Accept returns the job that the store holds, decoded from the conflict; the planner is notified of that one. A scheduler knows a job by its ID whatever its service, as entries of an earlier version still send their own description. No further call to the store.

Why it works: what is stored decides at both places; a notification can only repeat what the planner's watch reads.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -20,7 +20,7 @@
 	Policy   *policy.Watcher
 	JobStore *jobstore.Store
 	Now      func() time.Time
-	// Accepted and Cancelled are called with what has been stored, to notify the
+	// Accepted and Cancelled are called with what the store holds, to notify the
 	// planner sooner than its watch of the store does; they must not block.
 	Accepted  func(job *workflow.Job)
 	Cancelled func(id workflow.ID)
@@ -117,12 +117,15 @@
 	if refusal := i.shed(ctx, job); refusal != nil {
 		return i.refuse("submit a job", state.ExpectedWait, refusal)
 	}
-	err := i.JobStore.Accept(ctx, job)
+	stored, err := i.JobStore.Accept(ctx, job)
 	i.logRequest("jobSubmitted", job.ID, err, func(line *zerolog.Event) {
 		line.Str("queue", q.Name).Str("service", q.Service).Str("organisation", target.Organisation).Int64("version", target.Version)
+		if err == nil && stored != job {
+			line.Time("storedAt", stored.Accepted).Str("storedQueue", stored.Queue).Str("storedService", stored.Service)
+		}
 	})
 	if err == nil {
-		i.Accepted(job)
+		i.Accepted(stored)
 	}
 	return i.storeError("submit a job", err)
 }
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -24,22 +24,42 @@
 	retryLimit = 400 * time.Millisecond
 )
 
-// Accept stores the job; a job whose ID is stored already is left as it is. The
-// error is ambiguous if the job may have been stored or may still be. It has the
-// reason bodyTooLarge if the store cannot hold the job or its progress.
-func (st *Store) Accept(ctx context.Context, job *workflow.Job) error {
+// Accept stores the job and returns it; if its ID is stored already, it returns the job
+// that is stored, which may have another queue, service or body. The error is ambiguous
+// if a job may have been stored or may still be. It has the reason bodyTooLarge if the
+// store cannot hold the job or its progress.
+func (st *Store) Accept(ctx context.Context, job *workflow.Job) (stored *workflow.Job, err error) {
 	job.RecordBytes = st.recordBytes()
 	text, err := st.EncodeJob(job)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := st.checkSize(job, len(text)); err != nil {
-		return state.NewStepError("store a job", netip.AddrPort{}, state.BodyTooLarge, err)
+		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.BodyTooLarge, err)
 	}
-	return st.create(ctx, keyvalue.Change{
+	conflict, err := st.create(ctx, keyvalue.Change{
 		Conditions: []keyvalue.Condition{{Key: jobKey(job.ID)}},
 		Puts:       []keyvalue.Put{{Key: jobKey(job.ID), Value: text}},
 	})
+	if err != nil || conflict == nil {
+		return job, err
+	}
+	return st.storedJob(job.ID, conflict)
+}
+
+// storedJob returns the job that kept another from being stored. An error is ambiguous,
+// as there is such a job.
+func (st *Store) storedJob(id workflow.ID, conflict *keyvalue.ConflictError) (*workflow.Job, error) {
+	const step = "read the stored job"
+	item, found := conflict.Find(jobKey(id))
+	if !found {
+		return nil, state.NewAmbiguousStepError(step, netip.AddrPort{}, state.StoreUnavailable, conflict)
+	}
+	job, err := st.DecodeJob(id, item.Value)
+	if err != nil {
+		return nil, state.NewAmbiguousStepError(step, netip.AddrPort{}, state.StoreUnavailable, err)
+	}
+	return job, nil
 }
 
 // recordBytes returns how large the records of a job's progress are by estimate: half
@@ -70,10 +90,11 @@
 	if err != nil || !known {
 		return known, err
 	}
-	return true, st.create(ctx, keyvalue.Change{
+	_, err = st.create(ctx, keyvalue.Change{
 		Conditions: []keyvalue.Condition{{Key: cancelKey(id)}},
 		Puts:       []keyvalue.Put{{Key: cancelKey(id), Value: []byte{1}}},
 	})
+	return true, err
 }
 
 // Status returns the status of a job; known is false if there is no such job.
@@ -122,17 +143,18 @@
 	return item, known, err
 }
 
-// create writes keys unless they exist, and retries until the outcome is known.
-// Retrying is safe, as the change has no effect on keys that exist.
-func (st *Store) create(ctx context.Context, change keyvalue.Change) error {
-	return st.retry(ctx, func(ctx context.Context) error {
+// create writes keys unless they exist, and retries until the outcome is known; conflict
+// is set if they do, which an earlier try may have brought about. Retrying is safe, as the
+// change has no effect on keys that exist.
+func (st *Store) create(ctx context.Context, change keyvalue.Change) (conflict *keyvalue.ConflictError, err error) {
+	err = st.retry(ctx, func(ctx context.Context) error {
 		_, err := st.Store.Commit(ctx, change)
-		var conflict *keyvalue.ConflictError
 		if errors.As(err, &conflict) {
 			return nil
 		}
 		return err
 	})
+	return conflict, err
 }
 
 // retry repeats a call until it succeeds, the store refuses it, the context ends, or
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -282,7 +282,7 @@
 			var jobs []scheduling.StoredJob
 			for i := range 12 {
 				job := scheduling.StoredJob{ID: workflow.ID(rune('A' + i))}
-				if err := st.Accept(t.Context(), &workflow.Job{ID: job.ID, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
+				if _, err := st.Accept(t.Context(), &workflow.Job{ID: job.ID, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
 					t.Fatal(err)
 				}
 				var updates []scheduling.ProgressUpdate
@@ -338,7 +338,7 @@
 			})
 		})
 		for _, id := range []workflow.ID{"a", "b", "c"} {
-			if err := st.Accept(ctx, &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
+			if _, err := st.Accept(ctx, &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
 				t.Fatal(err)
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -380,7 +380,7 @@
 			calls := backend.Calls()
 			st := record.NewJobStore(&calls, func() int { return backend.ValueBytes })
 			test.job.ID = "a"
-			err := st.Accept(t.Context(), &test.job)
+			_, err := st.Accept(t.Context(), &test.job)
 			if refused := state.ReasonOf(err, "") == state.BodyTooLarge && !state.IsAmbiguous(err); refused != test.refused || !refused && err != nil {
 				t.Errorf("refused %v: %v", refused, err)
 			}
--- a/coordination/jobstore/large_job_test.go
+++ b/coordination/jobstore/large_job_test.go
@@ -54,7 +54,7 @@
 					for n := range j.Steps {
 						j.Steps[n].Cores, j.Steps[n].Estimate, j.Steps[n].Checkpointable = 20, 3*time.Second, true
 					}
-					if err := st.Accept(t.Context(), j); err != nil {
+					if _, err := st.Accept(t.Context(), j); err != nil {
 						t.Fatal(err)
 					}
 				}
--- a/coordination/jobstore/linearizability_test.go
+++ b/coordination/jobstore/linearizability_test.go
@@ -153,7 +153,7 @@
 	known, err := true, error(nil)
 	switch act {
 	case accept:
-		err = st.Accept(ctx, &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}})
+		_, err = st.Accept(ctx, &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}})
 	case cancel:
 		known, err = st.Cancel(ctx, id)
 	case readStatus:
--- a/coordination/jobstore/slow_store_test.go
+++ b/coordination/jobstore/slow_store_test.go
@@ -29,7 +29,7 @@
 		var updates []scheduling.ProgressUpdate
 		for i := range jobs {
 			id := workflow.ID(fmt.Sprintf("%x%015x", i%16, i))
-			if err := st.Accept(t.Context(), &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
+			if _, err := st.Accept(t.Context(), &workflow.Job{ID: id, Steps: []workflow.Step{{Tasks: 1}}}); err != nil {
 				t.Fatal(err)
 			}
 			updates = append(updates, scheduling.ProgressUpdate{Job: id, Progress: progress})
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -159,13 +159,10 @@
 	}
 }
 
-// addJob reports whether the job was added, which it is not if it is known.
-func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) bool {
+// addJob adds a job that no pool has.
+func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.jobs[w.ID]; known {
-		return false
-	}
 	j := &job{
 		Job: w, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
 		groups:     make(map[workflow.GroupID]*group),
@@ -190,7 +187,6 @@
 	}
 	p.createReadyGroups(j)
 	wake(p.planDue)
-	return true
 }
 
 // maxJobAge bounds what a jump of the time of day can add to a job's age.
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -52,6 +52,12 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+
+	// loading is held while a job is added or removed; it comes before mu and the locks of
+	// the pools.
+	loading sync.Mutex
+	// services holds the service in whose pool each job is.
+	services map[workflow.ID]string
 }
 
 // Open begins the term. All stored jobs must be loaded before the first call of
@@ -60,6 +66,7 @@
 	s.termBegan = s.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.pools = make(map[string]*pool)
+	s.services = make(map[workflow.ID]string)
 	s.starts = make(chan struct{}, s.concurrentStarts())
 }
 
@@ -72,9 +79,20 @@
 }
 
 // Load adds a job with its stored progress and the revisions of the records that
-// hold it. It does nothing and returns false if the job's pool already knows the job.
+// hold it. It does nothing and returns false if a job with this ID is known, whatever its
+// service: it stays in the pool in which its tasks may run.
 func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) bool {
-	return s.pool(job.Service).addJob(job, progress, revisions)
+	s.loading.Lock()
+	defer s.loading.Unlock()
+	if service, known := s.services[job.ID]; known {
+		if service != job.Service {
+			s.Log.Warn().Str("event", "jobOfOtherService").Str("request", string(job.ID)).Str("service", service).Str("ignored", job.Service).Send()
+		}
+		return false
+	}
+	s.services[job.ID] = job.Service
+	s.pool(job.Service).addJob(job, progress, revisions)
+	return true
 }
 
 // Cancel cancels a job and stops its tasks; known is false if no pool has the job.
@@ -121,9 +139,14 @@
 
 // Forget removes jobs whose records were deleted.
 func (s *Scheduler) Forget(ids []workflow.ID) {
+	s.loading.Lock()
+	defer s.loading.Unlock()
 	for _, p := range s.allPools() {
 		p.forget(ids)
 	}
+	for _, id := range ids {
+		delete(s.services, id)
+	}
 }
 
 // pool returns the pool of a service. It creates the pool and starts its
