Store a cancellation in any case, and accept no job after it

Cause: a cancellation that found no job wrote nothing, and an acceptance depends on the absence of the job alone, so that a write under way took effect later.

Evidence: jobCancelled stored=false, 4.6 s later jobLoaded source=store, no cancellationRead in between. The store did the write 5.5 s after it was sent, and answered the cancellation in that time.

Change: the cancellation is written on the condition that the job is as it was read, and an acceptance on the absence of a cancellation. A submission after a cancellation without a job is answered 503, reason cancelled, no Retry-After, as nothing changes by coming back. The planner deletes such cancellations after the retention of jobs and a minute, if the job is really not stored.

Why it works: the two writes exclude each other in the store, in either order and however late. "No such job" is true when it is written.

TestFollowIntake expected no report of such a cancellation; it now expects it, and that the job is refused. The model of the linearizability test allowed an acceptance after "not found"; it is stricter now.

Costs: a cancellation of an unknown job is a read and a write (before: a read). No other request makes more calls.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -103,7 +103,7 @@
 }
 
 // Submit stores a job for the target's queue. An ambiguous error means that the job
-// may run nevertheless.
+// may run nevertheless; the reason is cancelled if a cancellation of its ID came first.
 func (i *Intake) Submit(ctx context.Context, target Target, job *workflow.Job) error {
 	q := target.Queue
 	job.Queue, job.Service, job.Organisation = q.Name, q.Service, target.Organisation
@@ -146,7 +146,7 @@
 }
 
 // Cancel stores a cancellation of a job; the error's reason is unknownJob if there
-// is no such job.
+// is no such job, and then none of this ID is accepted any more.
 func (i *Intake) Cancel(ctx context.Context, id workflow.ID) error {
 	known, err := i.JobStore.Cancel(ctx, id)
 	i.logRequest("jobCancelled", id, err, func(line *zerolog.Event) { line.Bool("stored", known) })
@@ -204,7 +204,7 @@
 	if err == nil {
 		return nil
 	}
-	if reason := state.ReasonOf(err, ""); !state.IsAmbiguous(err) && (reason == state.BodyTooLarge || reason == state.BadRequest) {
+	if reason := state.ReasonOf(err, ""); !state.IsAmbiguous(err) && (reason == state.BodyTooLarge || reason == state.BadRequest || reason == state.Cancelled) {
 		return i.refuse(step, reason, err)
 	}
 	i.Count(state.StoreUnavailable)
--- a/coordination/intake/submit_test.go
+++ b/coordination/intake/submit_test.go
@@ -154,3 +154,45 @@
 		})
 	}
 }
+
+// TestSubmitAfterCancellation submits a job whose cancellation found none. The caller must
+// hear that it does not run, and the planner nothing.
+func TestSubmitAfterCancellation(t *testing.T) {
+	tests := []struct {
+		name string
+		// submitted is set if the job is submitted before the cancellation, too.
+		submitted bool
+		want      state.Reason
+		notified  int
+	}{
+		{"never submitted before", false, state.Cancelled, 0},
+		{"submitted before", true, "", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			calls := standin.New().Calls()
+			notified := 0
+			i := newIntake(&calls, func(*workflow.Job) { notified++ })
+			counts := make(map[state.Reason]int)
+			i.Count = func(reason state.Reason) { counts[reason]++ }
+			submit := func() error {
+				return i.Submit(t.Context(), intake.Target{Queue: &workflow.Queue{Name: "q", Service: "render"}}, &workflow.Job{ID: jobID, Steps: []workflow.Step{{Tasks: 1}}})
+			}
+			if test.submitted {
+				if err := submit(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := i.Cancel(t.Context(), jobID); (err == nil) != test.submitted {
+				t.Fatalf("cancel: %v", err)
+			}
+			err := submit()
+			if state.ReasonOf(err, "") != test.want || state.IsAmbiguous(err) || counts[state.Cancelled] > 0 != (test.want != "") {
+				t.Errorf("submission: %v, counts %v, want reason %q", err, counts, test.want)
+			}
+			if notified != test.notified {
+				t.Errorf("%d notifications, want %d", notified, test.notified)
+			}
+		})
+	}
+}
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -27,7 +27,7 @@
 // Accept stores the job and returns it; if its ID is stored already, it returns the job
 // that is stored, which may have another queue, service or body. The error is ambiguous
 // if a job may have been stored or may still be. It has the reason bodyTooLarge if the
-// store cannot hold the job or its progress.
+// store cannot hold the job or its progress, and cancelled if a cancellation came first.
 func (st *Store) Accept(ctx context.Context, job *workflow.Job) (stored *workflow.Job, err error) {
 	job.RecordBytes = st.recordBytes()
 	text, err := st.EncodeJob(job)
@@ -38,7 +38,7 @@
 		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.BodyTooLarge, err)
 	}
 	conflict, err := st.create(ctx, keyvalue.Change{
-		Conditions: []keyvalue.Condition{{Key: jobKey(job.ID)}},
+		Conditions: []keyvalue.Condition{{Key: jobKey(job.ID)}, {Key: cancelKey(job.ID)}},
 		Puts:       []keyvalue.Put{{Key: jobKey(job.ID), Value: text}},
 	})
 	if err != nil || conflict == nil {
@@ -47,17 +47,17 @@
 	return st.storedJob(job.ID, conflict)
 }
 
-// storedJob returns the job that kept another from being stored. An error is ambiguous,
-// as there is such a job.
+// storedJob returns the job that kept another from being stored. The error has the reason
+// cancelled if a cancellation did, so that no job of this ID is stored any more; any other
+// is ambiguous, as there is a job.
 func (st *Store) storedJob(id workflow.ID, conflict *keyvalue.ConflictError) (*workflow.Job, error) {
-	const step = "read the stored job"
 	item, found := conflict.Find(jobKey(id))
 	if !found {
-		return nil, state.NewAmbiguousStepError(step, netip.AddrPort{}, state.StoreUnavailable, conflict)
+		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.Cancelled, conflict)
 	}
 	job, err := st.DecodeJob(id, item.Value)
 	if err != nil {
-		return nil, state.NewAmbiguousStepError(step, netip.AddrPort{}, state.StoreUnavailable, err)
+		return nil, state.NewAmbiguousStepError("read the stored job", netip.AddrPort{}, state.StoreUnavailable, err)
 	}
 	return job, nil
 }
@@ -84,17 +84,42 @@
 	return nil
 }
 
-// Cancel stores a cancellation of the job; known is false if there is no such job.
+// Cancel stores a cancellation of the job. If there is no such job, known is false and the
+// cancellation keeps it from being stored, also by a write that is under way.
 func (st *Store) Cancel(ctx context.Context, id workflow.ID) (known bool, err error) {
-	_, known, err = st.get(ctx, jobKey(id))
-	if err != nil || !known {
-		return known, err
+	job, _, err := st.get(ctx, jobKey(id))
+	if err != nil {
+		return false, err
 	}
-	_, err = st.create(ctx, keyvalue.Change{
-		Conditions: []keyvalue.Condition{{Key: cancelKey(id)}},
-		Puts:       []keyvalue.Put{{Key: cancelKey(id), Value: []byte{1}}},
+	err = st.retry(ctx, func(ctx context.Context) error {
+		job.Revision, err = st.cancelAt(ctx, id, job.Revision)
+		return err
 	})
-	return true, err
+	return job.Revision != 0, err
+}
+
+// cancelAt stores a cancellation, for the job at the revision that was read last, 0 for
+// none. It returns the revision for which it is stored.
+func (st *Store) cancelAt(ctx context.Context, id workflow.ID, revision keyvalue.Revision) (keyvalue.Revision, error) {
+	for {
+		_, err := st.Store.Commit(ctx, keyvalue.Change{
+			Conditions: []keyvalue.Condition{{Key: jobKey(id), Revision: revision}, {Key: cancelKey(id)}},
+			Puts:       []keyvalue.Put{{Key: cancelKey(id), Value: []byte{1}}},
+		})
+		var conflict *keyvalue.ConflictError
+		if !errors.As(err, &conflict) {
+			return revision, err
+		}
+		job, _ := conflict.Find(jobKey(id))
+		if _, cancelled := conflict.Find(cancelKey(id)); cancelled {
+			return job.Revision, nil
+		}
+		if job.Revision == revision {
+			return revision, state.NewStepError("store a cancellation", netip.AddrPort{}, state.StoreUnavailable, err)
+		}
+		// The job was stored or deleted since it was read, which happens once each.
+		revision = job.Revision
+	}
 }
 
 // Status returns the status of a job; known is false if there is no such job.
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -350,10 +350,13 @@
 		if known, err := st.Cancel(ctx, "z"); known || err != nil {
 			t.Fatalf("cancel of no job: known %v, %v", known, err)
 		}
+		if _, err := st.Accept(ctx, &workflow.Job{ID: "z", Steps: []workflow.Step{{Tasks: 1}}}); err == nil {
+			t.Fatal("a job was accepted after its cancellation")
+		}
 		time.Sleep(5 * time.Second)
 		stop()
 		following.Wait()
-		if len(reported) != 3 || !reported["b"] || reported["a"] {
+		if len(reported) != 4 || !reported["b"] || !reported["z"] || reported["a"] || reported["c"] {
 			t.Errorf("reported %v", reported)
 		}
 	})
--- a/coordination/jobstore/linearizability_test.go
+++ b/coordination/jobstore/linearizability_test.go
@@ -40,7 +40,9 @@
 // jobState is the state of the job as its callers observe it.
 type jobState struct{ accepted, cancelled bool }
 
-// jobModel specifies the job: once accepted or cancelled, it stays so.
+// jobModel specifies the job: once accepted or cancelled, it stays so. A job whose
+// cancellation was answered "not found" is never accepted, not even by a write that was
+// under way.
 var jobModel = porcupine.NondeterministicModel{
 	Init: func() []any { return []any{jobState{}} },
 	Step: func(before, in, out any) []any { return step(before.(jobState), in.(action), out.(answer)) },
@@ -49,18 +51,23 @@
 func step(s jobState, a action, got answer) []any {
 	next := s
 	switch {
+	case a == accept && s.cancelled && !s.accepted:
+		return keepIf(got == refused || got == unknown, s)
 	case a == accept:
 		next.accepted = true
-	case a == cancel && s.accepted:
-		next.cancelled = true
 	case a == cancel:
-		return keepIf(got != done, s)
+		next.cancelled = true
+		if got == done && !s.accepted || got == notFound && s.accepted {
+			return nil
+		}
 	case got == done || got == notFound:
 		return keepIf(s.accepted == (got == done), s)
 	}
 	switch got {
 	case done:
 		return []any{next}
+	case notFound:
+		return keepIf(a == cancel, next)
 	case unknown:
 		return []any{s, next}
 	case refused:
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -231,52 +231,6 @@
 	s.setErrors(chunk, ErrStaleRevision)
 }
 
-const (
-	// jobsPerDelete and recordsPerDelete keep a change within the store's limit of 32
-	// entries: three keys for each job or one for each record, and the condition of
-	// the term.
-	jobsPerDelete    = 10
-	recordsPerDelete = 31
-)
-
-// Delete deletes all keys of the jobs while the term's condition holds. It
-// returns the jobs deleted, which are some of them after an error.
-func (st *Store) Delete(ctx context.Context, term keyvalue.Condition, jobs []scheduling.StoredJob) ([]workflow.ID, error) {
-	var deleted []workflow.ID
-	for chunk := range slices.Chunk(jobs, jobsPerDelete) {
-		var further, last []string
-		ids := make([]workflow.ID, 0, len(chunk))
-		for _, job := range chunk {
-			ids = append(ids, job.ID)
-			last = append(last, jobKey(job.ID), cancelKey(job.ID), progressKey(job.ID, 0))
-			for _, record := range job.Records {
-				if record != 0 {
-					further = append(further, progressKey(job.ID, record))
-				}
-			}
-		}
-		// The record with the final status goes last, so that what is left after a failure
-		// is never taken for a job to be run.
-		for keys := range slices.Chunk(further, recordsPerDelete) {
-			if err := st.deleteKeys(ctx, term, keys); err != nil {
-				return deleted, err
-			}
-		}
-		if err := st.deleteKeys(ctx, term, last); err != nil {
-			return deleted, err
-		}
-		deleted = append(deleted, ids...)
-	}
-	return deleted, nil
-}
-
-func (st *Store) deleteKeys(ctx context.Context, term keyvalue.Condition, keys []string) error {
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
-	defer cancel()
-	_, err := st.Store.Commit(ctx, keyvalue.Change{Conditions: []keyvalue.Condition{term}, Deletes: keys})
-	return err
-}
-
 // SavePending stores the figures of the waiting jobs until the lease ends, which is that
 // of the term.
 func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, lease keyvalue.LeaseID, figures backlog.Figures) error {
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -59,6 +59,8 @@
 	returns backlog.Returns
 	// decoding is held while a notified job is decoded.
 	decoding sync.Mutex
+	// tombstones holds the stored cancellations of jobs that the planner does not have.
+	tombstones jobstore.Tombstones
 }
 
 // beginTerm starts the scheduler. The candidate calls it and endTerm alternately.
@@ -167,6 +169,9 @@
 
 func (t *term) cancelJob(id workflow.ID, source jobSource) {
 	known := t.scheduler.Cancel(id)
+	if !known && source == jobStored {
+		t.tombstones.Add(id, time.Now())
+	}
 	t.logJob("cancellationRead", id, source, func(line *zerolog.Event) { line.Bool("known", known) })
 }
 
@@ -254,20 +259,30 @@
 	}
 }
 
-// deleteEnded deletes the stored state of jobs whose retention has passed.
+// deleteEnded deletes the stored state of jobs whose retention has passed, and tombstones
+// of the same age: no write of their jobs can be under way any more.
 func (t *term) deleteEnded() {
 	i := t.instance
 	for pause.For(t.ctx, deleteInterval) {
-		jobs := t.scheduler.DeletableJobs(i.settings.Load().StatusRetention + deleteMargin)
-		if len(jobs) == 0 || !i.candidate.Valid(t.condition.Revision) {
-			continue
+		age := i.settings.Load().StatusRetention + deleteMargin
+		jobs, tombstones := t.scheduler.DeletableJobs(age), t.tombstones.Due(time.Now().Add(-age))
+		if len(jobs) > 0 && i.candidate.Valid(t.condition.Revision) {
+			deleted, err := i.plannerJobStore.Delete(t.ctx, t.condition, jobs)
+			t.scheduler.Forget(deleted)
+			t.logDeletion("recordDeleted", len(deleted), err)
 		}
-		deleted, err := i.plannerJobStore.Delete(t.ctx, t.condition, jobs)
-		t.scheduler.Forget(deleted)
-		line := i.log.Info()
-		if err != nil {
-			line = i.log.Warn().Err(err)
+		if len(tombstones) > 0 && i.candidate.Valid(t.condition.Revision) {
+			settled, err := i.plannerJobStore.DeleteTombstones(t.ctx, t.condition, tombstones)
+			t.tombstones.Remove(settled)
+			t.logDeletion("tombstonesDeleted", len(settled), err)
 		}
-		line.Str("event", "recordDeleted").Int("jobs", len(deleted)).Send()
 	}
 }
+
+func (t *term) logDeletion(event string, jobs int, err error) {
+	line := t.instance.log.Info()
+	if err != nil {
+		line = t.instance.log.Warn().Err(err)
+	}
+	line.Str("event", event).Int("jobs", jobs).Send()
+}
