Replace the number of waiting jobs only as it was written last

Its only condition was the planner's term, so that a late one replaced a newer one. After a failure the last stored number still counted as stored, so that a return to it was not written.

Change: jobstore.PendingRecord writes on the condition of its last revision, takes the stored revision from a conflict, and forgets after an error what is stored. It also decides when to write, which instance/hosted did before.

Why it works: of two writes of a term only the one that names the stored revision takes effect, however late the other is.

Costs: one write more after a write that took effect without an answer.

--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -249,7 +249,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := st.SavePending(t.Context(), keyvalue.Condition{Key: "seat"}, lease, backlog.Figures{Pending: map[string]int{"q": 3}}); err != nil {
+	pendingRecord := jobstore.PendingRecord{Store: st, Term: keyvalue.Condition{Key: "seat"}}
+	if err := pendingRecord.Update(t.Context(), lease, backlog.Figures{Pending: map[string]int{"q": 3}}); err != nil {
 		t.Fatal(err)
 	}
 	if pending, err := st.Pending(t.Context()); err != nil || pending.Pending["q"] != 3 {
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"comfreystream/coordination/backlog"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/state"
@@ -230,19 +229,3 @@
 	}
 	s.setErrors(chunk, ErrStaleRevision)
 }
-
-// SavePending stores the figures of the waiting jobs until the lease ends, which is that
-// of the term.
-func (st *Store) SavePending(ctx context.Context, term keyvalue.Condition, lease keyvalue.LeaseID, figures backlog.Figures) error {
-	text, err := st.EncodePending(figures)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
-	defer cancel()
-	_, err = st.Store.Commit(ctx, keyvalue.Change{
-		Conditions: []keyvalue.Condition{term},
-		Puts:       []keyvalue.Put{{Key: pendingKey, Value: text, Lease: lease}},
-	})
-	return err
-}
--- a/instance/hosted/backlog.go
+++ b/instance/hosted/backlog.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"maps"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/backlog"
+	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/pause"
 	"comfreystream/state/workflow"
 )
@@ -25,7 +25,7 @@
 // pendingInterval while jobs are to be refused by them.
 func (t *term) savePending() {
 	i := t.instance
-	var last *backlog.Figures
+	record := jobstore.PendingRecord{Store: i.plannerJobStore, Term: t.condition}
 	var sustained backlog.Sustained
 	defer t.observeWaits(nil)
 	for t.ctx.Err() == nil {
@@ -33,11 +33,8 @@
 		figures := backlog.Figures{Pending: t.scheduler.Pending(), Waits: sustained.Filter(now, t.scheduler.Waits()), At: now}
 		t.observeWaits(figures.Waits)
 		t.waits.Store(&figures.Waits)
-		changed := last == nil || !maps.Equal(figures.Pending, last.Pending) || len(figures.Waits)+len(last.Waits) > 0
-		if changed && i.candidate.Valid(t.condition.Revision) {
-			if err := i.plannerJobStore.SavePending(t.ctx, t.condition, i.candidate.Lease(), figures); err == nil {
-				last = &figures
-			} else if t.ctx.Err() == nil {
+		if i.candidate.Valid(t.condition.Revision) {
+			if err := record.Update(t.ctx, i.candidate.Lease(), figures); err != nil && t.ctx.Err() == nil {
 				i.log.Warn().Str("event", "pendingNotRecorded").Err(err).Send()
 			}
 		}
