Save learnt estimates only in place of what was stored

Cause: as with the number of waiting jobs, a record of workers' speeds or of slowdowns was written on the condition of the term alone. A write without an answer that the store carries out after the next one replaced it, so that the next planner began with older estimates, or with those of a worker that was gone. Found by going through the writes to the store; nobody had seen it.

Change: keyvalue.TermWriter writes keys that only the holder of a term writes: each write names the revision that it replaces, and takes the stored one from a conflict. The keeper begins with the revisions that it loads. PendingRecord uses the same writer.

No further call to the store but after a write that took effect without an answer.

--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -249,7 +249,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	pendingRecord := jobstore.PendingRecord{Store: st, Term: keyvalue.Condition{Key: "seat"}}
+	pendingRecord := st.NewPendingRecord(keyvalue.Condition{Key: "seat"})
 	if err := pendingRecord.Update(t.Context(), lease, backlog.Figures{Pending: map[string]int{"q": 3}}); err != nil {
 		t.Fatal(err)
 	}
--- a/coordination/jobstore/pending_test.go
+++ b/coordination/jobstore/pending_test.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/backlog"
-	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/coordination/scheduling"
 	"comfreystream/protocol/record"
@@ -50,7 +49,7 @@
 					return fault(call)
 				}
 				st := record.NewJobStore(&calls, valueBytes)
-				pending := jobstore.PendingRecord{Store: st, Term: keyvalue.Condition{Key: "seat"}}
+				pending := st.NewPendingRecord(keyvalue.Condition{Key: "seat"})
 				var last int
 				for _, last = range test.counts {
 					_ = pending.Update(t.Context(), 0, backlog.Figures{Pending: map[string]int{"q": last}})
@@ -74,7 +73,7 @@
 	store := standin.New()
 	calls := store.Calls()
 	st := record.NewJobStore(&calls, valueBytes)
-	pending := jobstore.PendingRecord{Store: st, Term: keyvalue.Condition{Key: "seat"}}
+	pending := st.NewPendingRecord(keyvalue.Condition{Key: "seat"})
 	if _, err := calls.Commit(t.Context(), keyvalue.Change{Puts: []keyvalue.Put{{Key: "seat"}}}); err != nil {
 		t.Fatal(err)
 	}
--- a/coordination/modelstore/keeper.go
+++ b/coordination/modelstore/keeper.go
@@ -45,7 +45,8 @@
 // Run loads once and saves until the context or the term ends. It saves nothing before
 // it has loaded, as it would overwrite what it does not know.
 func (k *Keeper[T]) Run(ctx context.Context) {
-	for !k.load(ctx) {
+	writer := k.Store.Writer(k.Term)
+	for !k.load(ctx, writer) {
 		if !pause.For(ctx, retryInterval) {
 			return
 		}
@@ -57,7 +58,7 @@
 			continue
 		}
 		for _, r := range k.Due(1) {
-			err := k.save(ctx, r)
+			err := k.save(ctx, writer, r)
 			var conflict *keyvalue.ConflictError
 			if errors.As(err, &conflict) {
 				return
@@ -70,8 +71,8 @@
 }
 
 // load reports whether the store was read.
-func (k *Keeper[T]) load(ctx context.Context) bool {
-	records, unreadable, err := k.Store.Load(ctx)
+func (k *Keeper[T]) load(ctx context.Context, writer *keyvalue.TermWriter) bool {
+	records, unreadable, err := k.Store.LoadFor(ctx, writer)
 	if err != nil {
 		if ctx.Err() == nil {
 			k.Log.Warn().Str("event", k.Events.NotLoaded).Err(err).Send()
@@ -98,8 +99,8 @@
 
 // save saves one record. One that the store refuses counts as saved: it is tried again
 // once it has changed, and holds up no other.
-func (k *Keeper[T]) save(ctx context.Context, r Record[T]) error {
-	err := k.Store.Save(ctx, k.Term, r)
+func (k *Keeper[T]) save(ctx context.Context, writer *keyvalue.TermWriter, r Record[T]) error {
+	err := k.Store.Save(ctx, writer, r)
 	if err == nil || keyvalue.IsRefused(err) {
 		k.Saved(r)
 	}
--- a/coordination/modelstore/store.go
+++ b/coordination/modelstore/store.go
@@ -45,12 +45,18 @@
 // Load returns all records that can be read, and an error for each of the others. If
 // err is set, the store was not read.
 func (st *Store[T]) Load(ctx context.Context) (records []Record[T], unreadable []error, err error) {
+	return st.LoadFor(ctx, st.Writer(keyvalue.Condition{}))
+}
+
+// LoadFor is Load for a term that saves by the writer, which notes what is stored.
+func (st *Store[T]) LoadFor(ctx context.Context, w *keyvalue.TermWriter) (records []Record[T], unreadable []error, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	items, _, err := st.Store.List(ctx, st.Prefix)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "load the "+st.Noun)
 	}
+	w.NoteStored(items)
 	for _, item := range items {
 		r, err := st.decode(item)
 		if err != nil {
@@ -82,23 +88,26 @@
 	return st.Prefix + r.Service + "/" + strconv.Itoa(r.Number)
 }
 
-// Save stores a record, or deletes one without rows, while the term's condition holds;
-// it returns a *keyvalue.ConflictError if it does not. The error is keyvalue.IsRefused
-// if the store never takes the record.
-func (st *Store[T]) Save(ctx context.Context, term keyvalue.Condition, r Record[T]) error {
-	change := keyvalue.Change{Conditions: []keyvalue.Condition{term}}
-	if len(r.Rows) == 0 {
-		change.Deletes = []string{st.key(r)}
-	} else {
-		value, err := st.encode(r)
-		if err != nil {
-			return state.NewStepError("encode the "+st.Noun+" of "+r.Service, netip.AddrPort{}, state.BadRequest, err)
-		}
-		change.Puts = []keyvalue.Put{{Key: st.key(r), Value: value}}
-	}
+// Writer returns what the records of a term are saved by, whose condition holds in the store
+// as long as it goes on.
+func (st *Store[T]) Writer(term keyvalue.Condition) *keyvalue.TermWriter {
+	return &keyvalue.TermWriter{Store: st.Store, Term: term}
+}
+
+// Save stores a record, or deletes one without rows, by the term's writer; it returns a
+// *keyvalue.ConflictError if the term is over. The error is keyvalue.IsRefused if the
+// store never takes the record.
+func (st *Store[T]) Save(ctx context.Context, w *keyvalue.TermWriter, r Record[T]) error {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	_, err := st.Store.Commit(ctx, change)
+	if len(r.Rows) == 0 {
+		return errors.Wrapf(w.Delete(ctx, st.key(r)), "delete the %s of %s", st.Noun, r.Service)
+	}
+	value, err := st.encode(r)
+	if err != nil {
+		return state.NewStepError("encode the "+st.Noun+" of "+r.Service, netip.AddrPort{}, state.BadRequest, err)
+	}
+	err = w.Put(ctx, keyvalue.Put{Key: st.key(r), Value: value})
 	return errors.Wrapf(err, "save %d %s of %s", len(r.Rows), st.Noun, r.Service)
 }
 
--- a/coordination/speed/store.go
+++ b/coordination/speed/store.go
@@ -48,9 +48,9 @@
 	return records, unreadable, err
 }
 
-// Save stores a record, or deletes one without workers, while the term's condition
-// holds; it returns a *keyvalue.ConflictError if it does not. The error is
-// keyvalue.IsRefused if the store never takes the record.
-func (st *Store) Save(ctx context.Context, term keyvalue.Condition, r StoredRecord) error {
-	return st.records().Save(ctx, term, r.toStored())
+// Save stores a record, or deletes one without workers, by the writer of a term; it returns
+// a *keyvalue.ConflictError if the term is over. The error is keyvalue.IsRefused if the
+// store never takes the record.
+func (st *Store) Save(ctx context.Context, w *keyvalue.TermWriter, r StoredRecord) error {
+	return st.records().Save(ctx, w, r.toStored())
 }
--- a/coordination/speed/store_test.go
+++ b/coordination/speed/store_test.go
@@ -167,7 +167,7 @@
 		r := keeperRun{backend: standin.New()}
 		k := r.keeper(t, 0)
 		want := speed.StoredRecord{Service: "a", Record: speed.Record{Number: 3, Workers: speeds(2)}}
-		if err := k.Store.Save(t.Context(), k.Term, want); err != nil {
+		if err := k.Store.Save(t.Context(), &keyvalue.TermWriter{Store: k.Store.Store, Term: k.Term}, want); err != nil {
 			t.Fatal(err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
@@ -177,7 +177,7 @@
 			t.Errorf("restored %+v, and %d calls of Due in 0.5 s", r.restored, len(r.calls))
 		}
 		long := speed.StoredRecord{Service: strings.Repeat("s", 200), Record: want.Record}
-		if err := k.Store.Save(t.Context(), k.Term, long); !keyvalue.IsRefused(err) {
+		if err := k.Store.Save(t.Context(), &keyvalue.TermWriter{Store: k.Store.Store, Term: k.Term}, long); !keyvalue.IsRefused(err) {
 			t.Errorf("a key that is too long: %v, want a refusal", err)
 		}
 	})
--- a/instance/hosted/backlog.go
+++ b/instance/hosted/backlog.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"comfreystream/coordination/backlog"
-	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/pause"
 	"comfreystream/state/workflow"
 )
@@ -25,7 +24,7 @@
 // pendingInterval while jobs are to be refused by them.
 func (t *term) savePending() {
 	i := t.instance
-	record := jobstore.PendingRecord{Store: i.plannerJobStore, Term: t.condition}
+	record := i.plannerJobStore.NewPendingRecord(t.condition)
 	var sustained backlog.Sustained
 	defer t.observeWaits(nil)
 	for t.ctx.Err() == nil {
