Store a refusal on arrival, so that "not run" holds for what is under way

A refusal read the job's key, or nothing, and left nothing in the store. An earlier submission of the same ID whose write was still under way took effect after its caller had been told 503, notRun. A job that was stored was refused as unsupported once its queue needed advice. Found by going through the writes to the store; no caller has reported it.

Change: a refusal is written on the condition that the job is not stored, before it is answered. An acceptance is conditional on the refusal after which its caller has returned, and deletes it with the same write; one that meets a refusal after a try of its own is refused.

Why it works: of the refusal and each earlier write of the job only one takes effect. A job that is stored is never refused, whatever the queue is by now.

TestFollowIntake also expects the cancellations and refusals that the planner is to delete, exactly.

Costs: a refusal on arrival is a write (before: a read), the acceptance of a caller that has returned two writes (before: one).

Left: an entry that cannot reach the store answers 503 without knowing of an earlier submission at another entry.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -109,10 +109,11 @@
 	job.Queue, job.Service, job.Organisation = q.Name, q.Service, target.Organisation
 	job.Priority, job.MaxAttempts, job.Stretch = q.Priority, q.MaxAttempts, q.Stretch
 	job.StartAllowance, job.Accepted = q.StartAllowance, i.Now()
-	if q.NeedsAdvice || slices.ContainsFunc(job.Steps, func(s workflow.Step) bool { return s.Scavenging }) {
-		i.Log.Info().Str("event", "callRefused").Str("request", string(job.ID)).
-			Str("reason", string(state.Unsupported)).Str("queue", q.Name).Send()
-		return i.refuse("submit a job", state.Unsupported, nil)
+	if slices.ContainsFunc(job.Steps, func(s workflow.Step) bool { return s.Scavenging }) {
+		return i.refuseUnsupported(job)
+	}
+	if q.NeedsAdvice {
+		return i.refuseAdvised(ctx, job)
 	}
 	if refusal := i.shed(ctx, job); refusal != nil {
 		return i.refuse("submit a job", state.ExpectedWait, refusal)
@@ -130,6 +131,23 @@
 	return i.storeError("submit a job", err)
 }
 
+// refuseAdvised refuses a job whose queue needs advice by now. One that is stored was accepted
+// by an earlier configuration, and stays so.
+func (i *Intake) refuseAdvised(ctx context.Context, job *workflow.Job) error {
+	stored, err := i.refuseForGood(ctx, job.ID)
+	if stored || err != nil {
+		return i.storeError("submit a job", err)
+	}
+	return i.refuseUnsupported(job)
+}
+
+// refuseUnsupported refuses a job that no configuration allows.
+func (i *Intake) refuseUnsupported(job *workflow.Job) error {
+	i.Log.Info().Str("event", "callRefused").Str("request", string(job.ID)).
+		Str("reason", string(state.Unsupported)).Str("queue", job.Queue).Send()
+	return i.refuse("submit a job", state.Unsupported, nil)
+}
+
 // shed returns why the job must not be accepted, or nil. A job that is stored already, or
 // may be, is never refused: it runs, so that "not run" would not be true.
 func (i *Intake) shed(ctx context.Context, job *workflow.Job) *backlog.Refusal {
@@ -137,14 +155,23 @@
 	if refusal == nil {
 		return nil
 	}
-	if stored, err := i.JobStore.Stored(ctx, job.ID); stored || err != nil {
-		i.Log.Info().Str("event", "refusalDropped").Str("request", string(job.ID)).Bool("stored", stored).Err(err).Send()
+	if stored, err := i.refuseForGood(ctx, job.ID); stored || err != nil {
 		return nil
 	}
 	i.Gate.LogRefusal(job, refusal)
 	return refusal
 }
 
+// refuseForGood stores a refusal, so that no earlier submission of the job takes effect any
+// more, and logs why it could not.
+func (i *Intake) refuseForGood(ctx context.Context, id workflow.ID) (stored bool, err error) {
+	stored, err = i.JobStore.Refuse(ctx, id)
+	if stored || err != nil {
+		i.Log.Info().Str("event", "refusalDropped").Str("request", string(id)).Bool("stored", stored).Err(err).Send()
+	}
+	return stored, err
+}
+
 // Cancel stores a cancellation of a job; the error's reason is unknownJob if there
 // is no such job, and then none of this ID is accepted any more.
 func (i *Intake) Cancel(ctx context.Context, id workflow.ID) error {
@@ -198,13 +225,16 @@
 	line.Send()
 }
 
+// decidedReasons are those of errors that say more than that the store could not be used.
+var decidedReasons = []state.Reason{state.BodyTooLarge, state.BadRequest, state.Cancelled, state.ExpectedWait}
+
 // storeError counts an error of the store and returns it with the step's name; it is
 // ambiguous if err is.
 func (i *Intake) storeError(step string, err error) error {
 	if err == nil {
 		return nil
 	}
-	if reason := state.ReasonOf(err, ""); !state.IsAmbiguous(err) && (reason == state.BodyTooLarge || reason == state.BadRequest || reason == state.Cancelled) {
+	if reason := state.ReasonOf(err, ""); !state.IsAmbiguous(err) && slices.Contains(decidedReasons, reason) {
 		return i.refuse(step, reason, err)
 	}
 	i.Count(state.StoreUnavailable)
--- a/coordination/intake/submit_test.go
+++ b/coordination/intake/submit_test.go
@@ -196,3 +196,53 @@
 		})
 	}
 }
+
+// TestRefusedAfterSubmission submits a job that the queue, as it is configured by then, does
+// not take. It guards against "not run" for a job that runs: one that was accepted by an
+// earlier configuration, or one whose write is still under way.
+func TestRefusedAfterSubmission(t *testing.T) {
+	advised := workflow.Queue{Name: "q", Service: "render", NeedsAdvice: true}
+	tests := []struct {
+		name string
+		// fault is that of the first submission's writes, and of those of the second.
+		fault, second standin.Fault
+		want          state.Reason
+		ambiguous     bool
+		stored        bool
+	}{
+		{"it was accepted", standin.None, standin.None, "", false, true},
+		{"it was lost", standin.Silent, standin.None, state.Unsupported, false, false},
+		{"its write is done late", standin.Late, standin.None, state.Unsupported, false, false},
+		{"the store does not answer", standin.Silent, standin.Silent, state.StoreUnavailable, true, false},
+		{"the store refuses", standin.Refused, standin.Refused, state.StoreUnavailable, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := standin.New()
+				fault := test.fault
+				store.Fault = func(string) standin.Fault { return fault }
+				calls := store.Calls()
+				i := newIntake(&calls, func(*workflow.Job) {})
+				submit := func(q workflow.Queue) error {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					return i.Submit(ctx, intake.Target{Queue: &q}, &workflow.Job{ID: jobID, Steps: []workflow.Step{{Tasks: 1}}})
+				}
+				if err := submit(workflow.Queue{Name: "q", Service: "render"}); (err == nil) != (test.fault == standin.None) {
+					t.Fatalf("first submission: %v", err)
+				}
+				fault = test.second
+				err := submit(advised)
+				if state.ReasonOf(err, "") != test.want || err != nil && state.IsAmbiguous(err) != test.ambiguous {
+					t.Errorf("second submission: %v, ambiguous %v, want reason %q", err, state.IsAmbiguous(err), test.want)
+				}
+				fault = standin.None
+				time.Sleep(2 * standin.LateBy)
+				if stored, err := i.JobStore.Stored(t.Context(), jobID); err != nil || stored != test.stored {
+					t.Errorf("stored %v, %v, want %v", stored, err, test.stored)
+				}
+			})
+		})
+	}
+}
--- a/coordination/jobstore/deletion.go
+++ b/coordination/jobstore/deletion.go
@@ -64,23 +64,30 @@
 	return err
 }
 
-// Tombstones holds the stored cancellations of jobs that are not stored. They keep a write
-// that is under way from storing the job, and are deleted once there can be none. The zero
-// value is ready for use; it is safe for concurrent use.
+// Tombstones holds the jobs of which cancellations or refusals are stored. These keep a
+// write that is under way from storing the job, and are deleted once there can be none. The
+// zero value is ready for use; it is safe for concurrent use.
 type Tombstones struct {
 	mu    sync.Mutex
-	since map[workflow.ID]time.Time
+	known map[workflow.ID]tombstone
 }
 
-// Add notes that there is a tombstone, since now unless it is noted already.
-func (t *Tombstones) Add(id workflow.ID, now time.Time) {
+// tombstone is when a job's newest cancellation or refusal was first seen.
+type tombstone struct {
+	revision keyvalue.Revision
+	since    time.Time
+}
+
+// Add notes a cancellation or refusal. One that is noted already, which a later listing
+// has again, does not become younger.
+func (t *Tombstones) Add(id workflow.ID, revision keyvalue.Revision, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.since == nil {
-		t.since = make(map[workflow.ID]time.Time)
+	if t.known == nil {
+		t.known = make(map[workflow.ID]tombstone)
 	}
-	if _, noted := t.since[id]; !noted {
-		t.since[id] = now
+	if t.known[id].revision < revision {
+		t.known[id] = tombstone{revision, now}
 	}
 }
 
@@ -88,8 +95,8 @@
 func (t *Tombstones) Due(before time.Time) (ids []workflow.ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, since := range t.since {
-		if since.Before(before) {
+	for id, stone := range t.known {
+		if stone.since.Before(before) {
 			ids = append(ids, id)
 		}
 	}
@@ -101,17 +108,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range ids {
-		delete(t.since, id)
+		delete(t.known, id)
 	}
 }
 
 // tombstonesPerDelete keeps a change within the store's limit of 32 entries: a condition and
-// a delete for each, and the condition of the term.
-const tombstonesPerDelete = 15
+// two deletes for each, and the condition of the term.
+const tombstonesPerDelete = 10
 
-// DeleteTombstones deletes tombstones while the term's condition holds; one whose job is
-// stored after all is a cancellation, and stays. It returns the jobs that are settled,
-// which are some of them after an error.
+// DeleteTombstones deletes tombstones while the term's condition holds; those of a job that
+// is stored go with it. It returns the jobs that are settled, which are some of them after
+// an error.
 func (st *Store) DeleteTombstones(ctx context.Context, term keyvalue.Condition, ids []workflow.ID) (settled []workflow.ID, err error) {
 	for chunk := range slices.Chunk(ids, tombstonesPerDelete) {
 		if err := st.deleteTombstones(ctx, term, chunk); err != nil {
@@ -146,7 +153,7 @@
 	change := keyvalue.Change{Conditions: []keyvalue.Condition{term}}
 	for _, id := range ids {
 		change.Conditions = append(change.Conditions, keyvalue.Condition{Key: jobKey(id)})
-		change.Deletes = append(change.Deletes, cancelKey(id))
+		change.Deletes = append(change.Deletes, cancelKey(id), refusalKey(id))
 	}
 	return st.commitTimed(ctx, change)
 }
--- a/coordination/jobstore/follow.go
+++ b/coordination/jobstore/follow.go
@@ -18,6 +18,8 @@
 	Loaded    func(progress map[workflow.ID]StoredProgress)
 	Accepted  func(job *workflow.Job)
 	Cancelled func(id workflow.ID)
+	// Fenced is called for each cancellation and refusal, with its revision.
+	Fenced func(id workflow.ID, revision keyvalue.Revision)
 	// Listed is called after each complete listing of the stored jobs and
 	// cancellations.
 	Listed func()
@@ -37,11 +39,14 @@
 	report := func(items []keyvalue.Item, _ time.Time) {
 		var cancels []workflow.ID
 		for _, item := range items {
-			id, isCancel, known := parseIntakeKey(item.Key)
+			id, suffix, known := parseIntakeKey(item.Key)
 			switch {
 			case !known || item.Deleted:
-			case isCancel:
+			case suffix == cancelSuffix:
 				cancels = append(cancels, id)
+				h.Fenced(id, item.Revision)
+			case suffix == refusalSuffix:
+				h.Fenced(id, item.Revision)
 			default:
 				job, err := st.DecodeJob(id, item.Value)
 				if err != nil {
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -27,7 +27,8 @@
 // Accept stores the job and returns it; if its ID is stored already, it returns the job
 // that is stored, which may have another queue, service or body. The error is ambiguous
 // if a job may have been stored or may still be. It has the reason bodyTooLarge if the
-// store cannot hold the job or its progress, and cancelled if a cancellation came first.
+// store cannot hold the job or its progress, cancelled if a cancellation came first, and
+// expectedWait if a refusal came between two tries.
 func (st *Store) Accept(ctx context.Context, job *workflow.Job) (stored *workflow.Job, err error) {
 	job.RecordBytes = st.recordBytes()
 	text, err := st.EncodeJob(job)
@@ -37,29 +38,23 @@
 	if err := st.checkSize(job, len(text)); err != nil {
 		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.BodyTooLarge, err)
 	}
-	conflict, err := st.create(ctx, keyvalue.Change{
-		Conditions: []keyvalue.Condition{{Key: jobKey(job.ID)}, {Key: cancelKey(job.ID)}},
-		Puts:       []keyvalue.Put{{Key: jobKey(job.ID), Value: text}},
-	})
-	if err != nil || conflict == nil {
-		return job, err
+	a := acceptance{store: st, id: job.ID, text: text}
+	if err := st.retry(ctx, a.try); err != nil {
+		return nil, err
 	}
-	return st.storedJob(job.ID, conflict)
-}
-
-// storedJob returns the job that kept another from being stored. The error has the reason
-// cancelled if a cancellation did, so that no job of this ID is stored any more; any other
-// is ambiguous, as there is a job.
-func (st *Store) storedJob(id workflow.ID, conflict *keyvalue.ConflictError) (*workflow.Job, error) {
-	item, found := conflict.Find(jobKey(id))
-	if !found {
-		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.Cancelled, conflict)
-	}
-	job, err := st.DecodeJob(id, item.Value)
+	switch {
+	case a.cancelled:
+		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.Cancelled, nil)
+	case a.refused:
+		return nil, state.NewStepError("store a job", netip.AddrPort{}, state.ExpectedWait, nil)
+	case a.stored == nil:
+		return job, nil
+	}
+	stored, err = st.DecodeJob(job.ID, a.stored)
 	if err != nil {
 		return nil, state.NewAmbiguousStepError("read the stored job", netip.AddrPort{}, state.StoreUnavailable, err)
 	}
-	return job, nil
+	return stored, nil
 }
 
 // recordBytes returns how large the records of a job's progress are by estimate: half
@@ -168,20 +163,6 @@
 	return item, known, err
 }
 
-// create writes keys unless they exist, and retries until the outcome is known; conflict
-// is set if they do, which an earlier try may have brought about. Retrying is safe, as the
-// change has no effect on keys that exist.
-func (st *Store) create(ctx context.Context, change keyvalue.Change) (conflict *keyvalue.ConflictError, err error) {
-	err = st.retry(ctx, func(ctx context.Context) error {
-		_, err := st.Store.Commit(ctx, change)
-		if errors.As(err, &conflict) {
-			return nil
-		}
-		return err
-	})
-	return conflict, err
-}
-
 // retry repeats a call until it succeeds, the store refuses it, the context ends, or
 // retryLimit has passed and no try can have had an effect. The error is ambiguous if that of any try was.
 func (st *Store) retry(ctx context.Context, call func(ctx context.Context) error) error {
--- a/coordination/jobstore/jobstore.go
+++ b/coordination/jobstore/jobstore.go
@@ -9,12 +9,13 @@
 	"comfreystream/state/workflow"
 )
 
-// The keys in the store. Accepted jobs and cancellations share a prefix, which the
-// planner watches; progress has its own, as only progress is overwritten.
+// The keys in the store. Accepted jobs, cancellations and refusals share a prefix, which
+// the planner watches; progress has its own, as only the planner writes it.
 const (
 	intakePrefix   = "in/"
 	jobSuffix      = "/job"
 	cancelSuffix   = "/cancel"
+	refusalSuffix  = "/refusal"
 	progressPrefix = "run/"
 	pendingKey     = "pending"
 )
@@ -39,6 +40,8 @@
 func jobKey(id workflow.ID) string    { return intakePrefix + string(id) + jobSuffix }
 func cancelKey(id workflow.ID) string { return intakePrefix + string(id) + cancelSuffix }
 
+func refusalKey(id workflow.ID) string { return intakePrefix + string(id) + refusalSuffix }
+
 // progressKey returns the key of a record of the job's progress.
 func progressKey(id workflow.ID, record int) string {
 	if record == 0 {
@@ -58,15 +61,14 @@
 	return workflow.ID(name), record, err == nil && progressKey(workflow.ID(name), record) == key
 }
 
-// parseIntakeKey returns the job of a key with intakePrefix and whether the key
-// holds its cancellation; known is false for any other key.
-func parseIntakeKey(key string) (id workflow.ID, isCancel, known bool) {
+// parseIntakeKey returns the job of a key with intakePrefix and the key's suffix; known is
+// false for any other key.
+func parseIntakeKey(key string) (id workflow.ID, suffix string, known bool) {
 	name := strings.TrimPrefix(key, intakePrefix)
-	if job, found := strings.CutSuffix(name, jobSuffix); found {
-		return workflow.ID(job), false, true
-	}
-	if job, found := strings.CutSuffix(name, cancelSuffix); found {
-		return workflow.ID(job), true, true
+	for _, suffix := range []string{jobSuffix, cancelSuffix, refusalSuffix} {
+		if job, found := strings.CutSuffix(name, suffix); found {
+			return workflow.ID(job), suffix, true
+		}
 	}
-	return "", false, false
+	return "", "", false
 }
--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -320,6 +320,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		var mu sync.Mutex
 		reported := make(map[workflow.ID]bool)
+		var fenced []workflow.ID
 		var following sync.WaitGroup
 		following.Go(func() {
 			st.FollowIntake(ctx, jobstore.IntakeHandler{
@@ -334,6 +335,11 @@
 					defer mu.Unlock()
 					reported[id] = true
 				},
+				Fenced: func(id workflow.ID, _ keyvalue.Revision) {
+					mu.Lock()
+					defer mu.Unlock()
+					fenced = append(fenced, id)
+				},
 				Listed: func() {},
 				Failed: func(error) {},
 			})
@@ -354,9 +360,16 @@
 		if _, err := st.Accept(ctx, &workflow.Job{ID: "z", Steps: []workflow.Step{{Tasks: 1}}}); err == nil {
 			t.Fatal("a job was accepted after its cancellation")
 		}
+		if stored, err := st.Refuse(ctx, "y"); stored || err != nil {
+			t.Fatalf("refuse: stored %v, %v", stored, err)
+		}
 		time.Sleep(5 * time.Second)
 		stop()
 		following.Wait()
+		slices.Sort(fenced)
+		if !slices.Equal(slices.Compact(fenced), []workflow.ID{"b", "y", "z"}) {
+			t.Errorf("cancellations and refusals of %v were reported", fenced)
+		}
 		if len(reported) != 4 || !reported["b"] || !reported["z"] || reported["a"] || reported["c"] {
 			t.Errorf("reported %v", reported)
 		}
--- a/coordination/jobstore/slow_store_test.go
+++ b/coordination/jobstore/slow_store_test.go
@@ -56,9 +56,9 @@
 					t.Fatalf("a job was reported with the progress of %d", loaded)
 				}
 			},
-			Cancelled: func(workflow.ID) {},
-			Listed:    stop,
-			Failed:    func(err error) { t.Error(err) },
+			Cancelled: func(workflow.ID) {}, Fenced: func(workflow.ID, keyvalue.Revision) {},
+			Listed: stop,
+			Failed: func(err error) { t.Error(err) },
 		})
 		if took := time.Since(began); accepted != jobs || took > want {
 			t.Errorf("%d jobs were reported after %v, want %d after %v", accepted, took, jobs, want)
--- a/coordination/jobstore/tombstones_test.go
+++ b/coordination/jobstore/tombstones_test.go
@@ -52,8 +52,8 @@
 					if _, err := st.Cancel(t.Context(), id); err != nil {
 						t.Fatal(err)
 					}
-					tombstones.Add(id, time.Now())
-					tombstones.Add(id, time.Now().Add(time.Hour)) // a later listing has it again
+					tombstones.Add(id, keyvalue.Revision(n+1), time.Now())
+					tombstones.Add(id, keyvalue.Revision(n+1), time.Now().Add(time.Hour)) // a later listing has it again
 				}
 				time.Sleep(test.after)
 				due := tombstones.Due(time.Now().Add(-age))
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -95,6 +95,14 @@
 	return true
 }
 
+// Has reports whether a job with this ID is known.
+func (s *Scheduler) Has(id workflow.ID) bool {
+	s.loading.Lock()
+	defer s.loading.Unlock()
+	_, known := s.services[id]
+	return known
+}
+
 // Cancel cancels a job and stops its tasks; known is false if no pool has the job.
 func (s *Scheduler) Cancel(id workflow.ID) (known bool) {
 	for _, p := range s.allPools() {
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,7 @@
 	returns backlog.Returns
 	// decoding is held while a notified job is decoded.
 	decoding sync.Mutex
-	// tombstones holds the stored cancellations of jobs that the planner does not have.
+	// tombstones holds the stored cancellations and refusals.
 	tombstones jobstore.Tombstones
 }
 
@@ -122,6 +123,7 @@
 		},
 		Accepted:  func(job *workflow.Job) { t.addJob(job, jobStored) },
 		Cancelled: func(id workflow.ID) { t.cancelJob(id, jobStored) },
+		Fenced:    func(id workflow.ID, revision keyvalue.Revision) { t.tombstones.Add(id, revision, time.Now()) },
 		Listed: func() {
 			t.listOnce.Do(func() {
 				i.log.Info().Str("event", "recordLoaded").Int("jobs", len(t.progress)).Dur("after", time.Since(t.began)).Send()
@@ -169,9 +171,6 @@
 
 func (t *term) cancelJob(id workflow.ID, source jobSource) {
 	known := t.scheduler.Cancel(id)
-	if !known && source == jobStored {
-		t.tombstones.Add(id, time.Now())
-	}
 	t.logJob("cancellationRead", id, source, func(line *zerolog.Event) { line.Bool("known", known) })
 }
 
@@ -265,10 +264,12 @@
 	i := t.instance
 	for pause.For(t.ctx, deleteInterval) {
 		age := i.settings.Load().StatusRetention + deleteMargin
-		jobs, tombstones := t.scheduler.DeletableJobs(age), t.tombstones.Due(time.Now().Add(-age))
+		// Tombstones of jobs that the planner has go with them.
+		jobs, tombstones := t.scheduler.DeletableJobs(age), slices.DeleteFunc(t.tombstones.Due(time.Now().Add(-age)), t.scheduler.Has)
 		if len(jobs) > 0 && i.candidate.Valid(t.condition.Revision) {
 			deleted, err := i.plannerJobStore.Delete(t.ctx, t.condition, jobs)
 			t.scheduler.Forget(deleted)
+			t.tombstones.Remove(deleted)
 			t.logDeletion("recordDeleted", len(deleted), err)
 		}
 		if len(tombstones) > 0 && i.candidate.Valid(t.condition.Revision) {
