Say "refusal" where a refusal is stored, and drop an unused read

Cause: reading the change as a newcomer. refuseForGood did not say that it writes, jobstore.Stored is used by nothing any more, and two tests built the same caller.

Behaviour is the same.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -134,7 +134,7 @@
 // refuseAdvised refuses a job whose queue needs advice by now. One that is stored was accepted
 // by an earlier configuration, and stays so.
 func (i *Intake) refuseAdvised(ctx context.Context, job *workflow.Job) error {
-	stored, err := i.refuseForGood(ctx, job.ID)
+	stored, err := i.storeRefusal(ctx, job.ID)
 	if stored || err != nil {
 		return i.storeError("submit a job", err)
 	}
@@ -155,16 +155,16 @@
 	if refusal == nil {
 		return nil
 	}
-	if stored, err := i.refuseForGood(ctx, job.ID); stored || err != nil {
+	if stored, err := i.storeRefusal(ctx, job.ID); stored || err != nil {
 		return nil
 	}
 	i.Gate.LogRefusal(job, refusal)
 	return refusal
 }
 
-// refuseForGood stores a refusal, so that no earlier submission of the job takes effect any
+// storeRefusal stores a refusal, so that no earlier submission of the job takes effect any
 // more, and logs why it could not.
-func (i *Intake) refuseForGood(ctx context.Context, id workflow.ID) (stored bool, err error) {
+func (i *Intake) storeRefusal(ctx context.Context, id workflow.ID) (stored bool, err error) {
 	stored, err = i.JobStore.Refuse(ctx, id)
 	if stored || err != nil {
 		i.Log.Info().Str("event", "refusalDropped").Str("request", string(id)).Bool("stored", stored).Err(err).Send()
--- a/coordination/intake/submit_test.go
+++ b/coordination/intake/submit_test.go
@@ -239,8 +239,8 @@
 				}
 				fault = standin.None
 				time.Sleep(2 * standin.LateBy)
-				if stored, err := i.JobStore.Stored(t.Context(), jobID); err != nil || stored != test.stored {
-					t.Errorf("stored %v, %v, want %v", stored, err, test.stored)
+				if stored := store.Has("in/" + string(jobID) + "/job"); stored != test.stored {
+					t.Errorf("stored %v, want %v", stored, test.stored)
 				}
 			})
 		})
--- a/coordination/jobstore/cancel_test.go
+++ b/coordination/jobstore/cancel_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"comfreystream/coordination/jobstore"
 	"comfreystream/coordination/keyvalue"
 	"comfreystream/protocol/record"
 	standin "comfreystream/standin/keyvalue"
@@ -25,11 +26,21 @@
 	}
 }
 
+// submit returns a function that submits the job "a", whose caller leaves after 900 ms.
+func submit(t *testing.T, st *jobstore.Store) func() error {
+	t.Helper()
+	return func() error {
+		ctx, stop := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer stop()
+		_, err := st.Accept(ctx, &workflow.Job{ID: "a", Steps: []workflow.Step{{Tasks: 1}}})
+		return err
+	}
+}
+
 // TestCancelBeforeAccept cancels a job while its acceptance is under way. It guards against
 // a job that runs after its cancellation was answered: in review/8 the write of the job was
 // done after the cancellation had found none.
 func TestCancelBeforeAccept(t *testing.T) {
-	const timeout = 900 * time.Millisecond
 	tests := []struct {
 		name string
 		// accept and cancel are the faults of the first writes of the two.
@@ -53,12 +64,7 @@
 				store := standin.New()
 				calls := store.Calls()
 				st := record.NewJobStore(&calls, valueBytes)
-				accept := func() error {
-					ctx, stop := context.WithTimeout(t.Context(), timeout)
-					defer stop()
-					_, err := st.Accept(ctx, &workflow.Job{ID: "a", Steps: []workflow.Step{{Tasks: 1}}})
-					return err
-				}
+				accept := submit(t, st)
 				store.Fault = faultsOf(test.accept...)
 				if err := accept(); (err == nil) != (len(test.accept) == 0) {
 					t.Fatalf("accept: %v", err)
@@ -72,8 +78,8 @@
 					t.Fatalf("cancel: known %v, %v, want %v", known, err, test.known)
 				}
 				time.Sleep(2 * standin.LateBy)
-				if stored, err := st.Stored(t.Context(), "a"); err != nil || stored != test.known {
-					t.Errorf("stored %v after the cancellation, %v, want %v", stored, err, test.known)
+				if stored := store.Has("in/a/job"); stored != test.known {
+					t.Errorf("stored %v after the cancellation, want %v", stored, test.known)
 				}
 				if known, err := st.Cancel(t.Context(), "a"); err != nil || known != test.known {
 					t.Errorf("second cancellation: known %v, %v, want %v", known, err, test.known)
--- a/coordination/jobstore/intake.go
+++ b/coordination/jobstore/intake.go
@@ -86,11 +86,12 @@
 	if err != nil {
 		return false, err
 	}
-	err = st.retry(ctx, func(ctx context.Context) error {
-		job.Revision, err = st.cancelAt(ctx, id, job.Revision)
+	revision := job.Revision
+	err = st.retry(ctx, func(ctx context.Context) (err error) {
+		revision, err = st.cancelAt(ctx, id, revision)
 		return err
 	})
-	return job.Revision != 0, err
+	return revision != 0, err
 }
 
 // cancelAt stores a cancellation, for the job at the revision that was read last, 0 for
@@ -131,12 +132,6 @@
 	return workflow.Queued, known, err
 }
 
-// Stored reports whether the job is stored.
-func (st *Store) Stored(ctx context.Context, id workflow.ID) (bool, error) {
-	_, known, err := st.get(ctx, jobKey(id))
-	return known, err
-}
-
 // Pending returns the planner's figures of the waiting jobs. While no planner counts
 // them, it returns an error with the reason noPlanner.
 func (st *Store) Pending(ctx context.Context) (backlog.Figures, error) {
--- a/coordination/jobstore/refusal_test.go
+++ b/coordination/jobstore/refusal_test.go
@@ -15,7 +15,6 @@
 // TestRefuse refuses a job while an earlier submission of it is under way. It guards against
 // a job that runs after its caller was told that it does not.
 func TestRefuse(t *testing.T) {
-	const timeout = 900 * time.Millisecond
 	tests := []struct {
 		name string
 		// accept and refuse are the faults of the first writes of the two.
@@ -38,12 +37,7 @@
 				store := standin.New()
 				calls := store.Calls()
 				st := record.NewJobStore(&calls, valueBytes)
-				accept := func() error {
-					ctx, stop := context.WithTimeout(t.Context(), timeout)
-					defer stop()
-					_, err := st.Accept(ctx, &workflow.Job{ID: "a", Steps: []workflow.Step{{Tasks: 1}}})
-					return err
-				}
+				accept := submit(t, st)
 				store.Fault = faultsOf(test.accept...)
 				if err := accept(); (err == nil) != (len(test.accept) == 0) {
 					t.Fatalf("accept: %v", err)
@@ -56,8 +50,8 @@
 					t.Fatalf("refuse: stored %v, %v, want %v", stored, err, test.stored)
 				}
 				time.Sleep(2 * standin.LateBy)
-				if stored, err := st.Stored(t.Context(), "a"); err != nil || stored != test.stored {
-					t.Errorf("stored %v after the refusal, %v, want %v", stored, err, test.stored)
+				if stored := store.Has("in/a/job"); stored != test.stored {
+					t.Errorf("stored %v after the refusal, want %v", stored, test.stored)
 				}
 				if err := accept(); err != nil {
 					t.Errorf("the caller has returned: %v", err)
@@ -111,7 +105,7 @@
 					t.Fatal(err)
 				}
 				time.Sleep(2 * standin.LateBy)
-				if stored, _ := st.Stored(t.Context(), "a"); stored != (test.want == "") {
+				if stored := store.Has("in/a/job"); stored != (test.want == "") {
 					t.Errorf("stored %v", stored)
 				}
 			})
