--- a/coordination/jobstore/cancel_test.go
+++ b/coordination/jobstore/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,7 +17,10 @@
 
 // faultsOf returns a Fault that gives the writes of the store the faults in turn, then none.
 func faultsOf(faults ...standin.Fault) func(call string) standin.Fault {
+	var mu sync.Mutex
 	return func(call string) standin.Fault {
+		mu.Lock()
+		defer mu.Unlock()
 		if call != "Commit" || len(faults) == 0 {
 			return standin.None
 		}
