--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -11,6 +11,7 @@
 	workerQuarantined     = "workerQuarantined"
 	unknownAttemptStopped = "strangerStopped"
 	workerLeaving         = "workerLeaving"
+	workerIgnored         = "workerIgnored"
 	recordRefused         = "recordRefused"
 	checkpointsLeftOut    = "checkpointsLeftOut"
 	zoneEvacuated         = "zoneEvacuated"
@@ -42,7 +43,7 @@
 // Events lists every counted event, so that each gets a counter.
 var Events = []string{
 	reasonCancelled, reasonIncomplete, reasonReclaimed, reasonDisplaced, reasonStalled, reasonMoved, reasonLeaving, reasonAlreadyDone,
-	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, unknownAttemptStopped,
+	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, workerIgnored, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled, reasonEvacuated,
 	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort,
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -34,6 +34,9 @@
 				p.scheduler.Log.Info().Str("event", "workerRegained").Str("worker", string(w.id)).Send()
 			}
 			silent = false
+			if p.endReleased(w) {
+				return
+			}
 			p.awaitSave(w)
 			continue
 		}
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -50,6 +50,9 @@
 	// evacuated is the newest reading of the evacuated zones; mu guards its replacement.
 	evacuated atomic.Pointer[evacuations]
 
+	// holders is used by SetWorkers alone.
+	holders holders
+
 	mu    sync.Mutex
 	pools map[string]*pool
 
@@ -66,6 +69,7 @@
 	s.termBegan = s.Now()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.pools = make(map[string]*pool)
+	s.holders = holders{scheduler: s, byWorker: make(map[workflow.WorkerID]*holder), byLife: make(map[life]workflow.WorkerID)}
 	s.services = make(map[workflow.ID]string)
 	s.starts = make(chan struct{}, s.concurrentStarts())
 }
@@ -112,10 +116,11 @@
 }
 
 // SetWorkers replaces the set of registered workers by a listing of the registry
-// that was asked for at listedAt.
+// that was asked for at listedAt. A worker stays in the pool of one service while its
+// tasks may run there. It must not be called by several goroutines at once.
 func (s *Scheduler) SetWorkers(workers []workflow.Worker, listedAt time.Time) {
 	byService := make(map[string][]workflow.Worker)
-	for _, w := range workers {
+	for _, w := range s.holders.assign(workers, listedAt) {
 		byService[w.Service] = append(byService[w.Service], w)
 	}
 	for service := range byService {
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -68,8 +68,8 @@
 	notice    notice
 	// leftAt is when the worker was found to have left; zero if it may be there.
 	leftAt time.Time
-	// renewing is set once renewLoop runs.
-	renewing bool
+	// renewing is set once renewLoop runs, released once another pool is to have the worker.
+	renewing, released bool
 	// renewDue ends the wait in awaitSave once ends were saved or a stop was
 	// answered.
 	renewDue chan struct{}
@@ -165,7 +165,7 @@
 			w.warmUntil = listedAt.Add(info.WarmUp)
 		}
 		p.noteNotice(w, &info, previousListing, now)
-		w.info = workerInfo{info, true}
+		w.info, w.released = workerInfo{info, true}, false
 		w.registration.noteBeat(info.Beat, previousListing)
 		w.leftAt = time.Time{}
 		if !w.renewing {
