--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -141,7 +141,7 @@
 	return i.refuseUnsupported(job)
 }
 
-// refuseUnsupported refuses a job that no configuration allows.
+// refuseUnsupported refuses a job of a kind that is not supported, which is not stored.
 func (i *Intake) refuseUnsupported(job *workflow.Job) error {
 	i.Log.Info().Str("event", "callRefused").Str("request", string(job.ID)).
 		Str("reason", string(state.Unsupported)).Str("queue", job.Queue).Send()
