--- /dev/null
+++ b/review/standin-3/cases.go
@@ -0,0 +1,358 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+const (
+	stableWindow = 3 * time.Second
+	visible      = 3 * time.Second
+	reclaimLimit = 3400 * time.Millisecond
+	service      = "planograma"
+)
+
+// base starts a deployment of one service with 48 workers.
+func (d *deployment) base(guaranteed int) error {
+	d.configure(7, service, service, service, guaranteed, service)
+	return d.startNodes()
+}
+
+// playPending: jobs for a kind of worker that refuses all starts for a while; the planner is
+// stopped and started meanwhile.
+func playPending(d *deployment, trouble bool) (bool, error) {
+	const jobs, special = 6, 4
+	if err := d.addWorkers(service, "a", 0, 44); err != nil {
+		return false, err
+	}
+	if err := d.addWorkers(service, "b", 44, special); err != nil {
+		return false, err
+	}
+	if err := d.base(0); err != nil {
+		return false, err
+	}
+	a, _ := d.callers()
+	planner := d.planner()
+	if trouble {
+		for _, w := range d.fleet.workers[44:] {
+			w.setUnhealthy(true)
+		}
+		time.AfterFunc(6500*time.Millisecond, func() {
+			for _, w := range d.fleet.workers[44:] {
+				w.setUnhealthy(false)
+			}
+		})
+	}
+	began := time.Now()
+	var ids []string
+	var accepted []time.Time
+	for i := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b36%02x", i)
+		at, ok := d.submit(a, d.other(planner, 2), normal, id, jobBody{"30s", []step{{Count: 1, CPU: 4000, Memory: 4096, GPU: 1, Estimate: 30000, Requires: "b"}}})
+		if !ok {
+			return false, fmt.Errorf("job %s was not accepted", id)
+		}
+		ids, accepted = append(ids, id), append(accepted, at)
+	}
+	time.Sleep(time.Until(began.Add(1500 * time.Millisecond)))
+	if trouble {
+		d.restartPlanner(syscall.SIGTERM)
+	}
+	wrong := 0
+	for time.Since(began) < 6300*time.Millisecond {
+		time.Sleep(150 * time.Millisecond)
+		asked := time.Now()
+		waiting := 0
+		for i, id := range ids {
+			if asked.Sub(accepted[i]) > visible+2*time.Second && len(d.fleet.taskRuns(id)) == 0 {
+				waiting++
+			}
+		}
+		for _, n := range []*node{d.other(planner, 2), d.other(planner, 3)} {
+			count, given := a.pending(n, normal)
+			if given && 2*count < waiting {
+				wrong++
+				d.record.line("check: %s gives %d pending, %d jobs accepted over 5 s before haven't begun", n.name, count, waiting)
+			}
+		}
+	}
+	until(8*time.Second, func() bool { return len(d.fleet.taskRuns(ids[0])) > 0 })
+	return wrong > 0, nil
+}
+
+// playLasting: a worker is lost for good, and the planner is killed before the lost worker's
+// task runs again.
+func playLasting(d *deployment, trouble bool) (bool, error) {
+	const tasks = 12
+	if err := d.addWorkers(service, "a", 0, 48); err != nil {
+		return false, err
+	}
+	if err := d.base(0); err != nil {
+		return false, err
+	}
+	a, _ := d.callers()
+	const id = "5c0e7a21d94b3600"
+	body := jobBody{lasting, []step{{Count: tasks, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 1000, Lasts: true, Image: "img-1"}}}
+	if _, ok := d.submit(a, d.other(d.planner(), 2), normal, id, body); !ok {
+		return false, fmt.Errorf("the job was not accepted")
+	}
+	if !until(10*time.Second, func() bool { return d.fleet.atWork(id) == tasks }) {
+		return false, fmt.Errorf("the tasks did not start")
+	}
+	time.Sleep(5 * time.Second)
+	calmFrom := time.Now()
+	if trouble {
+		for _, r := range d.fleet.taskRuns(id)[:1] {
+			r.worker.crash()
+		}
+		time.Sleep(4 * time.Second)
+		n := d.restartPlanner(syscall.SIGKILL)
+		time.Sleep(500 * time.Millisecond)
+		until(5*time.Second, func() bool { _, given := a.pending(n, normal); return given })
+		calmFrom = time.Now()
+	}
+	end := time.Now().Add(25 * time.Second)
+	isBroken := false
+	for time.Now().Before(end) {
+		time.Sleep(200 * time.Millisecond)
+		isBroken = d.checkLasting(id, tasks, calmFrom) || isBroken
+	}
+	return isBroken, nil
+}
+
+// checkLasting reports whether a task that lasts has not run for 3 s, with its last run 6 s
+// before and room for it twice over, and 7 s have been calm.
+func (d *deployment) checkLasting(id string, tasks int, calmFrom time.Time) (isBroken bool) {
+	now := time.Now()
+	if now.Sub(calmFrom) < 7*time.Second {
+		return false
+	}
+	last := make(map[string]time.Time)
+	atWork := make(map[string]bool)
+	for _, r := range d.fleet.taskRuns(id) {
+		if r.ended.IsZero() {
+			atWork[r.task] = true
+		}
+		if r.ended.After(last[r.task]) {
+			last[r.task] = r.ended
+		}
+	}
+	room := d.fleet.rooms(service, d.needsOf(id+".0.0.0"))
+	for i := range tasks {
+		task := fmt.Sprintf("%s.0.0.%d", id, i)
+		if !atWork[task] && now.Sub(last[task]) > 9*time.Second && room >= 2 {
+			isBroken = true
+			d.record.line("check: %s has not run for %.1f s, %d workers have room for it, calm for %.1f s", task, now.Sub(last[task]).Seconds(), room, now.Sub(calmFrom).Seconds())
+		}
+	}
+	return isBroken
+}
+
+// playMoved: jobs wait for a full service when the operator sends their queue to another one.
+func playMoved(d *deployment, trouble bool) (bool, error) {
+	const alpha, beta, jobs = "alpha", "beta", 4
+	if err := d.addWorkers(alpha, "a", 0, 6); err != nil {
+		return false, err
+	}
+	if err := d.addWorkers(beta, "a", 0, 42); err != nil {
+		return false, err
+	}
+	d.configure(7, beta, alpha, alpha, 0, alpha, beta)
+	if err := d.startNodes(); err != nil {
+		return false, err
+	}
+	a, _ := d.callers()
+	n := d.other(d.planner(), 2)
+	const full = "5c0e7a21d94b3600"
+	if _, ok := d.submit(a, n, late, full, jobBody{lasting, []step{{Count: 6, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 1000, Lasts: true}}}); !ok {
+		return false, fmt.Errorf("the first job was not accepted")
+	}
+	if !until(15*time.Second, func() bool { return d.fleet.atWork(full) == 6 }) {
+		return false, fmt.Errorf("the first job did not start")
+	}
+	var ids []string
+	for i := range jobs {
+		id := fmt.Sprintf("aa0e7a21d94b36%02x", i)
+		if _, ok := d.submit(a, n, normal, id, jobBody{"2s", []step{{Count: 1, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 2000}}}); !ok {
+			return false, fmt.Errorf("job %s was not accepted", id)
+		}
+		ids = append(ids, id)
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		d.configure(12, beta, beta, alpha, 0, alpha, beta)
+	}
+	time.Sleep(stableWindow)
+	if trouble { // the queue works at its new service
+		const probe = "bb0e7a21d94b3600"
+		if _, ok := d.submit(a, n, normal, probe, jobBody{"2s", []step{{Count: 1, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 2000}}}); !ok {
+			return false, fmt.Errorf("the last job was not accepted")
+		}
+		time.Sleep(3 * time.Second)
+		if state := a.state(n, normal+probe); state != "completed" {
+			return false, fmt.Errorf("the last job is %s", state)
+		}
+	}
+	time.Sleep(14 * time.Second) // finish_s
+	target := alpha
+	if trouble {
+		target = beta
+	}
+	began := make(map[string]bool)
+	idle := d.fleet.rooms(target, capacity{4000, 4096, 8})
+	for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		idle = min(idle, d.fleet.rooms(target, capacity{4000, 4096, 8}))
+		for _, id := range ids {
+			began[id] = began[id] || len(d.fleet.taskRuns(id)) > 0
+		}
+	}
+	waiting := 0
+	for _, id := range ids {
+		if a.state(n, normal+id); !began[id] {
+			waiting++
+		}
+	}
+	d.record.line("check: %d accepted jobs have nothing running for 3.5 s, 14 s after the last submission; their queue's service %s has %d idle workers", waiting, target, idle)
+	return waiting > 0 && idle >= 2*waiting, nil
+}
+
+// playRack: a task that lasts has its data on a rack that is full of others that last. The rest
+// of the workers are idle, but no more than 37.5 % of all.
+func playRack(d *deployment, trouble bool) (bool, error) {
+	const workers, rack, waits = 48, "r0-0", 25 * time.Second
+	if err := d.addWorkers(service, "a", 0, workers); err != nil {
+		return false, err
+	}
+	if err := d.base(0); err != nil {
+		return false, err
+	}
+	a, b := d.callers()
+	n := d.other(d.planner(), 2)
+	others := 16
+	if trouble {
+		others = 24
+	}
+	const near, far, id = "5c0e7a21d94b3600", "5c0e7a21d94b3601", "aa0e7a21d94b3600"
+	lasts := func(count int, rack string) jobBody {
+		return jobBody{lasting, []step{{Count: count, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 1000, Lasts: true, DataRack: rack}}}
+	}
+	for _, job := range []struct {
+		id    string
+		count int
+		rack  string
+	}{{near, 6, rack}, {far, others, ""}} {
+		if _, ok := d.submit(b, n, normal, job.id, lasts(job.count, job.rack)); !ok {
+			return false, fmt.Errorf("job %s was not accepted", job.id)
+		}
+		if !until(15*time.Second, func() bool { return d.fleet.atWork(job.id) == job.count }) {
+			return false, fmt.Errorf("job %s did not start", job.id)
+		}
+	}
+	time.Sleep(stableWindow)
+	accepted, ok := d.submit(a, n, normal, id, lasts(1, rack))
+	if !ok {
+		return false, fmt.Errorf("the last job was not accepted")
+	}
+	idle, isBroken := workers, false
+	for time.Since(accepted) < waits {
+		time.Sleep(500 * time.Millisecond)
+		idle = min(idle, d.fleet.rooms(service, capacity{4000, 4096, 8}))
+		waited := time.Since(accepted)
+		if len(d.fleet.taskRuns(id)) == 0 && idle >= 2 && waited > 10*time.Second {
+			isBroken = true
+			d.record.line("check: the task has not run %.1f s after its job was accepted, with %d idle workers of %d all the while", waited.Seconds(), idle, workers)
+		}
+	}
+	a.state(n, normal+id)
+	return isBroken, nil
+}
+
+// playGuarantee: tasks that last fill the workers, then a tenant asks for what it is guaranteed.
+func playGuarantee(d *deployment, trouble bool) (bool, error) {
+	const guaranteed = 72
+	if err := d.addWorkers(service, "a", 0, 48); err != nil {
+		return false, err
+	}
+	if err := d.base(guaranteed); err != nil {
+		return false, err
+	}
+	a, b := d.callers()
+	n := d.other(d.planner(), 2)
+	tasks := 38
+	if trouble {
+		tasks = 48
+	}
+	const filler = "5c0e7a21d94b3600"
+	body := jobBody{lasting, []step{{Count: tasks, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 1000, Lasts: true, MayMiss: tasks, Image: "img-1"}}}
+	if _, ok := d.submit(b, n, normal, filler, body); !ok {
+		return false, fmt.Errorf("the lasting job was not accepted")
+	}
+	if !until(15*time.Second, func() bool { return d.fleet.atWork(filler) == tasks }) {
+		return false, fmt.Errorf("the lasting job did not start")
+	}
+	time.Sleep(5 * time.Second)
+	const id = "aa0e7a21d94b3600"
+	accepted, ok := d.submit(a, n, urgent, id, jobBody{"3s", []step{{Count: 4, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 3000}}})
+	if !ok {
+		return false, fmt.Errorf("the urgent job was not accepted")
+	}
+	time.Sleep(time.Until(accepted.Add(reclaimLimit)))
+	begun := len(d.fleet.taskRuns(id))
+	d.record.line("check: %d of 4 tasks of the urgent job have begun 3.4 s after its acknowledgement; it needs 32 of %d guaranteed", begun, guaranteed)
+	time.Sleep(15 * time.Second)
+	d.record.line("check: %d of 4 tasks have begun 18.4 s after it", len(d.fleet.taskRuns(id)))
+	a.state(n, urgent+id)
+	return begun < 4, nil
+}
+
+// playFailures: two tasks of another tenant fail once by their own fault on the only worker of
+// a kind. Then a tenant asks for what it is guaranteed there, where other work runs.
+func playFailures(d *deployment, trouble bool) (bool, error) {
+	const workers, guaranteed = 48, 72
+	if err := d.addWorkers(service, "a", 0, workers-1); err != nil {
+		return false, err
+	}
+	if err := d.addWorkers(service, "b", workers-1, 1); err != nil {
+		return false, err
+	}
+	if err := d.base(guaranteed); err != nil {
+		return false, err
+	}
+	a, b := d.callers()
+	n := d.other(d.planner(), 2)
+	const filler, id = "5c0e7a21d94b3600", "aa0e7a21d94b3600"
+	if _, ok := d.submit(b, n, normal, filler, jobBody{"100s", []step{{Count: workers, CPU: 4000, Memory: 4096, GPU: 7, Estimate: 1000}}}); !ok {
+		return false, fmt.Errorf("the first job was not accepted")
+	}
+	if !until(15*time.Second, func() bool { return d.fleet.atWork(filler) == workers }) {
+		return false, fmt.Errorf("the first job did not start")
+	}
+	time.Sleep(time.Second)
+	spec := "200ms"
+	if trouble {
+		spec = failsFirst + spec
+	}
+	small := []string{"bb0e7a21d94b3600", "bb0e7a21d94b3601"}
+	for _, job := range small {
+		if _, ok := d.submit(b, n, late, job, jobBody{spec, []step{{Count: 1, CPU: 1000, Memory: 1024, GPU: 1, Estimate: 200, Requires: "b"}}}); !ok {
+			return false, fmt.Errorf("job %s was not accepted", job)
+		}
+	}
+	for _, job := range small {
+		ended := func() bool { runs := d.fleet.taskRuns(job); return len(runs) > 0 && !runs[0].ended.IsZero() }
+		if !until(10*time.Second, ended) {
+			return false, fmt.Errorf("job %s did not run", job)
+		}
+	}
+	accepted, ok := d.submit(a, n, urgent, id, jobBody{"3s", []step{{Count: 1, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 3000, Requires: "b"}}})
+	if !ok {
+		return false, fmt.Errorf("the urgent job was not accepted")
+	}
+	time.Sleep(time.Until(accepted.Add(reclaimLimit)))
+	begun := len(d.fleet.taskRuns(id))
+	d.record.line("check: %d of 1 tasks of the urgent job have begun 3.4 s after its acknowledgement; it needs 8 of %d guaranteed", begun, guaranteed)
+	until(10*time.Second, func() bool { return len(d.fleet.taskRuns(id)) > 0 })
+	d.record.line("check: %d of 1 tasks have begun %.1f s after it", len(d.fleet.taskRuns(id)), time.Since(accepted).Seconds())
+	return begun < 1, nil
+}
