--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -12,7 +12,7 @@
 )
 
 // base starts a deployment of one service with 48 workers.
-func (d *deployment) base(guaranteed int) error {
+func (d *deployment) base(guaranteed guarantees) error {
 	d.configure(7, service, service, service, guaranteed, service)
 	return d.startNodes()
 }
@@ -26,11 +26,11 @@
 	if err := d.addWorkers(beta, "a", 0, 42); err != nil {
 		return false, err
 	}
-	d.configure(7, beta, alpha, alpha, 0, alpha, beta)
+	d.configure(7, beta, alpha, alpha, guarantees{}, alpha, beta)
 	if err := d.startNodes(); err != nil {
 		return false, err
 	}
-	a, _ := d.callers()
+	a, _, _ := d.callers()
 	n := d.other()
 	const full = "5c0e7a21d94b3600"
 	if _, ok := d.submit(a, n, late, full, jobBody{lasting, []step{{Count: 6, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 1000, Lasts: true}}}); !ok {
@@ -49,7 +49,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
-		d.configure(12, beta, beta, alpha, 0, alpha, beta)
+		d.configure(12, beta, beta, alpha, guarantees{}, alpha, beta)
 	}
 	time.Sleep(stableWindow)
 	if trouble { // the queue works at its new service
@@ -92,10 +92,10 @@
 	if err := d.addWorkers(service, "a", 0, workers); err != nil {
 		return false, err
 	}
-	if err := d.base(0); err != nil {
+	if err := d.base(guarantees{}); err != nil {
 		return false, err
 	}
-	a, b := d.callers()
+	a, b, _ := d.callers()
 	n := d.other()
 	others := 16
 	if trouble {
@@ -136,42 +136,70 @@
 	return isBroken, nil
 }
 
-// playGuarantee: tasks that last fill the workers, then a tenant asks for what it is guaranteed.
-func playGuarantee(d *deployment, trouble bool) (bool, error) {
-	const guaranteed = 72
-	if err := d.addWorkers(service, "a", 0, 48); err != nil {
-		return false, err
+// playMovedOnce: a guaranteed task is moved to another worker for a guaranteed job of another
+// tenant. Later that tenant asks for what it is guaranteed on the worker where the task is now.
+func playMovedOnce(d *deployment, trouble bool) (bool, error) {
+	const workers, guaranteed = 3, 8
+	kinds := []string{"a", "b", "c"}
+	for n, kind := range kinds {
+		if err := d.addWorkers(service, kind, n, 1); err != nil {
+			return false, err
+		}
 	}
-	if err := d.base(guaranteed); err != nil {
+	if err := d.base(guarantees{guaranteed, 0, guaranteed}); err != nil {
 		return false, err
 	}
-	a, b := d.callers()
+	a, b, c := d.callers()
 	n := d.other()
-	tasks := 38
-	if trouble {
-		tasks = 48
+	const filler, small, first, second = "5c0e7a21d94b3600", "5c0e7a21d94b3601", "aa0e7a21d94b3600", "aa0e7a21d94b3601"
+	small1 := step{CPU: 1000, Memory: 1024, GPU: 1, Estimate: 1000}
+	fill, keep := small1, small1
+	fill.Count, fill.Spread, keep.Count = 7*workers, 7, workers
+	for _, job := range []struct {
+		by         *caller
+		prefix, id string
+		step       step
+	}{{b, normal, filler, fill}, {a, urgent, small, keep}} {
+		if _, ok := d.submit(job.by, n, job.prefix, job.id, jobBody{"110s", []step{job.step}}); !ok {
+			return false, fmt.Errorf("job %s was not accepted", job.id)
+		}
+		if !until(20*time.Second, func() bool { return d.fleet.atWork(job.id) == job.step.Count }) {
+			return false, fmt.Errorf("job %s did not start", job.id)
+		}
 	}
-	const filler = "5c0e7a21d94b3600"
-	body := jobBody{lasting, []step{{Count: tasks, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 1000, Lasts: true, MayMiss: tasks, Image: "img-1"}}}
-	if _, ok := d.submit(b, n, normal, filler, body); !ok {
-		return false, fmt.Errorf("the lasting job was not accepted")
+	time.Sleep(stableWindow)
+	whole := func(kind string) step {
+		return step{Count: 1, CPU: 8000, Memory: 8192, GPU: 8, Estimate: 2500, Requires: kind}
 	}
-	if !until(15*time.Second, func() bool { return d.fleet.atWork(filler) == tasks }) {
-		return false, fmt.Errorf("the lasting job did not start")
+	wanted := kinds[0]
+	if trouble {
+		if _, ok := d.submit(c, n, urgent, first, jobBody{"2500ms", []step{whole(wanted)}}); !ok {
+			return false, fmt.Errorf("the first urgent job was not accepted")
+		}
+		if !until(15*time.Second, func() bool { return c.state(n, urgent+first) == "completed" }) {
+			return false, fmt.Errorf("the first urgent job did not run")
+		}
+		time.Sleep(stableWindow)
+		for _, r := range d.fleet.taskRuns(small) {
+			if r.run > 1 && r.ended.IsZero() {
+				wanted = r.worker.labels[0]
+			}
+		}
+		if wanted == kinds[0] {
+			return false, fmt.Errorf("no task was moved")
+		}
 	}
-	time.Sleep(5 * time.Second)
-	const id = "aa0e7a21d94b3600"
-	accepted, ok := d.submit(a, n, urgent, id, jobBody{"3s", []step{{Count: 4, CPU: 4000, Memory: 4096, GPU: 8, Estimate: 3000}}})
+	accepted, ok := d.submit(c, n, urgent, second, jobBody{"2500ms", []step{whole(wanted)}})
 	if !ok {
-		return false, fmt.Errorf("the urgent job was not accepted")
+		return false, fmt.Errorf("the second urgent job was not accepted")
 	}
 	time.Sleep(time.Until(accepted.Add(reclaimLimit)))
-	begun := len(d.fleet.taskRuns(id))
-	d.record.line("check: %d of 4 tasks of the urgent job have begun 3.4 s after its acknowledgement; it needs 32 of %d guaranteed", begun, guaranteed)
+	begun := len(d.fleet.taskRuns(second))
+	d.record.line("check: %d of 1 tasks have begun 3.4 s after the acknowledgement; the job needs 8 of %d guaranteed, %d of the other %d guaranteed are in use", begun, guaranteed, d.fleet.atWork(small), guaranteed)
 	time.Sleep(15 * time.Second)
-	d.record.line("check: %d of 4 tasks have begun 18.4 s after it", len(d.fleet.taskRuns(id)))
-	a.state(n, urgent+id)
-	return begun < 4, nil
+	d.record.line("check: %d of 1 tasks have begun 18.4 s after it", len(d.fleet.taskRuns(second)))
+	c.state(n, urgent+second)
+	return begun < 1, nil
 }
 
 // playFailures: two tasks of another tenant fail once by their own fault on the only worker of
@@ -184,10 +212,10 @@
 	if err := d.addWorkers(service, "b", workers-1, 1); err != nil {
 		return false, err
 	}
-	if err := d.base(guaranteed); err != nil {
+	if err := d.base(guarantees{guaranteed}); err != nil {
 		return false, err
 	}
-	a, b := d.callers()
+	a, b, _ := d.callers()
 	n := d.other()
 	const filler, id = "5c0e7a21d94b3600", "aa0e7a21d94b3600"
 	if _, ok := d.submit(b, n, normal, filler, jobBody{"100s", []step{{Count: workers, CPU: 4000, Memory: 4096, GPU: 7, Estimate: 1000}}}); !ok {
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -28,6 +28,7 @@
 	Estimate int64  `json:"estimate_ms,omitempty"`
 	Requires string `json:"requires,omitempty"`
 	DataRack string `json:"data_rack,omitempty"`
+	Spread   int    `json:"max_per_server,omitempty"`
 	Lasts    bool   `json:"persistent,omitempty"`
 	MayMiss  int    `json:"may_miss,omitempty"`
 	Image    string `json:"image,omitempty"`
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -10,14 +10,16 @@
 	"time"
 )
 
-// Two tenants and one host, as an operator's configuration names them.
+// One host and its queues, and the keys of three tenants, as an operator's configuration has them.
 const (
-	hostName       = "nony24.example"
-	keyA, keyB     = "d4a3hwrr6x73d3zji9n7", "3hh2b9wu3fexd9dnn2ct"
-	urgent, normal = "/pufi791/", "/lohu930/"
-	late           = "/pule252/"
+	hostName             = "nony24.example"
+	keyA, keyB, keyC     = "d4a3hwrr6x73d3zji9n7", "3hh2b9wu3fexd9dnn2ct", "9pqk3v7wz1n5yt8h2c6b"
+	urgent, normal, late = "/pufi791/", "/lohu930/", "/pule252/"
 )
 
+// guarantees holds the accelerators that are guaranteed to the tenants A, B and C.
+type guarantees [3]int
+
 // deployment is the platform and the nodes of the system.
 type deployment struct {
 	record *record
@@ -98,15 +100,17 @@
 	return nil
 }
 
-// configure writes the operator's configuration: urgent, normal and late are the services of
-// the three queues, guaranteed the accelerators of tenant A.
-func (d *deployment) configure(version int, urgentService, normalService, lateService string, guaranteed int, services ...string) {
+// configure writes the operator's configuration, with the services of the three queues.
+func (d *deployment) configure(version int, urgentService, normalService, lateService string, guaranteed guarantees, services ...string) {
 	route := func(name, prefix, service string, priority, attempts int, stretch float64, allowance int) map[string]any {
 		return map[string]any{
 			"name": name, "host": hostName, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 3000, "target_runtime_ms": allowance,
 			"priority": priority, "service": service, "max_attempts": attempts, "stretch": stretch, "anonymous": false,
 		}
 	}
+	tenant := func(name, key string, gpu int) map[string]any {
+		return map[string]any{"name": name, "api_keys": []string{key}, "priority": 1, "guaranteed": map[string]int{"gpu": gpu}}
+	}
 	var pools []map[string]any
 	for _, name := range services {
 		pools = append(pools, map[string]any{
@@ -122,15 +126,14 @@
 		"services": pools,
 		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{
-			map[string]any{"name": "kaje80", "api_keys": []string{keyA}, "priority": 1, "guaranteed": map[string]int{"gpu": guaranteed}},
-			map[string]any{"name": "sowu31", "api_keys": []string{keyB}, "priority": 1, "guaranteed": map[string]int{"gpu": 0}},
+			tenant("kaje80", keyA, guaranteed[0]), tenant("sowu31", keyB, guaranteed[1]), tenant("ruci52", keyC, guaranteed[2]),
 		},
 	})
 	d.record.line("operator: version %d of the configuration is acknowledged: %s -> %s, %s -> %s, %s -> %s", version, urgent, urgentService, normal, normalService, late, lateService)
 }
 
-func (d *deployment) callers() (a, b *caller) {
-	return &caller{d.record, hostName, keyA}, &caller{d.record, hostName, keyB}
+func (d *deployment) callers() (a, b, c *caller) {
+	return &caller{d.record, hostName, keyA}, &caller{d.record, hostName, keyB}, &caller{d.record, hostName, keyC}
 }
 
 // startNodes starts all nodes and waits until one plans and all answer callers.
@@ -140,7 +143,7 @@
 			return err
 		}
 	}
-	a, _ := d.callers()
+	a, _, _ := d.callers()
 	for began := time.Now(); time.Since(began) < 15*time.Second; time.Sleep(300 * time.Millisecond) {
 		ready := 0
 		for _, n := range d.nodes {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,7 +19,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
 	"moved":     playMoved,
 	"rack":      playRack,
-	"guarantee": playGuarantee,
+	"movedonce": playMovedOnce,
 	"failures":  playFailures,
 }
 
