--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -106,7 +106,8 @@
 // may run nevertheless; the reason is cancelled if a cancellation of its ID came first.
 func (i *Intake) Submit(ctx context.Context, target Target, job *workflow.Job) error {
 	q := target.Queue
-	job.Queue, job.Service, job.Organisation = q.Name, q.Service, target.Organisation
+	job.Queue, job.Service, job.PolicyVersion = q.Name, q.Service, target.Version
+	job.Organisation = target.Organisation
 	job.Priority, job.MaxAttempts, job.Stretch = q.Priority, q.MaxAttempts, q.Stretch
 	job.StartAllowance, job.Accepted = q.StartAllowance, i.Now()
 	if slices.ContainsFunc(job.Steps, func(s workflow.Step) bool { return s.Scavenging }) {
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -62,7 +62,7 @@
 					return p, json.Unmarshal(text, p)
 				}
 				i := &intake.Intake{
-					Policy: &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Log: zerolog.Nop()},
+					Policy: &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Changed: func() {}, Log: zerolog.Nop()},
 					Count:  func(state.Reason) {}, Log: zerolog.Nop(),
 				}
 				write(old)
--- a/coordination/policy/watcher.go
+++ b/coordination/policy/watcher.go
@@ -30,7 +30,9 @@
 	Store  *keyvalue.Store
 	Key    string
 	Decode func(text []byte) (*workflow.Policy, error)
-	Log    zerolog.Logger
+	// Changed is called after each change of the current configuration; it must not block.
+	Changed func()
+	Log     zerolog.Logger
 
 	mu      sync.Mutex
 	current atomic.Pointer[workflow.Policy]
@@ -119,6 +121,7 @@
 		return
 	}
 	w.current.Store(p)
+	w.Changed()
 	w.Log.Info().Str("event", "configurationInForce").Int64("version", p.Version).
 		Int64("revision", int64(item.Revision)).Int("queues", len(p.Queues)).Send()
 }
--- a/coordination/policy/watcher_test.go
+++ b/coordination/policy/watcher_test.go
@@ -49,7 +49,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			calls := standin.New().Calls()
-			running := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Log: zerolog.Nop()}
+			running := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Changed: func() {}, Log: zerolog.Nop()}
 			for _, value := range test.writes {
 				write(t, calls, value)
 				if _, err := running.Refresh(t.Context()); err != nil {
@@ -59,7 +59,7 @@
 			if p := running.Current(); p.Version != test.running {
 				t.Errorf("version %d in force, want %d", p.Version, test.running)
 			}
-			restarted := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Log: zerolog.Nop()}
+			restarted := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Changed: func() {}, Log: zerolog.Nop()}
 			if restarted.Current() != nil {
 				t.Error("a configuration is in force before the first read")
 			}
@@ -83,7 +83,7 @@
 	store := standin.New()
 	store.Fault = func(string) standin.Fault { return standin.Refused }
 	calls := store.Calls()
-	w := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Log: zerolog.Nop()}
+	w := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Changed: func() {}, Log: zerolog.Nop()}
 	began := time.Now()
 	if p, err := w.Refresh(t.Context()); err == nil {
 		t.Errorf("configuration %+v after %v", p, time.Since(began))
@@ -125,7 +125,7 @@
 					}
 					return get(ctx, key)
 				}
-				w := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Log: zerolog.Nop()}
+				w := &policy.Watcher{Store: &calls, Key: "config", Decode: decode, Changed: func() {}, Log: zerolog.Nop()}
 				write(t, calls, `{"Version":2}`)
 				if _, err := w.Refresh(t.Context()); err != nil {
 					t.Fatal(err)
--- a/instance/hosted/instance.go
+++ b/instance/hosted/instance.go
@@ -96,7 +96,7 @@
 	}
 	i.directStore, i.store, i.peerStore = failover.DirectStore(), failover.Store(), failover.PeerStore()
 	i.workers = &platform.Workers{Connections: i.workerClient}
-	i.policy = &policy.Watcher{Store: i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Log: log}
+	i.policy = &policy.Watcher{Store: i.store, Key: platform.PolicyKey, Decode: platform.DecodePolicy, Changed: i.policyChanged, Log: log}
 	valueBytes := func() int { return i.settings.Load().StoreValueBytes }
 	i.jobStore = record.NewJobStore(i.store, valueBytes)
 	i.plannerJobStore = record.NewJobStore(i.directStore, valueBytes)
--- a/instance/hosted/term.go
+++ b/instance/hosted/term.go
@@ -62,12 +62,14 @@
 	decoding sync.Mutex
 	// tombstones holds the stored cancellations and refusals.
 	tombstones jobstore.Tombstones
+	// policyDue holds a value while the scheduler is to get the current configuration.
+	policyDue chan struct{}
 }
 
 // beginTerm starts the scheduler. The candidate calls it and endTerm alternately.
 func (i *Instance) beginTerm(revision keyvalue.Revision) {
 	s := i.settings.Load()
-	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{}), listed: make(chan struct{}), began: time.Now()}
+	t := &term{instance: i, condition: keyvalue.Condition{Key: election.Key, Revision: revision}, loaded: make(chan struct{}), listed: make(chan struct{}), policyDue: make(chan struct{}, 1), began: time.Now()}
 	t.ctx, t.cancel = context.WithCancel(i.ctx)
 	t.scheduler = &scheduling.Scheduler{
 		Term: scheduling.Term(revision), Cores: s.Cores,
@@ -88,6 +90,8 @@
 	}
 	t.scheduler.Open()
 	i.term.Store(t)
+	i.policyChanged()
+	t.loops.Go(t.followPolicy)
 	t.loops.Go(t.run)
 	t.loops.Go(t.keepSpeeds)
 	t.loops.Go(t.keepInterference)
@@ -102,6 +106,30 @@
 	_ = t.scheduler.Close()
 }
 
+// policyChanged has the planner, if this instance is it, apply the current configuration.
+func (i *Instance) policyChanged() {
+	if t := i.term.Load(); t != nil {
+		select {
+		case t.policyDue <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// followPolicy passes each configuration to the scheduler until the term ends.
+func (t *term) followPolicy() {
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.policyDue:
+		}
+		if p := t.instance.policy.Current(); p != nil {
+			t.scheduler.SetPolicy(p)
+		}
+	}
+}
+
 // guarantee returns the number of accelerators guaranteed to an organisation.
 func (i *Instance) guarantee(organisation string) int {
 	p := i.policy.Current()
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -26,6 +26,7 @@
 	Interval       time.Duration `cbor:"12,keyasint,omitempty"`
 	Accepted       int64         `cbor:"13,keyasint"`
 	RecordBytes    int           `cbor:"14,keyasint,omitempty"`
+	PolicyVersion  int64         `cbor:"15,keyasint,omitempty"`
 }
 
 type stepRecord struct {
@@ -53,7 +54,7 @@
 		Queue: job.Queue, Service: job.Service, Organisation: job.Organisation, Priority: job.Priority,
 		MaxAttempts: job.MaxAttempts, Stretch: job.Stretch, StartAllowance: job.StartAllowance,
 		Spec: job.Spec, Occurrences: job.Occurrences, Interval: job.Interval, Accepted: job.Accepted.UnixMilli(),
-		RecordBytes: job.RecordBytes,
+		RecordBytes: job.RecordBytes, PolicyVersion: job.PolicyVersion,
 	}
 	if job.Occurrences > 0 {
 		r.FirstStart = job.FirstStart.UnixMilli()
@@ -75,7 +76,7 @@
 		ID: id, Queue: r.Queue, Service: r.Service, Organisation: r.Organisation, Priority: r.Priority,
 		MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, StartAllowance: r.StartAllowance,
 		Spec: r.Spec, Occurrences: r.Occurrences, Interval: r.Interval, Accepted: time.UnixMilli(r.Accepted),
-		RecordBytes: r.RecordBytes,
+		RecordBytes: r.RecordBytes, PolicyVersion: r.PolicyVersion,
 	}
 	if r.Occurrences > 0 {
 		job.FirstStart = time.UnixMilli(r.FirstStart)
--- a/state/workflow/job.go
+++ b/state/workflow/job.go
@@ -11,10 +11,13 @@
 
 // Job is an accepted submission; it is immutable.
 type Job struct {
-	ID           ID
-	Queue        string
-	Service      string
-	Organisation string
+	ID    ID
+	Queue string
+	// Service is that of the job's queue by the version of the configuration that the job
+	// was accepted under, PolicyVersion; 0 means that the version is not known.
+	Service       string
+	PolicyVersion int64
+	Organisation  string
 	// Priority is that of the job's queue; 0 is the highest and may preempt others.
 	Priority int
 	// MaxAttempts is the most failed attempts of a gang or task.
--- a/state/workflow/policy.go
+++ b/state/workflow/policy.go
@@ -9,6 +9,8 @@
 type Policy struct {
 	Version int64
 	Queues  []Queue
+	// Services holds the names of the services, also of those without a queue.
+	Services []string
 	// BodyBytes is the most bytes in the body of a caller's request; 0 is no limit.
 	BodyBytes int
 	// Guarantees maps an organisation to the number of accelerators guaranteed
@@ -35,6 +37,16 @@
 	NeedsAdvice bool
 }
 
+// Queue returns the queue with the name.
+func (p *Policy) Queue(name string) (*Queue, bool) {
+	for i := range p.Queues {
+		if p.Queues[i].Name == name {
+			return &p.Queues[i], true
+		}
+	}
+	return nil, false
+}
+
 // Match returns the host's queue with the longest prefix that the path starts with.
 func (p *Policy) Match(host, path string) (*Queue, bool) {
 	var best *Queue
