--- a/coordination/scheduling/backlog.go
+++ b/coordination/scheduling/backlog.go
@@ -30,28 +30,41 @@
 
 // Waits returns the classes of which a new job may start too late to count for anything.
 func (s *Scheduler) Waits() (waits []backlog.Wait) {
+	s.layout.RLock()
+	defer s.layout.RUnlock()
 	for _, p := range s.allPools() {
-		if load, known := p.backlog(); known {
+		for _, load := range p.backlogs() {
 			waits = append(waits, backlog.Estimate(load)...)
 		}
 	}
 	return waits
 }
 
-// backlog returns the load of the service for an estimate of waits. It is not known if
-// nothing waits, or while most of the capacity does not report.
-func (p *pool) backlog() (load *backlog.Service, known bool) {
-	p.mu.Lock()
+// backlogs returns the loads of the pool's services for an estimate of waits, of those for
+// which it is known.
+func (p *pool) backlogs() (loads []*backlog.Service) {
+	p = p.lock()
 	defer p.mu.Unlock()
+	for service := range p.models {
+		if load, known := p.backlog(service); known {
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+// backlog returns the load of a service for an estimate of waits. It is not known if
+// nothing waits, or while most of the capacity does not report. The caller holds the lock.
+func (p *pool) backlog(service string) (load *backlog.Service, known bool) {
 	now := p.scheduler.Now()
-	load = &backlog.Service{Name: p.service, Free: make(map[int]int)}
+	load = &backlog.Service{Name: service, Free: make(map[int]int)}
 	limits, reporting := p.addCapacity(load, now)
 	if 2*reporting <= load.Accelerators {
 		return nil, false
 	}
 	var ratios map[string]float64
 	for g := range p.work.unstarted {
-		if g.phase != waiting || g.job.status.Final() || g.record.held(now) || g.expired(now) || !g.usesAnyRoom(limits) || p.runsUnknown(g) {
+		if g.phase != waiting || g.job.queueService != service || g.job.status.Final() || g.record.held(now) || g.expired(now) || !g.usesAnyRoom(limits) || p.runsUnknown(g) {
 			continue
 		}
 		if ratios == nil {
@@ -68,6 +81,9 @@
 	}
 	for _, groups := range []map[*group]struct{}{p.work.started, p.work.unstarted} {
 		for g := range groups {
+			if g.runsOn() != service {
+				continue
+			}
 			if run := g.run(now, ratios); run.Accelerators > 0 {
 				load.Running = append(load.Running, run)
 			}
@@ -82,7 +98,7 @@
 	maxReportAge, evacuated := p.maxReportAge(), p.scheduler.evacuated.Load()
 	for _, w := range p.ordered {
 		capacity := w.info.Capacity
-		if !p.schedulable(w) || capacity.Accelerators == 0 {
+		if w.info.Service != load.Name || !p.schedulable(w) || capacity.Accelerators == 0 {
 			continue
 		}
 		each := workflow.Capacity{Cores: capacity.Cores / capacity.Accelerators, MemoryMiB: capacity.MemoryMiB / capacity.Accelerators, Accelerators: 1}
@@ -138,6 +154,17 @@
 	return time.Duration(certain * float64(g.step.Estimate))
 }
 
+// runsOn returns the service on whose workers the group's attempt is: that of its queue
+// when it was placed.
+func (g *group) runsOn() string {
+	for _, m := range g.members {
+		if m.worker.info.Service != "" {
+			return m.worker.info.Service
+		}
+	}
+	return g.job.queueService
+}
+
 // run returns the accelerators that the group holds, and for how long at least.
 func (g *group) run(now time.Time, ratios map[string]float64) (r backlog.Run) {
 	runTime := g.leastRunTime(ratios)
--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -22,7 +22,7 @@
 				p.addJob(&workflow.Job{
 					ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", Organisation: "o", Priority: 1 + i%2, MaxAttempts: 3, Stretch: 3,
 					Steps: []workflow.Step{{Tasks: 1 + i%3, Accelerators: 8, Gang: true, SameRack: i%2 == 0, Estimate: time.Hour}}, Accepted: time.Now(),
-				}, workflow.Progress{}, nil)
+				}, p.service, workflow.Progress{}, nil)
 			}
 			var took []time.Duration
 			for b.Loop() {
@@ -49,7 +49,8 @@
 	for i := range workers {
 		w := p.ensureWorker(workflow.WorkerID(fmt.Sprintf("i-%d", i)))
 		w.info = workerInfo{workflow.Worker{
-			ID: w.id, Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
+			Service: p.service,
+			ID:      w.id, Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
 			Capacity: workflow.Capacity{Cores: 128000, MemoryMiB: 1 << 19, Accelerators: tasks},
 		}, true}
 		w.reportedAt = time.Now().Add(time.Hour)
@@ -90,7 +91,7 @@
 				if urgent {
 					j.Priority, j.Stretch, j.StartAllowance = 0, 1, time.Hour
 				}
-				p.addJob(j, workflow.Progress{}, nil)
+				p.addJob(j, p.service, workflow.Progress{}, nil)
 				if urgent {
 					p.jobs[j.ID].objective = time.Hour // adjusted to the slack in each round
 				}
@@ -119,7 +120,8 @@
 	for i := range workers {
 		w := p.ensureWorker(workflow.WorkerID(fmt.Sprintf("i-%d", i)))
 		w.info = workerInfo{workflow.Worker{
-			ID: w.id, Labels: []string{"a", fmt.Sprintf("r%d", i/20)},
+			Service: p.service,
+			ID:      w.id, Labels: []string{"a", fmt.Sprintf("r%d", i/20)},
 			Capacity: workflow.Capacity{Cores: 32000, MemoryMiB: 1 << 17, Accelerators: 8},
 		}, true}
 		w.reportedAt = time.Now().Add(time.Hour)
@@ -170,7 +172,7 @@
 					p.addJob(&workflow.Job{
 						ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", MaxAttempts: 3, Stretch: 3,
 						Steps: []workflow.Step{{Tasks: 1, Accelerators: 8, Estimate: time.Second}}, Accepted: time.Now().Add(-time.Minute),
-					}, workflow.Progress{}, nil)
+					}, p.service, workflow.Progress{}, nil)
 				}
 				b.StartTimer()
 				began := time.Now()
--- a/coordination/scheduling/departure.go
+++ b/coordination/scheduling/departure.go
@@ -46,7 +46,7 @@
 // ended, once a renewal sent at the given time has failed. The worker's lease need
 // not run out for them.
 func (p *pool) endSilent(w *worker, renewal time.Time) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	left := !w.leftAt.IsZero() && !renewal.Before(w.leftAt)
 	for _, m := range w.members {
--- a/coordination/scheduling/evacuation.go
+++ b/coordination/scheduling/evacuation.go
@@ -43,7 +43,7 @@
 	s.logEvacuations(last, next)
 	if last == nil || !maps.Equal(last.zones, next.zones) {
 		for _, p := range s.allPools() {
-			wake(p.planDue)
+			p.wakePlan()
 		}
 	}
 }
@@ -111,17 +111,19 @@
 	return true
 }
 
-// guaranteeLimit returns how many accelerators guarantees can be met with: all without
-// an evacuation; else those that are left, and what urgent jobs still hold in evacuated
-// zones.
-func (p *pool) guaranteeLimit() (accelerators int) {
+// guaranteeLimit returns how many accelerators of a service guarantees can be met with: all
+// without an evacuation; else those that are left, and what urgent jobs still hold in
+// evacuated zones.
+func (p *pool) guaranteeLimit(service string) (accelerators int) {
 	if e := p.scheduler.evacuated.Load(); e == nil || len(e.zones) == 0 {
 		return math.MaxInt
 	}
 	for _, w := range p.workers {
-		if p.schedulable(w) {
+		switch {
+		case w.info.Service != service:
+		case p.schedulable(w):
 			accelerators += w.info.Capacity.Accelerators
-		} else if p.evacuated(w) {
+		case p.evacuated(w):
 			accelerators += w.urgentAccelerators()
 		}
 	}
@@ -138,21 +140,25 @@
 	return count
 }
 
+// shortGuarantee names an organisation's guarantee on the workers of a service.
+type shortGuarantee struct{ service, organisation string }
+
 // noteShortGuarantees logs and counts the organisations whose guarantee exceeds what is
-// left beside the jobs within the guarantees of the others. used holds what jobs within
-// their guarantee need, by organisation.
-func (p *pool) noteShortGuarantees(used map[string]int, total, limit int, now time.Time) {
+// left of a service beside the jobs within the guarantees of the others. used holds what
+// jobs within their guarantee need, by organisation.
+func (p *pool) noteShortGuarantees(service string, used map[string]int, total, limit int, now time.Time) {
 	if limit == math.MaxInt {
 		return
 	}
 	for _, organisation := range slices.Sorted(maps.Keys(used)) {
 		wanted, left := p.scheduler.Guarantee(organisation), max(limit-(total-used[organisation]), 0)
-		if last, logged := p.shortLoggedAt[organisation]; wanted <= left || logged && now.Sub(last) < guaranteeShortInterval {
+		key := shortGuarantee{service, organisation}
+		if last, logged := p.shortLoggedAt[key]; wanted <= left || logged && now.Sub(last) < guaranteeShortInterval {
 			continue
 		}
-		p.shortLoggedAt[organisation] = now
+		p.shortLoggedAt[key] = now
 		p.scheduler.Count(guaranteeShort)
-		p.scheduler.Log.Warn().Str("event", "guaranteeShort").Str("service", p.service).Str("organisation", organisation).
+		p.scheduler.Log.Warn().Str("event", "guaranteeShort").Str("service", service).Str("organisation", organisation).
 			Int("wanted", wanted).Int("left", left).Send()
 	}
 }
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -22,6 +22,8 @@
 	evacuationsOutdated = "evacuationsOutdated"
 	evacuationsStale    = "evacuationsStale"
 	guaranteeShort      = "guaranteeShort"
+	// poolsMerged counts how often two services began to share a pool.
+	poolsMerged = "poolsMerged"
 	// saveOverlapped counts the saves that began while another was under way.
 	saveOverlapped = "saveOverlapped"
 	// saveThrottled counts how often the number of saves under way was halved.
@@ -46,7 +48,7 @@
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, workerIgnored, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled, reasonEvacuated,
-	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort,
+	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort, poolsMerged,
 	EvacuationUnreadable, EvacuatedZoneUnknown, AllZonesEvacuated,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
--- a/coordination/scheduling/holders.go
+++ b/coordination/scheduling/holders.go
@@ -67,10 +67,12 @@
 			h.ignore(w, "registered twice, also as "+string(other))
 			return entry, false
 		}
-		current = &holder{service: h.serviceWithTasks(w)}
+		h.mergeHolders(w)
+		current = &holder{service: w.Service}
 		h.byWorker[w.ID] = current
 	}
-	if current.service == w.Service {
+	if h.scheduler.pool(current.service) == h.scheduler.pool(w.Service) {
+		current.service = w.Service
 		h.note(current, w)
 		return *w, true
 	}
@@ -88,15 +90,15 @@
 	return h.assignOne(w, listedAt)
 }
 
-// serviceWithTasks returns the service in whose pool tasks may run on a worker that was not
-// listed in this term, and otherwise the service that its entry names.
-func (h *holders) serviceWithTasks(w *workflow.Worker) string {
+// mergeHolders merges the pools in which tasks may run on a worker that was not listed in
+// this term, by the stored progress, with that of the service that its entry names. The
+// tasks were started there before their queue moved, or the entry is by another writer.
+func (h *holders) mergeHolders(w *workflow.Worker) {
 	for _, p := range h.scheduler.allPools() {
 		if p.holds(w.ID) {
-			return p.service
+			h.scheduler.mergePools(h.scheduler.pool(w.Service), p)
 		}
 	}
-	return w.Service
 }
 
 func (h *holders) note(current *holder, w *workflow.Worker) {
@@ -122,7 +124,7 @@
 
 // holds reports whether the pool renews the worker's lease, or tasks may run there.
 func (p *pool) holds(id workflow.WorkerID) bool {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	w, known := p.workers[id]
 	return known && (w.renewing || len(w.members) > 0)
@@ -132,7 +134,7 @@
 // whether they have ended. While its tasks may run, or their ends are not stored, the pool
 // keeps it, but places nothing there.
 func (p *pool) releaseWorker(id workflow.WorkerID) bool {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	w, known := p.workers[id]
 	if !known {
@@ -144,7 +146,7 @@
 
 // endReleased reports whether a released worker needs no more renewals by this pool.
 func (p *pool) endReleased(w *worker) bool {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	if !w.released || w.info.registered || len(w.members) > 0 || w.lastSavedEnd < w.lastAppliedEnd {
 		return false
--- a/coordination/scheduling/interference.go
+++ b/coordination/scheduling/interference.go
@@ -33,6 +33,7 @@
 	if changed {
 		w.kinds = slices.Clone(kinds)
 	}
+	model := p.modelsOf(w).interference
 	for _, task := range report.Running {
 		m := w.members[attemptKey{task.Task, task.Attempt}]
 		if m == nil || m.group.step.LongRunning || task.Percent == 0 || task.Percent >= 100 {
@@ -41,7 +42,7 @@
 		if changed || !m.besideKnown {
 			m.beside, m.besideKnown = m.group.kind.Beside(kinds), true
 		}
-		p.interference.Observe(now, &m.track, interference.Report{
+		model.Observe(now, &m.track, interference.Report{
 			Worker: w.id, Kind: m.group.kind, Beside: m.beside, Fraction: float64(task.Percent) / 100, Clock: report.Clock,
 		})
 		if len(m.group.members) > 1 && m.track.Comparable() {
@@ -62,9 +63,9 @@
 // compareInGang compares the member with the first other one whose neighbours differ by
 // one kind.
 func (p *pool) compareInGang(m *member, now time.Time) {
-	own := p.speeds.Estimate(m.worker.id)
+	own, model := p.estimateSpeed(m.worker), p.modelsOf(m.worker).interference
 	for _, other := range m.group.members {
-		if other != m && other.track.Comparable() && p.interference.Compare(now, &m.track, &other.track, own, p.speeds.Estimate(other.worker.id)) {
+		if other != m && other.track.Comparable() && model.Compare(now, &m.track, &other.track, own, p.estimateSpeed(other.worker)) {
 			return
 		}
 	}
@@ -73,8 +74,8 @@
 // addExcess adds to the member the part of the time since its last report that its
 // neighbours took by the significant pairs, which must not count against the worker.
 func (p *pool) addExcess(m *member, clock time.Duration) {
-	if p.interference.Significant() > 0 {
-		slowdown := p.interference.Slowdown(m.group.kind, m.beside)
+	if model := p.modelsOf(m.worker).interference; model.Significant() > 0 {
+		slowdown := model.Slowdown(m.group.kind, m.beside)
 		m.excess += time.Duration(float64(clock-m.excessClock) * (1 - math.Exp(-slowdown)))
 	}
 	m.excessClock = clock
@@ -83,7 +84,7 @@
 // separate sets how much slower the group, and what runs there by it, would be on each
 // worker. It does nothing while no significant pair has the group's kind.
 func (p *pool) separate(g *group) {
-	effects := p.interference.Effects(g.kind)
+	effects := p.models[p.round.service].interference.Effects(g.kind)
 	if effects == nil || !p.round.room {
 		if p.separated {
 			p.separated = false
@@ -101,12 +102,12 @@
 
 // hasRoom reports whether there is room to keep kinds of work apart.
 func (p *pool) hasRoom(r *round) bool {
-	if p.interference.Significant() == 0 {
+	if p.models[r.service].interference.Significant() == 0 {
 		return false
 	}
 	accelerators, cores := 0, 0
 	for g := range p.work.unstarted {
-		if g.phase == waiting && !g.job.status.Final() {
+		if g.phase == waiting && g.job.queueService == r.service && !g.job.status.Final() {
 			accelerators += g.size() * g.step.Accelerators
 			cores += g.size() * g.step.Cores
 		}
@@ -135,22 +136,24 @@
 // maxInterferenceChanges bounds the log lines on pairs after one fit.
 const maxInterferenceChanges = 4
 
-// doubtSpeeds has the workers' speeds learnt anew: until the pair was found, it counted
+// doubtSpeeds has the speeds of a service's workers learnt anew: until the pair was found, it counted
 // against the workers where it ran, and remained in their factors for over 30 s.
-func (p *pool) doubtSpeeds(now time.Time) {
-	p.speeds.Doubt(now)
+func (p *pool) doubtSpeeds(l *models, now time.Time) {
+	l.speeds.Doubt(now)
 	for g := range p.work.started {
 		for _, m := range g.members {
-			m.mark = progressMark{}
+			if p.modelsOf(m.worker) == l {
+				m.mark = progressMark{}
+			}
 		}
 	}
 }
 
-// logInterference logs the pairs that have begun or ceased to be significant. The caller
+// logInterference logs the pairs of a service that have begun or ceased to be significant. The caller
 // holds the pool's lock.
-func (p *pool) logInterference(now time.Time) {
+func (p *pool) logInterference(l *models, now time.Time) {
 	found := false
-	for _, c := range p.interference.Changes(maxInterferenceChanges) {
+	for _, c := range l.interference.Changes(maxInterferenceChanges) {
 		found = found || c.Significant
 		event := interference.PairFound
 		if !c.Significant {
@@ -161,6 +164,6 @@
 			Float64("slowdown", rounded(c.Slowdown)).Float64("deviation", rounded(c.Deviation)).Send()
 	}
 	if found {
-		p.doubtSpeeds(now)
+		p.doubtSpeeds(l, now)
 	}
 }
--- a/coordination/scheduling/interference_records.go
+++ b/coordination/scheduling/interference_records.go
@@ -6,14 +6,16 @@
 // observed of them. It takes nothing over from a record with impossible content.
 func (s *Scheduler) RestoreInterference(r interference.Record) error {
 	p := s.pool(r.Service)
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
-	return p.interference.Restore(s.Now(), r)
+	return p.models[r.Service].interference.Restore(s.Now(), r)
 }
 
 // DueInterference returns records of pairs that have changed since they were saved, at
 // most limit.
 func (s *Scheduler) DueInterference(limit int) (due []interference.Record) {
+	s.layout.RLock()
+	defer s.layout.RUnlock()
 	for _, p := range s.allPools() {
 		due = p.appendDueInterference(due, limit-len(due))
 	}
@@ -21,11 +23,14 @@
 }
 
 func (p *pool) appendDueInterference(due []interference.Record, limit int) []interference.Record {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
-	for _, r := range p.interference.Records(p.scheduler.Now(), limit) {
-		r.Service = p.service
-		due = append(due, r)
+	for service, l := range p.models {
+		for _, r := range l.interference.Records(p.scheduler.Now(), limit) {
+			r.Service = service
+			due = append(due, r)
+			limit--
+		}
 	}
 	return due
 }
@@ -33,7 +38,7 @@
 // InterferenceSaved notes that a record that DueInterference returned is stored.
 func (s *Scheduler) InterferenceSaved(r interference.Record) {
 	p := s.pool(r.Service)
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
-	p.interference.Saved(r)
+	p.models[r.Service].interference.Saved(r)
 }
--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -1,6 +1,10 @@
 package scheduling
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Load is how much the planner has to do for one service.
 type Load struct {
@@ -30,24 +34,44 @@
 
 // Loads returns the load of each service.
 func (s *Scheduler) Loads() (loads []Load) {
+	s.layout.RLock()
+	defer s.layout.RUnlock()
 	for _, p := range s.allPools() {
-		loads = append(loads, p.load())
+		loads = append(loads, p.loads()...)
 	}
 	return loads
 }
 
-func (p *pool) load() Load {
-	p.mu.Lock()
+// loads returns the load of each service of the pool. What is counted for the pool as a
+// whole is in that of the service for which it was created.
+func (p *pool) loads() (loads []Load) {
+	p = p.lock()
 	defer p.mu.Unlock()
-	now, maxReportAge := p.scheduler.Now(), p.maxReportAge()
-	l := Load{
-		Service: p.service, Workers: p.registered, StartsPending: p.startsPending, Unsaved: len(p.dirty),
-		LongestRound: p.longestRound, RenewWait: p.renewWait(), Saves: len(p.saves.underWay),
-		LongestSave: max(p.saves.longestSave, p.saves.longestUnanswered(now)), PlanToStored: p.saves.longestUnstored,
-		InterferencePairs: p.interference.Significant(),
+	now := p.scheduler.Now()
+	for _, service := range slices.Sorted(maps.Keys(p.models)) {
+		l := p.load(service, now)
+		if service == p.service {
+			l.StartsPending, l.Unsaved, l.Saves = p.startsPending, len(p.dirty), len(p.saves.underWay)
+			l.LongestRound, l.PlanToStored = p.longestRound, p.saves.longestUnstored
+			l.LongestSave = max(p.saves.longestSave, p.saves.longestUnanswered(now))
+		}
+		loads = append(loads, l)
 	}
 	p.longestRound, p.saves.longestSave, p.saves.longestUnstored = 0, 0, 0
+	return loads
+}
+
+// load counts the workers of a service and what waits for them.
+func (p *pool) load(service string, now time.Time) Load {
+	l := Load{Service: service, RenewWait: p.renewWait(), InterferencePairs: p.models[service].interference.Significant()}
+	maxReportAge := p.maxReportAge()
 	for _, w := range p.ordered {
+		if w.info.Service != service {
+			continue
+		}
+		if w.info.registered {
+			l.Workers++
+		}
 		if w.info.registered && now.Sub(w.reportedAt) > maxReportAge {
 			l.Silent++
 		}
@@ -56,7 +80,7 @@
 		}
 	}
 	for g := range p.work.unstarted {
-		if g.phase != waiting {
+		if g.phase != waiting || g.job.queueService != service {
 			continue
 		}
 		l.Waiting++
@@ -70,7 +94,7 @@
 // recordRound notes how long a planning round took.
 func (p *pool) recordRound(took time.Duration) {
 	p.scheduler.ObserveRound(took)
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	p.longestRound = max(p.longestRound, took)
 }
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -199,10 +199,10 @@
 	return fits
 }
 
-// schedulableWorkers returns the workers that are schedulable.
+// schedulableWorkers returns the schedulable workers of the round's service.
 func (p *pool) schedulableWorkers() (list []*worker) {
 	for _, w := range p.workers {
-		if p.schedulable(w) {
+		if w.info.Service == p.round.service && p.schedulable(w) {
 			list = append(list, w)
 		}
 	}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -36,6 +37,9 @@
 			case <-time.After(max(planBatchDelay, planRestFactor*took)):
 			}
 		}
+		if p.isMerged() {
+			return
+		}
 		if p.scheduler.Authorised() {
 			began := p.scheduler.Now()
 			p.planRound()
@@ -49,7 +53,7 @@
 // planRound handles expired leases and stalls, places and starts groups, and
 // sends the stops that are due.
 func (p *pool) planRound() {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	now := p.scheduler.Now()
 	p.expireLeases(now)
@@ -91,10 +95,17 @@
 		return
 	}
 	guaranteed := p.guaranteedJobs(now)
-	p.round = p.newRound(now)
-	p.round.unsent = unsent
-	for _, entry := range p.sortQueue(waiting, now, guaranteed) {
-		p.placeOrReclaim(entry.group, now, guaranteed)
+	byService := make(map[string][]*group)
+	for _, g := range waiting {
+		byService[g.job.queueService] = append(byService[g.job.queueService], g)
+	}
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		p.round = p.newRound(service, now)
+		p.round.unsent = unsent
+		for _, entry := range p.sortQueue(byService[service], now, guaranteed) {
+			p.placeOrReclaim(entry.group, now, guaranteed)
+		}
+		unsent = p.round.unsent
 	}
 }
 
@@ -159,19 +170,26 @@
 	}
 }
 
-// guaranteedJobs returns the jobs of priority 0 that fit into the guarantee of
-// their organisation, and into what is left during an evacuation, filled from the oldest
-// job on.
+// guaranteedJobs returns the jobs of priority 0 that fit into the guarantee of their
+// organisation. A job counts at the service of its queue, wherever it runs.
 func (p *pool) guaranteedJobs(now time.Time) map[*job]bool {
-	var urgent []*job
+	urgent, guaranteed := make(map[string][]*job), make(map[*job]bool)
 	for j := range p.work.urgent {
-		urgent = append(urgent, j)
+		urgent[j.queueService] = append(urgent[j.queueService], j)
+	}
+	for service, jobs := range urgent {
+		p.addGuaranteed(guaranteed, service, jobs, now)
 	}
+	return guaranteed
+}
+
+// addGuaranteed adds the urgent jobs of a service that fit into the guarantee of their
+// organisation, and into what is left during an evacuation, filled from the oldest job on.
+func (p *pool) addGuaranteed(guaranteed map[*job]bool, service string, urgent []*job, now time.Time) {
 	slices.SortFunc(urgent, func(a, b *job) int {
 		return cmp.Or(a.acceptedAt.Compare(b.acceptedAt), cmp.Compare(a.ID, b.ID))
 	})
-	used, total, limit := make(map[string]int), 0, p.guaranteeLimit()
-	guaranteed := make(map[*job]bool)
+	used, total, limit := make(map[string]int), 0, p.guaranteeLimit(service)
 	for _, j := range urgent {
 		needs := j.PeakAccelerators()
 		covered := used[j.Organisation]
@@ -181,8 +199,7 @@
 		}
 		used[j.Organisation] = covered
 	}
-	p.noteShortGuarantees(used, total, limit, now)
-	return guaranteed
+	p.noteShortGuarantees(service, used, total, limit, now)
 }
 
 // placeOrReclaim begins an attempt if the group fits, or if it is worthwhile to
--- a/coordination/scheduling/plan_test.go
+++ b/coordination/scheduling/plan_test.go
@@ -30,7 +30,7 @@
 			p.addJob(&workflow.Job{
 				ID: "a", Queue: "q", Priority: test.priority, MaxAttempts: 1, Stretch: 1, Accepted: time.Now(),
 				Steps: []workflow.Step{{Tasks: 1, Accelerators: 4, Gang: true}},
-			}, workflow.Progress{}, nil)
+			}, p.service, workflow.Progress{}, nil)
 			p.planRound()
 			if placed := p.jobs["a"].groups[workflow.GroupID{}].phase == saving; placed != test.placed {
 				t.Errorf("placed %v, want %v", placed, test.placed)
@@ -54,7 +54,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			p := fullPool(1, 0)
 			p.ordered[0].info.Capacity.Accelerators = 8
-			p.round = p.newRound(time.Now())
+			p.round = p.newRound(p.service, time.Now())
 			for i, limit := range test.limits {
 				j := &job{Job: &workflow.Job{ID: "a"}}
 				g := &group{job: j, step: &workflow.Step{Tasks: 2, Accelerators: 4, Gang: true, SameRack: true, SpreadLimit: limit}}
--- a/coordination/scheduling/policy.go
+++ b/coordination/scheduling/policy.go
@@ -2,6 +2,12 @@
 
 import "comfreystream/state/workflow"
 
+// assignment is a known job and the service on whose workers its groups are placed.
+type assignment struct {
+	job     *workflow.Job
+	service string
+}
+
 // SetPolicy notes the newest known configuration; one that is older than the last is ignored.
 func (s *Scheduler) SetPolicy(policy *workflow.Policy) {
 	for _, p := range s.allPools() {
@@ -12,7 +18,7 @@
 // logMovedQueues logs the queues whose jobs wait in this pool while the configuration sends
 // the queue to another service.
 func (p *pool) logMovedQueues(policy *workflow.Policy) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	waiting := make(map[string]int)
 	for _, j := range p.jobs {
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -8,19 +8,24 @@
 
 	"comfreystream/coordination/interference"
 	"comfreystream/coordination/keyvalue"
-	"comfreystream/coordination/speed"
 	"comfreystream/state/workflow"
 )
 
-// pool schedules the jobs of one service on the workers of that service.
+// pool schedules the jobs of one service on the workers of that service, or those of
+// several services between which queues have moved.
 type pool struct {
 	scheduler *Scheduler
-	service   string
+	// service is the one that the pool was created for.
+	service string
 	// planDue and saveDue hold a value while a planning round or a save is due.
 	planDue chan struct{}
 	saveDue chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// mergedInto is the pool that has taken over this one's state; nil if none has.
+	mergedInto *pool
+	// models holds what is learnt, by service of the pool.
+	models  map[string]*models
 	jobs    map[workflow.ID]*job
 	workers map[workflow.WorkerID]*worker
 	// ordered holds the workers ordered by ID.
@@ -42,21 +47,18 @@
 	saves saveState
 	// meanWork is the moving average of the core-seconds of a job, by queue.
 	meanWork map[string]float64
-	// speeds estimates how fast the workers are, fittedAt is when it was last fitted.
-	speeds   *speed.Model
+	// fittedAt is when the models were last fitted.
 	fittedAt time.Time
-	// interference estimates which kinds of work slow each other down. separated is set
-	// while workers have a slowdown for the group that is placed, kindsScratch is memory
-	// of observeNeighbours.
-	interference *interference.Model
+	// separated is set while workers have a slowdown for the group that is placed,
+	// kindsScratch is memory of observeNeighbours.
 	separated    bool
 	kindsScratch []interference.Kind
 	// stragglersCheckedAt is the time of the last check for work to move off slow workers.
 	stragglersCheckedAt time.Time
 	// round is what the current planning round knows.
 	round round
-	// shortLoggedAt is when a guarantee was last logged as short, by organisation.
-	shortLoggedAt map[string]time.Time
+	// shortLoggedAt is when a guarantee was last logged as short.
+	shortLoggedAt map[shortGuarantee]time.Time
 	work          worklist
 	// reservations holds the room that is kept for groups which are moved.
 	reservations map[*group]reservation
@@ -65,8 +67,11 @@
 // job is a job and its progress. The pool's lock guards it.
 type job struct {
 	*workflow.Job
-	acceptedAt time.Time
-	status     workflow.Status
+	// queueService is the service on whose workers the job's groups are placed: that of
+	// its queue by the newest known configuration.
+	queueService string
+	acceptedAt   time.Time
+	status       workflow.Status
 	// begun is set once a task has started, which an attempt that was placed may not
 	// have come to.
 	begun   bool
@@ -153,18 +158,18 @@
 		workers: make(map[workflow.WorkerID]*worker), leaving: make(map[*worker]struct{}),
 		dirty: make(map[*record]struct{}), saves: saveState{underWay: make(map[*saveBatch]struct{})},
 		unknownRuns: make(map[workflow.Task]int),
-		meanWork:    make(map[string]float64), shortLoggedAt: make(map[string]time.Time),
-		speeds: speed.New(), interference: interference.New(),
-		work: newWorklist(), reservations: make(map[*group]reservation),
+		meanWork:    make(map[string]float64), shortLoggedAt: make(map[shortGuarantee]time.Time),
+		models: map[string]*models{service: newModels()},
+		work:   newWorklist(), reservations: make(map[*group]reservation),
 	}
 }
 
-// addJob adds a job that no pool has.
-func (p *pool) addJob(w *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
-	p.mu.Lock()
+// addJob adds a job that no pool has; service is that of its queue.
+func (p *pool) addJob(w *workflow.Job, service string, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
+	p = p.lock()
 	defer p.mu.Unlock()
 	j := &job{
-		Job: w, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
+		Job: w, queueService: service, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
 		groups:     make(map[workflow.GroupID]*group),
 		records:    make(map[int]*record),
 		doneGroups: make(map[[2]int]int),
@@ -311,7 +316,7 @@
 
 // cancelJob cancels a job unless it has ended; known is false if the pool has no such job.
 func (p *pool) cancelJob(id workflow.ID) (known bool) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	j, known := p.jobs[id]
 	if !known || j.status.Final() {
@@ -337,7 +342,7 @@
 }
 
 func (p *pool) addPending(pending map[string]int) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	for _, j := range p.jobs {
 		if !j.begun && !j.status.Final() {
@@ -349,7 +354,7 @@
 // appendDeletable appends the jobs that ended before endedBefore and have
 // neither members that may still run nor unsaved changes.
 func (p *pool) appendDeletable(jobs []StoredJob, endedBefore time.Time) []StoredJob {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	for _, j := range p.jobs {
 		if j.status.Final() && j.endedAt.Before(endedBefore) && j.idle() && !p.unsaved(j) {
@@ -370,7 +375,7 @@
 }
 
 func (p *pool) forget(ids []workflow.ID) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	for _, id := range ids {
 		delete(p.jobs, id)
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -60,7 +60,7 @@
 // endRenewals reports whether a silent worker needs no more renewals: it is not
 // registered and runs nothing. They begin again when it is listed.
 func (p *pool) endRenewals(w *worker) bool {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	w.renewing = w.info.registered || len(w.members) > 0
 	return !w.renewing
@@ -69,7 +69,7 @@
 // awaitSave waits until all reported ends are saved, since the worker would
 // answer at once with the same ends. The wait is short enough to keep the lease.
 func (p *pool) awaitSave(w *worker) {
-	p.mu.Lock()
+	p = p.lock()
 	saved := w.lastSavedEnd >= w.lastAppliedEnd
 	p.mu.Unlock()
 	if saved {
@@ -90,7 +90,7 @@
 	if !p.scheduler.Authorised() {
 		return errors.New("this planner may no longer hold its term")
 	}
-	p.mu.Lock()
+	p = p.lock()
 	now := p.scheduler.Now()
 	wait, leaseExpiry := p.renewWait(), w.leaseExpiry
 	order := RenewOrder{Term: p.scheduler.Term, Wait: wait}
@@ -151,7 +151,7 @@
 // restoreLease takes back the extension of a lease by a renewal that was not sent,
 // unless another renewal has extended it since.
 func (p *pool) restoreLease(w *worker, extended, before time.Time) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	if w.leaseExpiry.Equal(extended) {
 		w.leaseExpiry = latest(before, w.startLeaseExpiry)
@@ -178,7 +178,7 @@
 
 // applyReport applies the report that answers a renewal.
 func (p *pool) applyReport(w *worker, report workflow.Report, r renewal) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	if r.number < w.reportedRenewal {
 		return // a report that was requested later has overtaken this one
@@ -262,7 +262,7 @@
 	}
 	w.incarnation, w.lastAppliedEnd, w.lastSavedEnd, w.lastAckedEnd = report.Incarnation, 0, 0, 0
 	w.failures, w.failedJob, w.avoidUntil = 0, "", time.Time{}
-	p.speeds.Restarted(p.scheduler.Now(), w.id)
+	p.modelsOf(w).speeds.Restarted(p.scheduler.Now(), w.id)
 	reported := make(map[attemptKey]bool)
 	for _, task := range report.Running {
 		reported[attemptKey{task.Task, task.Attempt}] = true
--- a/coordination/scheduling/restart.go
+++ b/coordination/scheduling/restart.go
@@ -16,14 +16,14 @@
 // mayHaveRestarted reports whether the worker may have restarted since its newest
 // report: a later renewal failed, or its registry entry is of another incarnation.
 func (p *pool) mayHaveRestarted(w *worker) bool {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	return w.failedRenewal > w.reportedRenewal || w.info.registered && w.info.Incarnation != w.incarnation
 }
 
 // noteFailedRenewal notes that a renewal was not answered with a report.
 func (p *pool) noteFailedRenewal(w *worker, number int) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	w.failedRenewal = max(w.failedRenewal, number)
 }
@@ -78,5 +78,5 @@
 		p.scheduler.endTerm(err)
 		return
 	}
-	wake(p.planDue)
+	p.wakePlan()
 }
--- a/coordination/scheduling/room_test.go
+++ b/coordination/scheduling/room_test.go
@@ -40,10 +40,10 @@
 				Pair: interference.Pair{Kind: victim, Beside: bully}, Estimate: interference.Estimate{Slowdown: 2, Deviation: 0.05},
 			}
 			for number := range 16 {
-				_ = p.interference.Restore(s.Now(), interference.Record{Number: number, Rows: []interference.PairEstimate{row}}) // one takes it
+				_ = p.models[p.service].interference.Restore(s.Now(), interference.Record{Number: number, Rows: []interference.PairEstimate{row}}) // one takes it
 			}
-			p.interference.Refresh(s.Now())
-			j := &job{Job: &workflow.Job{Queue: "q"}}
+			p.models[p.service].interference.Refresh(s.Now())
+			j := &job{Job: &workflow.Job{Queue: "q"}, queueService: p.service}
 			for _, kind := range []interference.Kind{victim, bully} {
 				g := &group{kind: kind, job: j, step: &workflow.Step{}}
 				p.assign(g, workflow.Task{Job: workflow.ID(kind.Image)}, p.ensureWorker("w0"), 1)
@@ -53,7 +53,7 @@
 				g := &group{job: j, step: &workflow.Step{Accelerators: 1}, id: workflow.GroupID{Index: i}}
 				p.work.addUnstarted(g)
 			}
-			r := round{free: test.free, all: 48}
+			r := round{service: p.service, free: test.free, all: 48}
 			r.room = p.hasRoom(&r)
 			p.round = r
 			p.separate(&group{kind: test.kind, job: j, step: &workflow.Step{}})
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -13,6 +13,8 @@
 // during the round, the workers that accept tasks, and the searches that found
 // nothing and need not be repeated.
 type round struct {
+	// service is the one whose workers the round looks at.
+	service string
 	// free and all count accelerators, freeCores and allCores thousandths of a core.
 	free, all int
 	// at is when the round began.
@@ -50,18 +52,18 @@
 // during which no report is applied.
 const maxSearchTime = 20 * time.Millisecond
 
-// newRound counts the accelerators of the schedulable workers and lists those that
-// accept tasks.
-func (p *pool) newRound(now time.Time) round {
+// newRound counts the accelerators of the schedulable workers of a service and lists those
+// that accept tasks.
+func (p *pool) newRound(service string, now time.Time) round {
 	r := round{
-		at:          now,
+		service: service, at: now,
 		unplaceable: make(map[shape]bool), rackFits: make(map[shape]bool),
 		costs: make(map[*group]float64), victims: make(map[victimsKey][]*group),
-		firstOptions: make(map[optionKey]option), searchUntil: now.Add(maxSearchTime),
+		firstOptions: make(map[optionKey]option), searchUntil: p.scheduler.Now().Add(maxSearchTime),
 	}
 	maxReportAge, evacuated := p.maxReportAge(), p.scheduler.evacuated.Load()
 	for _, w := range p.ordered {
-		if !p.schedulable(w) {
+		if w.info.Service != service || !p.schedulable(w) {
 			continue
 		}
 		r.free += max(w.free().Accelerators, 0)
--- a/coordination/scheduling/save.go
+++ b/coordination/scheduling/save.go
@@ -60,6 +60,9 @@
 			return
 		case <-p.saveDue:
 		}
+		if p.isMerged() {
+			return
+		}
 		p.mu.Lock()
 		allowed, backlog := p.saves.mayBegin(p.scheduler.Now()), p.saves.backlog
 		p.mu.Unlock()
@@ -125,7 +128,7 @@
 // once.
 func (p *pool) beginSave() bool {
 	authorised := p.scheduler.Authorised()
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	now := p.scheduler.Now()
 	if !authorised {
@@ -151,18 +154,18 @@
 // delaySaves lets no save begin for saveRetryDelay. The caller holds the lock.
 func (p *pool) delaySaves(now time.Time) {
 	p.saves.notBefore = now.Add(saveRetryDelay)
-	time.AfterFunc(saveRetryDelay, func() { wake(p.saveDue) })
+	time.AfterFunc(saveRetryDelay, p.wakeSave)
 }
 
 // save stores a batch and applies the outcome.
 func (p *pool) save(b *saveBatch) {
-	unanswered := time.AfterFunc(slowAnswer, func() { wake(p.saveDue) })
+	unanswered := time.AfterFunc(slowAnswer, p.wakeSave)
 	results := p.scheduler.Save(p.scheduler.ctx, b.updates)
 	unanswered.Stop()
 	for _, result := range results {
 		if errors.Is(result.Err, ErrTermEnded) {
 			p.scheduler.endTerm(result.Err)
-			p.mu.Lock()
+			p = p.lock()
 			defer p.mu.Unlock()
 			p.endSave(b)
 			p.delaySaves(p.scheduler.Now())
--- a/coordination/scheduling/saved.go
+++ b/coordination/scheduling/saved.go
@@ -10,7 +10,7 @@
 // applySaved starts the groups whose attempt is now stored, and marks ends as saved.
 // A record that could not be saved holds up no other.
 func (p *pool) applySaved(b *saveBatch, results []SaveResult) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	p.endSave(b)
 	failed, failure := 0, error(nil)
@@ -77,7 +77,7 @@
 // start. The record is saved again later, since what it holds may shrink.
 func (p *pool) holdRecord(r *record, cause error) {
 	r.retryAt = p.scheduler.Now().Add(refusedRetryDelay)
-	time.AfterFunc(refusedRetryDelay, func() { wake(p.saveDue) })
+	time.AfterFunc(refusedRetryDelay, p.wakeSave)
 	p.scheduler.Count(recordRefused)
 	p.scheduler.Log.Error().Str("event", "recordRefused").Str("request", string(r.job.ID)).Int("record", r.number).Int("groups", len(r.groups)).Err(cause).Send()
 	for _, g := range r.groups {
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -13,7 +13,8 @@
 )
 
 // Scheduler schedules jobs during one term of the planner. Its state is split
-// into one pool per service, each under its own lock.
+// into one pool per service, each under its own lock. Services between which the queue of
+// a running job has moved share a pool.
 type Scheduler struct {
 	Term   Term
 	Bounds Bounds
@@ -53,14 +54,15 @@
 	// holders is used by SetWorkers alone.
 	holders holders
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// pools holds the pool of each service.
 	pools map[string]*pool
 
-	// loading is held while a job is added or removed; it comes before mu and the locks of
-	// the pools.
-	loading sync.Mutex
-	// services holds the service in whose pool each job is.
-	services map[workflow.ID]string
+	// layout is held while jobs are added, removed or moved between pools, and while pools
+	// are merged; for reading while all pools are visited. It comes before mu and the locks
+	// of the pools.
+	layout sync.RWMutex
+	jobs   map[workflow.ID]*assignment
 }
 
 // Open begins the term. All stored jobs must be loaded before the first call of
@@ -70,7 +72,7 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.pools = make(map[string]*pool)
 	s.holders = holders{scheduler: s, byWorker: make(map[workflow.WorkerID]*holder), byLife: make(map[life]workflow.WorkerID)}
-	s.services = make(map[workflow.ID]string)
+	s.jobs = make(map[workflow.ID]*assignment)
 	s.starts = make(chan struct{}, s.concurrentStarts())
 }
 
@@ -83,42 +85,45 @@
 }
 
 // Load adds a job with its stored progress and the revisions of the records that
-// hold it. It does nothing and returns false if a job with this ID is known, whatever its
-// service: it stays in the pool in which its tasks may run.
+// hold it. It does nothing and returns false if a job with this ID is known, whatever
+// service the job names.
 func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) bool {
-	s.loading.Lock()
-	defer s.loading.Unlock()
-	if service, known := s.services[job.ID]; known {
-		if service != job.Service {
-			s.Log.Warn().Str("event", "jobOfOtherService").Str("request", string(job.ID)).Str("service", service).Str("ignored", job.Service).Send()
+	s.layout.Lock()
+	defer s.layout.Unlock()
+	if known, found := s.jobs[job.ID]; found {
+		if known.job.Service != job.Service {
+			s.Log.Warn().Str("event", "jobOfOtherService").Str("request", string(job.ID)).Str("service", known.job.Service).Str("ignored", job.Service).Send()
 		}
 		return false
 	}
-	s.services[job.ID] = job.Service
-	s.pool(job.Service).addJob(job, progress, revisions)
+	a := &assignment{job: job, service: job.Service}
+	s.jobs[job.ID] = a
+	s.pool(a.service).addJob(job, a.service, progress, revisions)
 	return true
 }
 
 // Has reports whether a job with this ID is known.
 func (s *Scheduler) Has(id workflow.ID) bool {
-	s.loading.Lock()
-	defer s.loading.Unlock()
-	_, known := s.services[id]
+	s.layout.RLock()
+	defer s.layout.RUnlock()
+	_, known := s.jobs[id]
 	return known
 }
 
 // Cancel cancels a job and stops its tasks; known is false if no pool has the job.
 func (s *Scheduler) Cancel(id workflow.ID) (known bool) {
-	for _, p := range s.allPools() {
-		known = p.cancelJob(id) || known
-	}
-	return known
+	s.layout.RLock()
+	defer s.layout.RUnlock()
+	a, known := s.jobs[id]
+	return known && s.pool(a.service).cancelJob(id)
 }
 
 // SetWorkers replaces the set of registered workers by a listing of the registry
 // that was asked for at listedAt. A worker stays in the pool of one service while its
 // tasks may run there. It must not be called by several goroutines at once.
 func (s *Scheduler) SetWorkers(workers []workflow.Worker, listedAt time.Time) {
+	s.layout.Lock()
+	defer s.layout.Unlock()
 	byService := make(map[string][]workflow.Worker)
 	for _, w := range s.holders.assign(workers, listedAt) {
 		byService[w.Service] = append(byService[w.Service], w)
@@ -127,12 +132,18 @@
 		s.pool(service)
 	}
 	for _, p := range s.allPools() {
-		p.setWorkers(byService[p.service], listedAt)
+		var list []workflow.Worker
+		for service := range p.models {
+			list = append(list, byService[service]...)
+		}
+		p.setWorkers(list, listedAt)
 	}
 }
 
 // Pending returns, by queue, the number of jobs of which no task has started yet.
 func (s *Scheduler) Pending() map[string]int {
+	s.layout.RLock()
+	defer s.layout.RUnlock()
 	pending := make(map[string]int)
 	for _, p := range s.allPools() {
 		p.addPending(pending)
@@ -143,6 +154,8 @@
 // DeletableJobs returns the jobs that ended longer ago than minAge and need no more
 // work, so that their records can be deleted.
 func (s *Scheduler) DeletableJobs(minAge time.Duration) (jobs []StoredJob) {
+	s.layout.RLock()
+	defer s.layout.RUnlock()
 	endedBefore := s.Now().Add(-minAge)
 	for _, p := range s.allPools() {
 		jobs = p.appendDeletable(jobs, endedBefore)
@@ -152,13 +165,13 @@
 
 // Forget removes jobs whose records were deleted.
 func (s *Scheduler) Forget(ids []workflow.ID) {
-	s.loading.Lock()
-	defer s.loading.Unlock()
+	s.layout.Lock()
+	defer s.layout.Unlock()
 	for _, p := range s.allPools() {
 		p.forget(ids)
 	}
 	for _, id := range ids {
-		delete(s.services, id)
+		delete(s.jobs, id)
 	}
 }
 
@@ -182,8 +195,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]*pool, 0, len(s.pools))
-	for _, p := range s.pools {
-		list = append(list, p)
+	for service, p := range s.pools {
+		if service == p.service { // once, also if it has several services
+			list = append(list, p)
+		}
 	}
 	return list
 }
--- a/coordination/scheduling/speed_records.go
+++ b/coordination/scheduling/speed_records.go
@@ -11,14 +11,16 @@
 // from a record with impossible content.
 func (s *Scheduler) RestoreSpeeds(r speed.StoredRecord) error {
 	p := s.pool(r.Service)
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
-	return p.speeds.Restore(s.Now(), r.Record)
+	return p.models[r.Service].speeds.Restore(s.Now(), r.Record)
 }
 
 // DueSpeeds returns records of workers' speeds that have changed since they were saved,
 // at most limit.
 func (s *Scheduler) DueSpeeds(limit int) (due []speed.StoredRecord) {
+	s.layout.RLock()
+	defer s.layout.RUnlock()
 	for _, p := range s.allPools() {
 		due = p.appendDueSpeeds(due, limit-len(due))
 	}
@@ -26,13 +28,13 @@
 }
 
 func (p *pool) appendDueSpeeds(due []speed.StoredRecord, limit int) []speed.StoredRecord {
-	if limit <= 0 {
-		return due
-	}
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
-	for _, r := range p.speeds.Records(limit) {
-		due = append(due, speed.StoredRecord{Service: p.service, Record: r})
+	for service, l := range p.models {
+		for _, r := range l.speeds.Records(max(limit, 0)) {
+			due = append(due, speed.StoredRecord{Service: service, Record: r})
+			limit--
+		}
 	}
 	return due
 }
@@ -40,18 +42,18 @@
 // SpeedsSaved notes that a record that DueSpeeds returned is stored.
 func (s *Scheduler) SpeedsSaved(r speed.StoredRecord) {
 	p := s.pool(r.Service)
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
-	p.speeds.Saved(r.Record)
+	p.models[r.Service].speeds.Saved(r.Record)
 }
 
 // maxSpeedChanges bounds the log lines on workers' speeds after one fit.
 const maxSpeedChanges = 8
 
-// logSpeedChanges logs the workers whose factor has changed by more than a quarter since
+// logSpeedChanges logs the workers of a service whose factor has changed by more than a quarter since
 // it was logged. The caller holds the pool's lock.
-func (p *pool) logSpeedChanges() {
-	for _, c := range p.speeds.Changes(maxSpeedChanges) {
+func (p *pool) logSpeedChanges(l *models) {
+	for _, c := range l.speeds.Changes(maxSpeedChanges) {
 		p.scheduler.Count(speed.WorkerChanged)
 		p.scheduler.Log.Info().Str("event", speed.WorkerChanged).Str("worker", string(c.Worker)).
 			Float64("before", rounded(c.Before)).Float64("factor", rounded(c.Now.Factor)).
--- a/coordination/scheduling/speed_records_test.go
+++ b/coordination/scheduling/speed_records_test.go
@@ -51,7 +51,7 @@
 	p := s.pool("a")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.logSpeedChanges()
+	p.logSpeedChanges(p.models[p.service])
 	if got := bytes.Count(lines.Bytes(), []byte(`"event":"workerSpeed"`)); got != maxSpeedChanges || counted != got {
 		t.Errorf("%d lines and %d counted of more changes, want %d:\n%s", got, counted, maxSpeedChanges, lines.Bytes())
 	}
@@ -69,12 +69,12 @@
 			if i%4 == 0 {
 				pace *= 3
 			}
-			p.speeds.Observe(now, speed.Observation{
+			p.models[p.service].speeds.Observe(now, speed.Observation{
 				Worker: workflow.WorkerID(fmt.Sprintf("i-%d", i)), Task: workflow.Task{Job: "j", Index: i}, Attempt: 1,
 				Cohort: speed.Cohort{Job: "j", Queue: "q"}, Equal: true,
 				Fraction: float64(percent) / 100, Elapsed: pace * time.Duration(percent) / 100, Declared: 5 * time.Second,
 			})
 		}
-		p.speeds.Fit(now)
+		p.models[p.service].speeds.Fit(now)
 	}
 }
--- a/coordination/scheduling/speeds.go
+++ b/coordination/scheduling/speeds.go
@@ -52,7 +52,7 @@
 	if o.Fraction >= minObservedFraction && o.Elapsed > 0 {
 		m.runTime = time.Duration(float64(o.Elapsed) / o.Fraction)
 	}
-	p.speeds.Observe(p.scheduler.Now(), o)
+	p.modelsOf(w).speeds.Observe(p.scheduler.Now(), o)
 }
 
 // minObservedFraction is the least part of its work after which a member's run time is
@@ -66,12 +66,14 @@
 		return
 	}
 	p.fittedAt = now
-	p.speeds.Fit(now)
-	p.logSpeedChanges()
-	p.interference.Refresh(now)
-	p.logInterference(now)
+	for _, l := range p.models {
+		l.speeds.Fit(now)
+		p.logSpeedChanges(l)
+		l.interference.Refresh(now)
+		p.logInterference(l, now)
+	}
 	for _, w := range p.ordered {
-		w.setSpeed(p.speeds.Estimate(w.id))
+		w.setSpeed(p.estimateSpeed(w))
 	}
 }
 
--- a/coordination/scheduling/start.go
+++ b/coordination/scheduling/start.go
@@ -154,7 +154,7 @@
 	if !p.scheduler.Authorised() {
 		return false
 	}
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	return m.phase == starting && !m.stopWanted && m.group.phase == placed && !p.evacuated(m.worker) && m.worker.estimateClock(p.scheduler.Now()) < m.startUntil
 }
@@ -170,7 +170,7 @@
 		p.scheduler.endTerm(ErrTermEnded)
 		return
 	}
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	p.endPendingStart()
 	if m.phase != starting {
@@ -189,7 +189,7 @@
 // abandonStart ends a member whose start was not answered. If the member may have
 // started, it waits for the worker's next reports instead.
 func (p *pool) abandonStart(m *member, sent, ambiguous bool) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	p.endPendingStart()
 	if sent {
--- a/coordination/scheduling/stop.go
+++ b/coordination/scheduling/stop.go
@@ -93,7 +93,7 @@
 // sendStopsTo stops the member and then others on its worker, until none is due.
 func (p *pool) sendStopsTo(w *worker, m *member) {
 	for m != nil {
-		p.mu.Lock()
+		p = p.lock()
 		target := w.info.Worker
 		p.mu.Unlock()
 		p.stopMember(m, target)
@@ -103,7 +103,7 @@
 
 // nextStop returns a member on the worker whose stop is due, or ends the sender.
 func (p *pool) nextStop(w *worker) *member {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	now := p.scheduler.Now()
 	for _, m := range w.members {
@@ -141,7 +141,7 @@
 // unconfirmed, it asks the worker at once whether the member has ended: if it had
 // never begun, there is no end that would cut short the wait of a renewal.
 func (p *pool) handleStopAnswer(m *member) {
-	p.mu.Lock()
+	p = p.lock()
 	first := m.stopAnsweredAt.IsZero()
 	if first {
 		m.stopAnsweredAt = p.scheduler.Now()
--- a/coordination/scheduling/straggler.go
+++ b/coordination/scheduling/straggler.go
@@ -76,8 +76,8 @@
 	if !end.After(deadline) {
 		return nil
 	}
-	if p.round.at != now {
-		p.round = p.newRound(now)
+	if service := g.job.queueService; p.round.at != now || p.round.service != service {
+		p.round = p.newRound(service, now)
 	}
 	choice := p.placeAgain(g, slowest, now)
 	if choice == nil {
@@ -85,7 +85,7 @@
 	}
 	factor := 0.0
 	for _, w := range choice.workers {
-		factor = max(factor, p.speeds.Estimate(w.id).Factor*math.Exp(w.slowdown))
+		factor = max(factor, p.estimateSpeed(w).Factor*math.Exp(w.slowdown))
 	}
 	remaining := time.Duration(factor * float64(work))
 	if g.checkpoint != "" {
@@ -116,7 +116,7 @@
 // least is taken, since a worker may have turned slow only now.
 func (p *pool) workOf(g *group) (work time.Duration) {
 	for _, m := range g.members {
-		typical := time.Duration(float64(m.runTime) / p.speeds.Estimate(m.worker.id).Factor)
+		typical := time.Duration(float64(m.runTime) / p.estimateSpeed(m.worker).Factor)
 		if work == 0 || typical < work {
 			work = typical
 		}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -120,7 +120,7 @@
 			leaseExpiry: latestLeaseExpiry(p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap), p.scheduler.Bounds.LeaseLimit), renewDue: make(chan struct{}, 1),
 			starts: make(chan struct{}, maxStartSenders),
 		}
-		w.setSpeed(p.speeds.Estimate(id))
+		w.setSpeed(p.estimateSpeed(w))
 		p.workers[id] = w
 		i, _ := slices.BinarySearchFunc(p.ordered, id, func(w *worker, id workflow.WorkerID) int { return cmp.Compare(w.id, id) })
 		p.ordered = slices.Insert(p.ordered, i, w)
@@ -148,7 +148,7 @@
 }
 
 func (p *pool) setWorkers(list []workflow.Worker, listedAt time.Time) {
-	p.mu.Lock()
+	p = p.lock()
 	defer p.mu.Unlock()
 	now, previousListing := p.scheduler.Now(), p.listedAt
 	p.registered, p.listedAt = len(list), listedAt
@@ -183,7 +183,9 @@
 		}
 	}
 	if changed {
-		p.speeds.Retain(func(id workflow.WorkerID) bool { return p.workers[id] != nil })
+		for _, l := range p.models {
+			l.speeds.Retain(func(id workflow.WorkerID) bool { return p.workers[id] != nil })
+		}
 		wake(p.planDue)
 	}
 }
