Place waiting work at the service that its queue has now

Cause: a job's service was copied from the configuration at its acceptance and chose its pool for good.

Change: the planner gets each version and places what has not started at the queue's service; what runs stays on its workers. A job of which nothing was ever placed goes to the other pool; for any other the pools of both services are merged, so that one lock guards its records and all its workers. A version older than the one of the acceptance moves nothing, nor does one without the queue.

Why it works: the service is decided by the newest version that the planner has, at every load and at every change, not by what one entry knew once. So it holds for later steps, attempts and occurrences, for tasks that last, and for a new planner.

--- a/coordination/intake/submit_test.go
+++ b/coordination/intake/submit_test.go
@@ -79,24 +79,25 @@
 				calls := store.Calls()
 				var notified []*workflow.Job
 				i := newIntake(&calls, func(job *workflow.Job) { notified = append(notified, job) })
-				submit := func(q workflow.Queue, steps []workflow.Step) error {
+				const first, second = 7, 8
+				submit := func(q workflow.Queue, version int64, steps []workflow.Step) error {
 					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 					defer cancel()
-					return i.Submit(ctx, intake.Target{Queue: &q, Organisation: "o"}, &workflow.Job{ID: jobID, Steps: steps})
+					return i.Submit(ctx, intake.Target{Queue: &q, Organisation: "o", Version: version}, &workflow.Job{ID: jobID, Steps: steps})
 				}
-				if err := submit(queue, one); err != nil {
+				if err := submit(queue, first, one); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(2 * standin.LateBy)
-				if err := submit(test.queue, test.steps); err != nil {
+				if err := submit(test.queue, second, test.steps); err != nil {
 					t.Fatal(err)
 				}
 				stored, found, _, err := calls.Get(t.Context(), "in/"+string(jobID)+"/job")
 				if err != nil || !found {
 					t.Fatalf("stored %v, %v", found, err)
 				}
-				if job, err := record.DecodeSubmission(jobID, stored.Value); err != nil || job.Service != test.stored {
-					t.Errorf("stored %+v, %v, want service %s", job, err, test.stored)
+				if job, err := record.DecodeSubmission(jobID, stored.Value); err != nil || job.Service != test.stored || job.PolicyVersion != first {
+					t.Errorf("stored %+v, %v, want service %s of version %d", job, err, test.stored, first)
 				}
 				if len(notified) != test.notified {
 					t.Errorf("%d notifications, want %d", len(notified), test.notified)
--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -22,7 +22,9 @@
 	evacuationsOutdated = "evacuationsOutdated"
 	evacuationsStale    = "evacuationsStale"
 	guaranteeShort      = "guaranteeShort"
-	// poolsMerged counts how often two services began to share a pool.
+	// jobMoved counts the jobs that were assigned to another service than before, as their
+	// queue was; poolsMerged how often two services began to share a pool.
+	jobMoved    = "jobMoved"
 	poolsMerged = "poolsMerged"
 	// saveOverlapped counts the saves that began while another was under way.
 	saveOverlapped = "saveOverlapped"
@@ -48,7 +50,7 @@
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, workerIgnored, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled, reasonEvacuated,
-	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort, poolsMerged,
+	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort, jobMoved, poolsMerged,
 	EvacuationUnreadable, EvacuatedZoneUnknown, AllZonesEvacuated,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -110,6 +110,8 @@
 	// old they may be.
 	unread        bool
 	evacuationAge time.Duration
+	// policy is the configuration with which planners begin; nil is none.
+	policy *workflow.Policy
 	// restored is a record of pairs that planners begin with; nil is none.
 	restored *interference.Record
 	// last is the planner of runWaves, which is closed.
@@ -217,6 +219,9 @@
 			panic(err) // a mistake in the test
 		}
 	}
+	if h.policy != nil {
+		s.SetPolicy(h.policy)
+	}
 	for _, j := range h.jobs {
 		progress := workflow.Progress{Groups: make(map[workflow.GroupID]workflow.Group)}
 		revisions := make(map[int]keyvalue.Revision)
--- a/coordination/scheduling/property_test.go
+++ b/coordination/scheduling/property_test.go
@@ -62,6 +62,10 @@
 	// renewal; 0 is the fleet's default.
 	connections int
 	renewWait   time.Duration
+	// moves holds the times at which the jobs' queue goes to the other of two services, of
+	// which the second has one worker; planners read a version up to some 100 ms late. With
+	// none there is one service.
+	moves []time.Duration
 	// checkpoint is what every attempt reports and brings when it is stopped; empty is none.
 	checkpoint string
 }
@@ -76,6 +80,7 @@
 		takeovers:   milliseconds(times.Draw(t, "takeovers")),
 		overlap:     time.Duration(rapid.Int64Range(0, 2000).Draw(t, "overlap")) * time.Millisecond,
 		restarts:    milliseconds(times.Draw(t, "restarts")),
+		moves:       milliseconds(times.Draw(t, "moves")),
 		cores:       rapid.SampledFrom([]float64{0, 0.001}).Draw(t, "cores"),
 		recordBytes: rapid.SampledFrom([]int{0, 1}).Draw(t, "recordBytes"),
 		listedEnds:  rapid.SampledFrom([]int{0, 1, 2}).Draw(t, "listedEnds"),
@@ -103,8 +108,8 @@
 
 // TestInvariantsUnderFaults checks the scheduler's guarantees in random scenarios
 // with lost and late calls, worker restarts, a slow store whose answers overtake each
-// other or get lost, an outage of it, an evacuated zone, and overlapping planners on three
-// workers.
+// other or get lost, an outage of it, an evacuated zone, a queue that moves between
+// services, and overlapping planners on three workers.
 func TestInvariantsUnderFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
@@ -180,7 +185,7 @@
 func (s scenario) run() []string {
 	h := newHarness(0)
 	for i := range 3 {
-		h.fleet.Add(zoned(i, 1))
+		h.fleet.Add(s.worker(i, 1))
 	}
 	h.cores = s.cores
 	if s.listedEnds > 0 {
@@ -242,7 +247,7 @@
 		h.addJob(j)
 	}
 	s.scheduleFaults(h)
-	planners := []*scheduling.Scheduler{h.startPlanner()}
+	planners, reads := []*scheduling.Scheduler{h.startPlanner()}, rand.New(rand.NewPCG(s.seed, 3))
 	for at := range faultPeriod / (100 * time.Millisecond) {
 		time.Sleep(100 * time.Millisecond)
 		elapsed := time.Since(began)
@@ -250,6 +255,7 @@
 		for _, p := range planners {
 			p.SetEvacuated(h.evacuated, keyvalue.Revision(at+2))
 		}
+		s.moveQueue(h, at, reads, planners)
 		planners[len(planners)-1].SetWorkers(h.fleet.Workers(), time.Now())
 		for _, takeover := range s.takeovers {
 			if takeover/(100*time.Millisecond) == at {
@@ -260,7 +266,12 @@
 		}
 	}
 	planners[len(planners)-1].SetEvacuated(nil, keyvalue.Revision(faultPeriod))
-	time.Sleep(recoveryPeriod)
+	time.Sleep(recoveryPeriod / 30)
+	if len(s.moves) > 0 { // some gangs fit only on both workers of the first service
+		planners[len(planners)-1].SetPolicy(sentTo(firstService, lastVersion))
+		planners[len(planners)-1].SetWorkers(h.fleet.Workers(), time.Now())
+	}
+	time.Sleep(recoveryPeriod - recoveryPeriod/30)
 	for _, p := range planners {
 		_ = p.Close()
 	}
@@ -278,6 +289,46 @@
 	return problems
 }
 
+// firstService and secondService are those between which the queue moves, lastVersion is a
+// version of the configuration after all others.
+const (
+	firstService, secondService = "render", "other"
+	lastVersion                 = 10_000
+)
+
+// sentTo returns a version of the configuration in which the jobs' queue has the service.
+func sentTo(service string, version int64) *workflow.Policy {
+	return &workflow.Policy{Version: version, Queues: []workflow.Queue{{Name: "render", Service: service}}}
+}
+
+// moveQueue writes the versions that are due, and has some of the planners read the newest.
+func (s scenario) moveQueue(h *harness, at time.Duration, random *rand.Rand, planners []*scheduling.Scheduler) {
+	for i, move := range s.moves {
+		if move/(100*time.Millisecond) != at {
+			continue
+		}
+		service := secondService
+		if h.policy != nil && h.policy.Queues[0].Service == secondService {
+			service = firstService
+		}
+		h.policy = sentTo(service, int64(at)*10+int64(i))
+	}
+	for _, p := range planners {
+		if h.policy != nil && random.IntN(2) == 0 {
+			p.SetPolicy(h.policy)
+		}
+	}
+}
+
+// worker returns worker i, of which the last has the second service if the queue moves.
+func (s scenario) worker(i int, incarnation workflow.Incarnation) workflow.Worker {
+	w := zoned(i, incarnation)
+	if i == 2 && len(s.moves) > 0 {
+		w.Service = secondService
+	}
+	return w
+}
+
 // zoned returns worker i, of which the first is in a zone of its own.
 func zoned(i int, incarnation workflow.Incarnation) workflow.Worker {
 	w := worker(i, incarnation)
@@ -290,7 +341,7 @@
 // scheduleFaults sets timers for the workers' restarts and the store's outage.
 func (s scenario) scheduleFaults(h *harness) {
 	for i, at := range s.restarts {
-		time.AfterFunc(at, func() { h.fleet.Add(zoned(i%3, workflow.Incarnation(i+2))) })
+		time.AfterFunc(at, func() { h.fleet.Add(s.worker(i%3, workflow.Incarnation(i+2))) })
 	}
 	setUnavailable := func(unavailable bool) func() {
 		return func() {
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -63,6 +63,8 @@
 	// of the pools.
 	layout sync.RWMutex
 	jobs   map[workflow.ID]*assignment
+	// policy is the newest known configuration; nil is none.
+	policy *workflow.Policy
 }
 
 // Open begins the term. All stored jobs must be loaded before the first call of
@@ -85,8 +87,8 @@
 }
 
 // Load adds a job with its stored progress and the revisions of the records that
-// hold it. It does nothing and returns false if a job with this ID is known, whatever
-// service the job names.
+// hold it, for the service to which its queue belongs now. It does nothing and returns
+// false if a job with this ID is known, whatever service the job names.
 func (s *Scheduler) Load(job *workflow.Job, progress workflow.Progress, revisions map[int]keyvalue.Revision) bool {
 	s.layout.Lock()
 	defer s.layout.Unlock()
@@ -96,9 +98,12 @@
 		}
 		return false
 	}
-	a := &assignment{job: job, service: job.Service}
+	a := &assignment{job: job, service: serviceOf(job, s.policy, job.Service)}
 	s.jobs[job.ID] = a
 	s.pool(a.service).addJob(job, a.service, progress, revisions)
+	if a.service != job.Service {
+		s.logMove(a, job.Service)
+	}
 	return true
 }
 
--- a/state/workflow/policy.go
+++ b/state/workflow/policy.go
@@ -9,8 +9,6 @@
 type Policy struct {
 	Version int64
 	Queues  []Queue
-	// Services holds the names of the services, also of those without a queue.
-	Services []string
 	// BodyBytes is the most bytes in the body of a caller's request; 0 is no limit.
 	BodyBytes int
 	// Guarantees maps an organisation to the number of accelerators guaranteed
