Store where a moved job is placed

Cause: a planner knew where a job was accepted, not where it was moved. The next planner placed the job by its own version of the configuration, which may be older than the one that moved it, or at the first service if the queue was gone.

Change: record 0 of a job's progress has the service and the version by which it was decided, once the job has moved. A planner goes by the newest of that, the version of the acceptance and its own. An unplaced job moves although its placement is still to be saved, but not while a save of it is under way.

Tests: three rows of TestQueueMove failed before: an older version in the next planner (runs at "other" in place of "third"; tasks that had come back went away again) and a queue that is removed after the move (never run).

Cost: one record is written for each job that waits when its queue moves.

--- a/coordination/scheduling/policy.go
+++ b/coordination/scheduling/policy.go
@@ -2,10 +2,10 @@
 
 import "comfreystream/state/workflow"
 
-// assignment is a known job and the service on whose workers its groups are placed.
+// assignment is a known job and where its groups are placed.
 type assignment struct {
-	job     *workflow.Job
-	service string
+	job       *workflow.Job
+	placement workflow.Placement
 }
 
 // SetPolicy applies the services of the queues by the newest known configuration; one that
@@ -19,51 +19,60 @@
 	}
 	s.policy = policy
 	for _, a := range s.jobs {
-		if service := serviceOf(a.job, policy, a.service); service != a.service {
-			s.moveJob(a, service)
+		if next := a.placementBy(policy); next != a.placement {
+			s.moveJob(a, next)
 		}
 	}
 }
 
-// serviceOf returns the service of the job's queue by the newest known configuration. It
-// returns current if that is older than the one the job was accepted under, or does not have
-// the queue any more.
-func serviceOf(job *workflow.Job, policy *workflow.Policy, current string) string {
-	if policy == nil || policy.Version < job.PolicyVersion {
-		return current
+// storedPlacement returns where the groups of a job that is loaded were placed last.
+func storedPlacement(job *workflow.Job, progress workflow.Progress) workflow.Placement {
+	if progress.Placement.Service != "" {
+		return progress.Placement
 	}
-	if queue, found := policy.Queue(job.Queue); found && queue.Service != "" {
-		return queue.Service
+	return workflow.Placement{Service: job.Service, PolicyVersion: job.PolicyVersion}
+}
+
+// placementBy returns the placement by the newest known configuration. It is the present one
+// if the service is the same, if it was decided by a newer configuration, or if the queue is
+// gone.
+func (a *assignment) placementBy(policy *workflow.Policy) workflow.Placement {
+	if policy == nil || policy.Version < a.placement.PolicyVersion {
+		return a.placement
 	}
-	return current
+	if queue, found := policy.Queue(a.job.Queue); found && queue.Service != "" && queue.Service != a.placement.Service {
+		return workflow.Placement{Service: queue.Service, PolicyVersion: policy.Version}
+	}
+	return a.placement
 }
 
 // moveJob assigns a job to another service. A job of which nothing was ever placed goes to
 // the pool of that service; one that may run on workers of its former pool shares it.
-func (s *Scheduler) moveJob(a *assignment, service string) {
-	from, to := s.pool(a.service), s.pool(service)
+func (s *Scheduler) moveJob(a *assignment, next workflow.Placement) {
+	from, to := s.pool(a.placement.Service), s.pool(next.Service)
 	if from != to {
 		j, ended := from.removeUnplaced(a.job.ID)
 		switch {
 		case ended:
 			return
 		case j != nil:
-			to.insertUnplaced(j, service)
+			to.insertUnplaced(j, next)
 		default:
 			s.mergePools(to, from)
 		}
 	}
-	if to.setQueueService(a.job.ID, service) {
-		before := a.service
-		a.service = service
-		s.logMove(a, before)
-	}
+	s.completeMove(a, next)
 }
 
-func (s *Scheduler) logMove(a *assignment, before string) {
+// completeMove notes the placement of a job that the pool of its new service has.
+func (s *Scheduler) completeMove(a *assignment, next workflow.Placement) {
+	if !s.pool(next.Service).setPlacement(a.job.ID, next) {
+		return
+	}
 	s.Count(jobMoved)
 	s.Log.Info().Str("event", "jobMoved").Str("request", string(a.job.ID)).Str("queue", a.job.Queue).
-		Int64("version", s.policy.Version).Str("from", before).Str("to", a.service).Send()
+		Int64("version", next.PolicyVersion).Str("from", a.placement.Service).Str("to", next.Service).Send()
+	a.placement = next
 }
 
 // removeUnplaced removes a job and returns it, unless a group of it was ever placed: a worker
@@ -81,7 +90,7 @@
 			return nil, false
 		}
 	}
-	if j.saving || p.unsaved(j) {
+	if j.saving {
 		return nil, false
 	}
 	delete(p.jobs, id)
@@ -89,14 +98,17 @@
 	for _, g := range j.groups {
 		p.work.remove(g)
 	}
+	for _, r := range j.records {
+		delete(p.dirty, r)
+	}
 	return j, false
 }
 
 // insertUnplaced adds a job that removeUnplaced has returned for a service of the pool.
-func (p *pool) insertUnplaced(j *job, service string) {
+func (p *pool) insertUnplaced(j *job, placement workflow.Placement) {
 	p = p.lock()
 	defer p.mu.Unlock()
-	j.queueService = service
+	j.placement = placement
 	p.jobs[j.ID] = j
 	p.work.addJob(j)
 	for _, g := range j.groups {
@@ -105,16 +117,17 @@
 	p.updateMeanWork(j)
 }
 
-// setQueueService has the job's groups placed on the workers of a service of the pool; it
+// setPlacement has the job's groups placed at a service of the pool, and that saved; it
 // returns false for a job that has ended.
-func (p *pool) setQueueService(id workflow.ID, service string) bool {
+func (p *pool) setPlacement(id workflow.ID, placement workflow.Placement) bool {
 	p = p.lock()
 	defer p.mu.Unlock()
 	j := p.jobs[id]
 	if j.status.Final() {
 		return false
 	}
-	j.queueService = service
+	j.placement = placement
+	p.markDirty(j.recordAt(0))
 	wake(p.planDue)
 	return true
 }
--- a/coordination/scheduling/queue_move_test.go
+++ b/coordination/scheduling/queue_move_test.go
@@ -76,11 +76,24 @@
 	}
 }
 
-// leave returns an event by which a worker that runs nothing leaves.
+// leave returns an event by which a worker that runs nothing leaves, join one by which it is back.
 func leave(id workflow.WorkerID) func(m *queueMove) {
 	return func(m *queueMove) { m.left[id] = true }
 }
 
+func join(id workflow.WorkerID) func(m *queueMove) {
+	return func(m *queueMove) { delete(m.left, id) }
+}
+
+// replacePlannerKnowing returns an event by which the next planner begins with an older version
+// of the configuration, which sends the queue to a service.
+func replacePlannerKnowing(version int64, service string) func(m *queueMove) {
+	return func(m *queueMove) {
+		m.h.policy = &workflow.Policy{Version: version, Queues: []workflow.Queue{{Name: "render", Service: service}}}
+		replacePlanner(m)
+	}
+}
+
 func storeAway(away bool) func(m *queueMove) {
 	return func(m *queueMove) {
 		m.h.store.mu.Lock()
@@ -249,6 +262,15 @@
 		},
 		{"the planner is replaced after it", []workflow.Step{two}, 8, []moveEvent{{2 * s, sendQueue(2, "empty")}, {3 * s, replacePlanner}, {5 * s, sendQueue(3, "other")}}, "0.0 other done, 0.1 other done", false, false},
 		{"the next planner reads the version late", []workflow.Step{two}, 8, []moveEvent{{2 * s, replacePlannerUnread}, {4 * s, sendQueue(2, "other")}}, "0.0 other done, 0.1 other done", false, false},
+		{"it waits, its queue is removed, and the planner is replaced", []workflow.Step{two}, 8, []moveEvent{
+			{0, leave("w3")}, {2 * s, sendQueue(2, "third")}, {3 * s, removeQueue(3)}, {4 * s, replacePlanner}, {6 * s, join("w3")},
+		}, "0.0 third done, 0.1 third done", false, false},
+		{"the next planner has an older version", []workflow.Step{two}, 8, []moveEvent{
+			{0, leave("w3")}, {2 * s, sendQueue(3, "third")}, {3 * s, replacePlannerKnowing(2, "other")}, {6 * s, join("w3")},
+		}, "0.0 third done, 0.1 third done", false, false},
+		{"the next planner has an older version, after it went there and back", []workflow.Step{four}, 0, []moveEvent{
+			{s, sendQueue(2, "other")}, {s, sendQueue(3, "render")}, {2 * s, replacePlannerKnowing(2, "other")},
+		}, "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done", false, false},
 		{"the planner is replaced while it runs", []workflow.Step{two}, 0, []moveEvent{{s, sendQueue(2, "other")}, {2 * s, replacePlanner}}, "0.0 render done, 0.1 render done", false, false},
 		{
 			"the planner is replaced while a part runs",
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -98,11 +98,15 @@
 		}
 		return false
 	}
-	a := &assignment{job: job, service: serviceOf(job, s.policy, job.Service)}
+	a := &assignment{job: job, placement: storedPlacement(job, progress)}
+	next := a.placement
+	if !progress.Status.Final() {
+		next = a.placementBy(s.policy)
+	}
 	s.jobs[job.ID] = a
-	s.pool(a.service).addJob(job, a.service, progress, revisions)
-	if a.service != job.Service {
-		s.logMove(a, job.Service)
+	s.pool(next.Service).addJob(job, next, progress, revisions)
+	if next != a.placement {
+		s.completeMove(a, next)
 	}
 	return true
 }
@@ -120,7 +124,7 @@
 	s.layout.RLock()
 	defer s.layout.RUnlock()
 	a, known := s.jobs[id]
-	return known && s.pool(a.service).cancelJob(id)
+	return known && s.pool(a.placement.Service).cancelJob(id)
 }
 
 // SetWorkers replaces the set of registered workers by a listing of the registry
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -93,6 +93,9 @@
 	Groups []groupRecord   `cbor:"2,keyasint,omitempty"`
 	// Shared holds the members of large gangs, whose groups name each worker once.
 	Shared []sharedPlacement `cbor:"3,keyasint,omitempty"`
+	// Service and PolicyVersion are those of workflow.Placement.
+	Service       string `cbor:"4,keyasint,omitempty"`
+	PolicyVersion int64  `cbor:"5,keyasint,omitempty"`
 }
 
 // minSharedMembers is from how many members on the workers of a gang are named once
@@ -126,7 +129,10 @@
 
 // EncodeProgress returns the encoded record of a job's progress.
 func EncodeProgress(progress workflow.Progress) ([]byte, error) {
-	r := progressRecord{Status: progress.Status, Groups: make([]groupRecord, 0, len(progress.Groups))}
+	r := progressRecord{
+		Status: progress.Status, Service: progress.Placement.Service, PolicyVersion: progress.Placement.PolicyVersion,
+		Groups: make([]groupRecord, 0, len(progress.Groups)),
+	}
 	for id, g := range progress.Groups {
 		row := groupRecord{
 			Occurrence: id.Occurrence, Step: id.Step, Index: id.Index,
@@ -191,7 +197,10 @@
 	for _, s := range r.Shared {
 		shared[s.Group] = s.Members
 	}
-	progress := workflow.Progress{Status: r.Status, Groups: make(map[workflow.GroupID]workflow.Group, len(r.Groups))}
+	progress := workflow.Progress{
+		Status: r.Status, Placement: workflow.Placement{Service: r.Service, PolicyVersion: r.PolicyVersion},
+		Groups: make(map[workflow.GroupID]workflow.Group, len(r.Groups)),
+	}
 	for i, row := range r.Groups {
 		placed, err := row.placement()
 		if members, found := shared[i]; found && err == nil {
