Measure a move of a queue

Cause: a move runs under the lock that loads, cancellations and listings wait for. Change: a benchmark with 200 and 2,000 waiting jobs and a running one; comments that were too wide are wrapped.

--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -184,3 +184,38 @@
 		})
 	}
 }
+
+// BenchmarkQueueMove sends a queue with many jobs that wait, and one that runs, to the other
+// of two services and back. The first move merges the pools.
+func BenchmarkQueueMove(b *testing.B) {
+	for _, jobs := range []int{200, 2000} {
+		b.Run(fmt.Sprintf("waiting=%d", jobs), func(b *testing.B) {
+			s := &Scheduler{
+				Now: time.Now, WallClock: time.Now, Count: func(string) {}, Log: zerolog.Nop(),
+				Authorised: func() bool { return false }, Guarantee: func(string) int { return 0 },
+			}
+			s.Open()
+			defer func() { _ = s.Close() }()
+			running := workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{
+				{}: {Attempt: 1, Placed: []workflow.WorkerIncarnation{{Worker: "w", Incarnation: 1}}},
+			}}
+			for i := range jobs + 1 {
+				progress := workflow.Progress{}
+				if i == 0 {
+					progress = running
+				}
+				s.Load(&workflow.Job{
+					ID: workflow.ID(fmt.Sprint(i)), Queue: "q", Service: "a", MaxAttempts: 1, Stretch: 1, Accepted: time.Now(),
+					Steps: []workflow.Step{{Tasks: 1, Accelerators: 8, Estimate: time.Second}},
+				}, progress, nil)
+			}
+			version := int64(0)
+			for b.Loop() {
+				for _, service := range []string{"b", "a"} {
+					version++
+					s.SetPolicy(&workflow.Policy{Version: version, Queues: []workflow.Queue{{Name: "q", Service: service}}})
+				}
+			}
+		})
+	}
+}
--- a/coordination/scheduling/interference.go
+++ b/coordination/scheduling/interference.go
@@ -136,8 +136,8 @@
 // maxInterferenceChanges bounds the log lines on pairs after one fit.
 const maxInterferenceChanges = 4
 
-// doubtSpeeds has the speeds of a service's workers learnt anew: until the pair was found, it counted
-// against the workers where it ran, and remained in their factors for over 30 s.
+// doubtSpeeds has the speeds of a service's workers learnt anew: until the pair was found,
+// it counted against the workers where it ran, and remained in their factors for over 30 s.
 func (p *pool) doubtSpeeds(l *models, now time.Time) {
 	l.speeds.Doubt(now)
 	for g := range p.work.started {
@@ -149,8 +149,8 @@
 	}
 }
 
-// logInterference logs the pairs of a service that have begun or ceased to be significant. The caller
-// holds the pool's lock.
+// logInterference logs the pairs of a service that have begun or ceased to be significant.
+// The caller holds the pool's lock.
 func (p *pool) logInterference(l *models, now time.Time) {
 	found := false
 	for _, c := range l.interference.Changes(maxInterferenceChanges) {
--- a/coordination/scheduling/merge.go
+++ b/coordination/scheduling/merge.go
@@ -34,13 +34,14 @@
 	return p.mergedInto != nil
 }
 
-// wakePlan has a planning round run, wakeSave a save. The caller does not hold the lock.
+// wakePlan has a planning round run. The caller does not hold the lock.
 func (p *pool) wakePlan() {
 	p = p.lock()
 	defer p.mu.Unlock()
 	wake(p.planDue)
 }
 
+// wakeSave has a save begin. The caller does not hold the lock.
 func (p *pool) wakeSave() {
 	p = p.lock()
 	defer p.mu.Unlock()
