--- a/coordination/jobstore/jobstore_test.go
+++ b/coordination/jobstore/jobstore_test.go
@@ -22,8 +22,8 @@
 )
 
 var progress = workflow.Progress{
-	Status:    workflow.Running,
-	Placement: workflow.Placement{Service: "other", PolicyVersion: 8},
+	Status:  workflow.Running,
+	Routing: workflow.Routing{Service: "other", PolicyVersion: 8},
 	Groups: map[workflow.GroupID]workflow.Group{
 		{Step: 1, Index: 2}: {
 			Attempt: 3, Failures: 1, FailedAttempt: 2, Checkpoint: "c",
@@ -138,14 +138,14 @@
 	backend.ValueBytes = 500
 	calls := backend.Calls()
 	st := record.NewJobStore(&calls, func() int { return backend.ValueBytes })
-	large := workflow.Progress{Placement: progress.Placement, Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 4, Checkpoint: strings.Repeat("c", 900)}}}
+	large := workflow.Progress{Routing: progress.Routing, Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 4, Checkpoint: strings.Repeat("c", 900)}}}
 	result := st.Save(t.Context(), keyvalue.Condition{Key: "seat"}, []scheduling.ProgressUpdate{{Job: "A", Progress: large}})[0]
 	if result.Err != nil || !result.CheckpointsLeftOut {
 		t.Fatalf("saved: %+v", result)
 	}
 	all, err := st.Load(t.Context())
-	if g := all["A"].Progress.Groups[workflow.GroupID{}]; err != nil || g.Attempt != 4 || g.Checkpoint != "" || all["A"].Progress.Placement != progress.Placement {
-		t.Errorf("loaded %+v, %v, placed at %+v", g, err, all["A"].Progress.Placement)
+	if g := all["A"].Progress.Groups[workflow.GroupID{}]; err != nil || g.Attempt != 4 || g.Checkpoint != "" || all["A"].Progress.Routing != progress.Routing {
+		t.Errorf("loaded %+v, %v, routing %+v", g, err, all["A"].Progress.Routing)
 	}
 }
 
@@ -164,8 +164,8 @@
 		if err != nil || len(all) != len(updates) {
 			t.Fatalf("%d loaded, %v", len(all), err)
 		}
-		if placement := all["A"].Progress.Placement; placement != progress.Placement {
-			t.Errorf("placed at %+v, want %+v", placement, progress.Placement)
+		if routing := all["A"].Progress.Routing; routing != progress.Routing {
+			t.Errorf("routing %+v, want %+v", routing, progress.Routing)
 		}
 		got := all["A"].Progress.Groups[workflow.GroupID{Step: 1, Index: 2}]
 		if got.Attempt != 3 || got.Failures != 1 || got.FailedAttempt != 2 || got.Checkpoint != "c" || got.Placed[0].Incarnation != 9 {
--- a/coordination/jobstore/progress.go
+++ b/coordination/jobstore/progress.go
@@ -64,7 +64,7 @@
 		return job
 	}
 	if number == 0 {
-		job.Progress.Status, job.Progress.Placement = part.Status, part.Placement
+		job.Progress.Status, job.Progress.Routing = part.Status, part.Routing
 	}
 	if job.Progress.Groups == nil {
 		job.Progress.Groups = make(map[workflow.GroupID]workflow.Group, len(part.Groups))
--- a/coordination/scheduling/backlog.go
+++ b/coordination/scheduling/backlog.go
@@ -64,7 +64,7 @@
 	}
 	var ratios map[string]float64
 	for g := range p.work.unstarted {
-		if g.phase != waiting || g.job.placement.Service != service || g.job.status.Final() || g.record.held(now) || g.expired(now) || !g.usesAnyRoom(limits) || p.runsUnknown(g) {
+		if g.phase != waiting || g.job.routing.Service != service || g.job.status.Final() || g.record.held(now) || g.expired(now) || !g.usesAnyRoom(limits) || p.runsUnknown(g) {
 			continue
 		}
 		if ratios == nil {
@@ -162,7 +162,7 @@
 			return m.worker.info.Service
 		}
 	}
-	return g.job.placement.Service
+	return g.job.routing.Service
 }
 
 // run returns the accelerators that the group holds, and for how long at least.
--- a/coordination/scheduling/bench_test.go
+++ b/coordination/scheduling/bench_test.go
@@ -22,7 +22,7 @@
 				p.addJob(&workflow.Job{
 					ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", Organisation: "o", Priority: 1 + i%2, MaxAttempts: 3, Stretch: 3,
 					Steps: []workflow.Step{{Tasks: 1 + i%3, Accelerators: 8, Gang: true, SameRack: i%2 == 0, Estimate: time.Hour}}, Accepted: time.Now(),
-				}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+				}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 			}
 			var took []time.Duration
 			for b.Loop() {
@@ -91,7 +91,7 @@
 				if urgent {
 					j.Priority, j.Stretch, j.StartAllowance = 0, 1, time.Hour
 				}
-				p.addJob(j, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+				p.addJob(j, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 				if urgent {
 					p.jobs[j.ID].objective = time.Hour // adjusted to the slack in each round
 				}
@@ -172,7 +172,7 @@
 					p.addJob(&workflow.Job{
 						ID: workflow.ID(fmt.Sprintf("w%d", i)), Queue: "q", MaxAttempts: 3, Stretch: 3,
 						Steps: []workflow.Step{{Tasks: 1, Accelerators: 8, Estimate: time.Second}}, Accepted: time.Now().Add(-time.Minute),
-					}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+					}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 				}
 				b.StartTimer()
 				began := time.Now()
--- a/coordination/scheduling/expired_test.go
+++ b/coordination/scheduling/expired_test.go
@@ -50,7 +50,7 @@
 						ID: id, Organisation: organisation, Priority: w.priority, MaxAttempts: 1,
 						Stretch: 3, StartAllowance: time.Second, Accepted: time.Now().Add(-w.age),
 						Steps: []workflow.Step{{Tasks: 1, Accelerators: 8, Estimate: time.Second, LongRunning: w.lasting}},
-					}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+					}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 				}
 				add("a", test.first)
 				if test.other != nil {
--- a/coordination/scheduling/guarantee_test.go
+++ b/coordination/scheduling/guarantee_test.go
@@ -49,7 +49,7 @@
 				p.addJob(&workflow.Job{
 					ID: id, Organisation: []string{"andina", "brazos"}[i%2], MaxAttempts: 1, Accepted: time.Now().Add(time.Duration(i-9) * time.Second),
 					Steps: []workflow.Step{{Tasks: 1, Accelerators: 4}},
-				}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+				}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 				if i < test.runInZone {
 					g := p.jobs[id].groups[workflow.GroupID{}]
 					p.assign(g, workflow.Task{Job: id}, p.ordered[0], 1)
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -227,7 +227,7 @@
 		revisions := make(map[int]keyvalue.Revision)
 		for key, r := range records {
 			if key.job == j.ID {
-				progress.Status, progress.Placement = cmp.Or(progress.Status, r.Progress.Status), cmp.Or(progress.Placement, r.Progress.Placement)
+				progress.Status, progress.Routing = cmp.Or(progress.Status, r.Progress.Status), cmp.Or(progress.Routing, r.Progress.Routing)
 				maps.Copy(progress.Groups, r.Progress.Groups)
 				revisions[key.number] = r.Revision
 			}
--- a/coordination/scheduling/interference.go
+++ b/coordination/scheduling/interference.go
@@ -107,7 +107,7 @@
 	}
 	accelerators, cores := 0, 0
 	for g := range p.work.unstarted {
-		if g.phase == waiting && g.job.placement.Service == r.service && !g.job.status.Final() {
+		if g.phase == waiting && g.job.routing.Service == r.service && !g.job.status.Final() {
 			accelerators += g.size() * g.step.Accelerators
 			cores += g.size() * g.step.Cores
 		}
--- a/coordination/scheduling/load.go
+++ b/coordination/scheduling/load.go
@@ -80,7 +80,7 @@
 		}
 	}
 	for g := range p.work.unstarted {
-		if g.phase != waiting || g.job.placement.Service != service {
+		if g.phase != waiting || g.job.routing.Service != service {
 			continue
 		}
 		l.Waiting++
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -97,7 +97,7 @@
 	guaranteed := p.guaranteedJobs(now)
 	byService := make(map[string][]*group)
 	for _, g := range waiting {
-		byService[g.job.placement.Service] = append(byService[g.job.placement.Service], g)
+		byService[g.job.routing.Service] = append(byService[g.job.routing.Service], g)
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		p.round = p.newRound(service, now)
@@ -175,7 +175,7 @@
 func (p *pool) guaranteedJobs(now time.Time) map[*job]bool {
 	urgent, guaranteed := make(map[string][]*job), make(map[*job]bool)
 	for j := range p.work.urgent {
-		urgent[j.placement.Service] = append(urgent[j.placement.Service], j)
+		urgent[j.routing.Service] = append(urgent[j.routing.Service], j)
 	}
 	for service, jobs := range urgent {
 		p.addGuaranteed(guaranteed, service, jobs, now)
--- a/coordination/scheduling/plan_test.go
+++ b/coordination/scheduling/plan_test.go
@@ -30,7 +30,7 @@
 			p.addJob(&workflow.Job{
 				ID: "a", Queue: "q", Priority: test.priority, MaxAttempts: 1, Stretch: 1, Accepted: time.Now(),
 				Steps: []workflow.Step{{Tasks: 1, Accelerators: 4, Gang: true}},
-			}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+			}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 			p.planRound()
 			if placed := p.jobs["a"].groups[workflow.GroupID{}].phase == saving; placed != test.placed {
 				t.Errorf("placed %v, want %v", placed, test.placed)
--- a/coordination/scheduling/policy.go
+++ b/coordination/scheduling/policy.go
@@ -4,8 +4,8 @@
 
 // assignment is a known job and where its groups are placed.
 type assignment struct {
-	job       *workflow.Job
-	placement workflow.Placement
+	job     *workflow.Job
+	routing workflow.Routing
 }
 
 // SetPolicy applies the services of the queues by the newest known configuration; one that
@@ -19,37 +19,37 @@
 	}
 	s.policy = policy
 	for _, a := range s.jobs {
-		if next := a.placementBy(policy); next != a.placement {
+		if next := a.routingBy(policy); next != a.routing {
 			s.moveJob(a, next)
 		}
 	}
 }
 
-// storedPlacement returns where the groups of a job that is loaded were placed last.
-func storedPlacement(job *workflow.Job, progress workflow.Progress) workflow.Placement {
-	if progress.Placement.Service != "" {
-		return progress.Placement
+// storedRouting returns where the groups of a job that is loaded were placed last.
+func storedRouting(job *workflow.Job, progress workflow.Progress) workflow.Routing {
+	if progress.Routing.Service != "" {
+		return progress.Routing
 	}
-	return workflow.Placement{Service: job.Service, PolicyVersion: job.PolicyVersion}
+	return workflow.Routing{Service: job.Service, PolicyVersion: job.PolicyVersion}
 }
 
-// placementBy returns the placement by the newest known configuration. It is the present one
+// routingBy returns the routing by the newest known configuration. It is the present one
 // if the service is the same, if it was decided by a newer configuration, or if the queue is
 // gone.
-func (a *assignment) placementBy(policy *workflow.Policy) workflow.Placement {
-	if policy == nil || policy.Version < a.placement.PolicyVersion {
-		return a.placement
+func (a *assignment) routingBy(policy *workflow.Policy) workflow.Routing {
+	if policy == nil || policy.Version < a.routing.PolicyVersion {
+		return a.routing
 	}
-	if queue, found := policy.Queue(a.job.Queue); found && queue.Service != "" && queue.Service != a.placement.Service {
-		return workflow.Placement{Service: queue.Service, PolicyVersion: policy.Version}
+	if queue, found := policy.Queue(a.job.Queue); found && queue.Service != "" && queue.Service != a.routing.Service {
+		return workflow.Routing{Service: queue.Service, PolicyVersion: policy.Version}
 	}
-	return a.placement
+	return a.routing
 }
 
 // moveJob assigns a job to another service. A job of which nothing was ever placed goes to
 // the pool of that service; one that may run on workers of its former pool shares it.
-func (s *Scheduler) moveJob(a *assignment, next workflow.Placement) {
-	from, to := s.pool(a.placement.Service), s.pool(next.Service)
+func (s *Scheduler) moveJob(a *assignment, next workflow.Routing) {
+	from, to := s.pool(a.routing.Service), s.pool(next.Service)
 	if from != to {
 		j, ended := from.removeUnplaced(a.job.ID)
 		switch {
@@ -64,15 +64,15 @@
 	s.completeMove(a, next)
 }
 
-// completeMove notes the placement of a job that the pool of its new service has.
-func (s *Scheduler) completeMove(a *assignment, next workflow.Placement) {
-	if !s.pool(next.Service).setPlacement(a.job.ID, next) {
+// completeMove notes the routing of a job that the pool of its new service has.
+func (s *Scheduler) completeMove(a *assignment, next workflow.Routing) {
+	if !s.pool(next.Service).setRouting(a.job.ID, next) {
 		return
 	}
 	s.Count(jobMoved)
 	s.Log.Info().Str("event", "jobMoved").Str("request", string(a.job.ID)).Str("queue", a.job.Queue).
-		Int64("version", next.PolicyVersion).Str("from", a.placement.Service).Str("to", next.Service).Send()
-	a.placement = next
+		Int64("version", next.PolicyVersion).Str("from", a.routing.Service).Str("to", next.Service).Send()
+	a.routing = next
 }
 
 // removeUnplaced removes a job and returns it, unless a group of it was ever placed: a worker
@@ -105,10 +105,10 @@
 }
 
 // insertUnplaced adds a job that removeUnplaced has returned for a service of the pool.
-func (p *pool) insertUnplaced(j *job, placement workflow.Placement) {
+func (p *pool) insertUnplaced(j *job, routing workflow.Routing) {
 	p = p.lock()
 	defer p.mu.Unlock()
-	j.placement = placement
+	j.routing = routing
 	p.jobs[j.ID] = j
 	p.work.addJob(j)
 	for _, g := range j.groups {
@@ -117,16 +117,16 @@
 	p.updateMeanWork(j)
 }
 
-// setPlacement has the job's groups placed at a service of the pool, and that saved; it
+// setRouting has the job's groups placed at a service of the pool, and that saved; it
 // returns false for a job that has ended.
-func (p *pool) setPlacement(id workflow.ID, placement workflow.Placement) bool {
+func (p *pool) setRouting(id workflow.ID, routing workflow.Routing) bool {
 	p = p.lock()
 	defer p.mu.Unlock()
 	j := p.jobs[id]
 	if j.status.Final() {
 		return false
 	}
-	j.placement = placement
+	j.routing = routing
 	p.markDirty(j.recordAt(0))
 	wake(p.planDue)
 	return true
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -67,9 +67,9 @@
 // job is a job and its progress. The pool's lock guards it.
 type job struct {
 	*workflow.Job
-	// placement is where the job's groups are placed: at the service of its queue by the
+	// routing is where the job's groups are placed: at the service of its queue by the
 	// newest known configuration.
-	placement  workflow.Placement
+	routing    workflow.Routing
 	acceptedAt time.Time
 	status     workflow.Status
 	// begun is set once a task has started, which an attempt that was placed may not
@@ -164,12 +164,12 @@
 	}
 }
 
-// addJob adds a job that no pool has; placement is at a service of the pool.
-func (p *pool) addJob(w *workflow.Job, placement workflow.Placement, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
+// addJob adds a job that no pool has; routing is to a service of the pool.
+func (p *pool) addJob(w *workflow.Job, routing workflow.Routing, progress workflow.Progress, revisions map[int]keyvalue.Revision) {
 	p = p.lock()
 	defer p.mu.Unlock()
 	j := &job{
-		Job: w, placement: placement, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
+		Job: w, routing: routing, acceptedAt: p.monotonicTime(w.Accepted), status: workflow.Queued,
 		groups:     make(map[workflow.GroupID]*group),
 		records:    make(map[int]*record),
 		doneGroups: make(map[[2]int]int),
--- a/coordination/scheduling/record.go
+++ b/coordination/scheduling/record.go
@@ -106,8 +106,8 @@
 	progress := workflow.Progress{Groups: make(map[workflow.GroupID]workflow.Group, len(r.groups))}
 	if r.number == 0 {
 		progress.Status = r.job.status
-		if r.job.placement.PolicyVersion > r.job.PolicyVersion {
-			progress.Placement = r.job.placement
+		if r.job.routing.PolicyVersion > r.job.PolicyVersion {
+			progress.Routing = r.job.routing
 		}
 	}
 	for _, g := range r.groups {
--- a/coordination/scheduling/room_test.go
+++ b/coordination/scheduling/room_test.go
@@ -43,7 +43,7 @@
 				_ = p.models[p.service].interference.Restore(s.Now(), interference.Record{Number: number, Rows: []interference.PairEstimate{row}}) // one takes it
 			}
 			p.models[p.service].interference.Refresh(s.Now())
-			j := &job{Job: &workflow.Job{Queue: "q"}, placement: workflow.Placement{Service: p.service}}
+			j := &job{Job: &workflow.Job{Queue: "q"}, routing: workflow.Routing{Service: p.service}}
 			for _, kind := range []interference.Kind{victim, bully} {
 				g := &group{kind: kind, job: j, step: &workflow.Step{}}
 				p.assign(g, workflow.Task{Job: workflow.ID(kind.Image)}, p.ensureWorker("w0"), 1)
--- a/coordination/scheduling/scheduler.go
+++ b/coordination/scheduling/scheduler.go
@@ -98,14 +98,14 @@
 		}
 		return false
 	}
-	a := &assignment{job: job, placement: storedPlacement(job, progress)}
-	next := a.placement
+	a := &assignment{job: job, routing: storedRouting(job, progress)}
+	next := a.routing
 	if !progress.Status.Final() {
-		next = a.placementBy(s.policy)
+		next = a.routingBy(s.policy)
 	}
 	s.jobs[job.ID] = a
 	s.pool(next.Service).addJob(job, next, progress, revisions)
-	if next != a.placement {
+	if next != a.routing {
 		s.completeMove(a, next)
 	}
 	return true
@@ -124,7 +124,7 @@
 	s.layout.RLock()
 	defer s.layout.RUnlock()
 	a, known := s.jobs[id]
-	return known && s.pool(a.placement.Service).cancelJob(id)
+	return known && s.pool(a.routing.Service).cancelJob(id)
 }
 
 // SetWorkers replaces the set of registered workers by a listing of the registry
--- a/coordination/scheduling/straggler.go
+++ b/coordination/scheduling/straggler.go
@@ -76,7 +76,7 @@
 	if !end.After(deadline) {
 		return nil
 	}
-	if service := g.job.placement.Service; p.round.at != now || p.round.service != service {
+	if service := g.job.routing.Service; p.round.at != now || p.round.service != service {
 		p.round = p.newRound(service, now)
 	}
 	choice := p.placeAgain(g, slowest, now)
--- a/coordination/scheduling/unknown_test.go
+++ b/coordination/scheduling/unknown_test.go
@@ -43,7 +43,7 @@
 			p.addJob(&workflow.Job{
 				ID: "a", Queue: "q", Priority: 1, MaxAttempts: test.maxAttempts, Stretch: 1, Accepted: time.Now(),
 				Steps: []workflow.Step{{Tasks: 2, Accelerators: 4, Gang: true}},
-			}, workflow.Placement{Service: p.service}, workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1}}}, nil)
+			}, workflow.Routing{Service: p.service}, workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1}}}, nil)
 			p.applyReport(p.ordered[0], workflow.Report{Clock: time.Second, Running: test.running, Ended: test.ended}, renewal{number: 1, sentAt: time.Now()})
 			p.planRound()
 			j := p.jobs["a"]
@@ -94,7 +94,7 @@
 			p.addJob(&workflow.Job{
 				ID: "a", Queue: "q", Priority: 1, MaxAttempts: 1, Stretch: 1, Accepted: time.Now(),
 				Steps: []workflow.Step{{Tasks: 1, Accelerators: 4}},
-			}, workflow.Placement{Service: p.service}, workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1, Placed: test.placed}}}, nil)
+			}, workflow.Routing{Service: p.service}, workflow.Progress{Groups: map[workflow.GroupID]workflow.Group{{}: {Attempt: 1, Placed: test.placed}}}, nil)
 			j := p.jobs["a"]
 			for i, report := range test.reports {
 				p.applyReport(p.ordered[0], report, renewal{number: i + 1, sentAt: time.Now()})
--- a/coordination/scheduling/victim_test.go
+++ b/coordination/scheduling/victim_test.go
@@ -33,7 +33,7 @@
 				w.info.Capacity.Accelerators = 8
 			}
 			begin := func(id workflow.ID, tasks int, hosts []*worker) *group {
-				p.addJob(&workflow.Job{ID: id, Queue: "q", MaxAttempts: 2, Steps: []workflow.Step{{Tasks: tasks, Accelerators: 8, Gang: true}}}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+				p.addJob(&workflow.Job{ID: id, Queue: "q", MaxAttempts: 2, Steps: []workflow.Step{{Tasks: tasks, Accelerators: 8, Gang: true}}}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 				g := p.jobs[id].groups[workflow.GroupID{}]
 				p.beginAttempt(g, &placement{workers: hosts})
 				return g
@@ -77,7 +77,7 @@
 				w.renewing = true
 			}
 			p.setWorkers(entries, now)
-			p.addJob(&workflow.Job{ID: "a", Queue: "q", MaxAttempts: 2, Steps: []workflow.Step{{Tasks: 1, Accelerators: 1}}}, workflow.Placement{Service: p.service}, workflow.Progress{}, nil)
+			p.addJob(&workflow.Job{ID: "a", Queue: "q", MaxAttempts: 2, Steps: []workflow.Step{{Tasks: 1, Accelerators: 1}}}, workflow.Routing{Service: p.service}, workflow.Progress{}, nil)
 			j := p.jobs["a"]
 			p.round = p.newRound(p.service, now)
 			choice := p.reclaim(j.groups[workflow.GroupID{}], now, map[*job]bool{j: true}, math.Inf(1))
--- a/protocol/record/workflow.go
+++ b/protocol/record/workflow.go
@@ -93,7 +93,7 @@
 	Groups []groupRecord   `cbor:"2,keyasint,omitempty"`
 	// Shared holds the members of large gangs, whose groups name each worker once.
 	Shared []sharedPlacement `cbor:"3,keyasint,omitempty"`
-	// Service and PolicyVersion are those of workflow.Placement.
+	// Service and PolicyVersion are those of workflow.Routing.
 	Service       string `cbor:"4,keyasint,omitempty"`
 	PolicyVersion int64  `cbor:"5,keyasint,omitempty"`
 }
@@ -130,7 +130,7 @@
 // EncodeProgress returns the encoded record of a job's progress.
 func EncodeProgress(progress workflow.Progress) ([]byte, error) {
 	r := progressRecord{
-		Status: progress.Status, Service: progress.Placement.Service, PolicyVersion: progress.Placement.PolicyVersion,
+		Status: progress.Status, Service: progress.Routing.Service, PolicyVersion: progress.Routing.PolicyVersion,
 		Groups: make([]groupRecord, 0, len(progress.Groups)),
 	}
 	for id, g := range progress.Groups {
@@ -198,7 +198,7 @@
 		shared[s.Group] = s.Members
 	}
 	progress := workflow.Progress{
-		Status: r.Status, Placement: workflow.Placement{Service: r.Service, PolicyVersion: r.PolicyVersion},
+		Status: r.Status, Routing: workflow.Routing{Service: r.Service, PolicyVersion: r.PolicyVersion},
 		Groups: make(map[workflow.GroupID]workflow.Group, len(r.Groups)),
 	}
 	for i, row := range r.Groups {
--- a/state/workflow/progress.go
+++ b/state/workflow/progress.go
@@ -19,16 +19,16 @@
 type Progress struct {
 	// Status is empty in a part of the progress that leaves it to another part.
 	Status Status
-	// Placement is where the job's groups are placed since its queue was sent to another
+	// Routing is where the job's groups are placed since its queue was sent to another
 	// service; the zero value leaves it to the job or to another part of the progress.
-	Placement Placement
+	Routing Routing
 	// Groups holds the groups that were started at least once.
 	Groups map[GroupID]Group
 }
 
-// Placement is the service on whose workers a job's groups are placed, by a version of the
+// Routing is the service on whose workers a job's groups are placed, by a version of the
 // configuration.
-type Placement struct {
+type Routing struct {
 	Service       string
 	PolicyVersion int64
 }
@@ -40,7 +40,7 @@
 		g.Checkpoint = ""
 		groups[id] = g
 	}
-	return Progress{Status: p.Status, Placement: p.Placement, Groups: groups}
+	return Progress{Status: p.Status, Routing: p.Routing, Groups: groups}
 }
 
 // GroupID identifies a group, a set of tasks that starts and ends together: a
