--- a/coordination/scheduling/queue_move_test.go
+++ b/coordination/scheduling/queue_move_test.go
@@ -49,14 +49,14 @@
 	m.planner.SetPolicy(m.h.policy)
 }
 
-// replacePlanner lets the next planner begin, while the first one may not stop at once.
+// replacePlanner lets the next planner begin just before the present one ends.
 func replacePlanner(m *queueMove) {
 	first := m.planner
 	m.planner = m.h.startPlanner()
 	_ = first.Close()
 }
 
-// replacePlannerUnread is the same with a planner that has not read a configuration yet.
+// replacePlannerUnread does so with a planner that has not read a configuration yet.
 func replacePlannerUnread(m *queueMove) {
 	m.h.policy = nil
 	replacePlanner(m)
@@ -207,104 +207,194 @@
 		// the second time after 6 s.
 		failing, timed bool
 	}{
-		{"it stays", []workflow.Step{two}, 0, nil, "0.0 render done, 0.1 render done", false, false},
-		{"it waits", []workflow.Step{two}, 8, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 other done, 0.1 other done", false, false},
-		{"a gang waits", []workflow.Step{gang}, 8, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 other done, 0.1 other done, 0.2 other done, 0.3 other done", false, false},
-		{"it waits, there and back", []workflow.Step{two}, 8, []moveEvent{
-			{2 * s, sendQueue(2, "empty")}, {3 * s, sendQueue(3, "render")}, {4 * s, sendQueue(4, "other")},
-		}, "0.0 other done, 0.1 other done", false, false},
-		{"the service that it waits for is taken away", []workflow.Step{two}, 8, []moveEvent{
-			{2 * s, sendQueue(2, "other")}, {2 * s, leave("w0")},
-		}, "0.0 other done, 0.1 other done", false, false},
-		{"the queue is removed", []workflow.Step{two}, 0, []moveEvent{{0, removeQueue(2)}}, "0.0 render done, 0.1 render done", false, false},
-		{"the queue is removed and comes back elsewhere", []workflow.Step{two}, 8, []moveEvent{
-			{2 * s, removeQueue(2)}, {4 * s, sendQueue(3, "other")},
-		}, "0.0 other done, 0.1 other done", false, false},
-		{"an older version comes after a newer one", []workflow.Step{two}, 8, []moveEvent{
-			{2 * s, sendQueue(3, "other")}, {2 * s, sendQueue(2, "empty")},
-		}, "0.0 other done, 0.1 other done", false, false},
-		{"the planner has an older version than the entry that accepted it", []workflow.Step{two}, 0, []moveEvent{
-			{0, sendQueue(acceptedUnder-1, "empty")},
-		}, "0.0 render done, 0.1 render done", false, false},
-		{"a queue without a service", []workflow.Step{two}, 0, []moveEvent{{0, sendQueue(2, "")}}, "0.0 render done, 0.1 render done", false, false},
-		{"it runs", []workflow.Step{two}, 0, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 render done, 0.1 render done", false, false},
-		{"a gang runs", []workflow.Step{{Tasks: 2, Accelerators: 4, Gang: true}}, 0, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 render done, 0.1 render done", false, false},
-		{"it runs, there and back", []workflow.Step{four}, 0, []moveEvent{
-			{2 * s, sendQueue(2, "other")}, {2 * s, sendQueue(3, "render")},
-		}, "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done", false, false},
-		{"a part runs", []workflow.Step{four}, 0, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done", false, false},
-		{"a part runs, at three services", []workflow.Step{{Tasks: 7, Accelerators: 4}}, 0, []moveEvent{
-			{s, sendQueue(2, "other")}, {2 * s, sendQueue(3, "third")},
-		}, "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done, 0.4 other done, 0.5 other done, 0.6 third done", false, false},
-		{"the step before runs", []workflow.Step{two, second}, 0, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 render done, 0.1 render done, 1.0 other done", false, false},
+		{name: "it stays", steps: []workflow.Step{two}, want: "0.0 render done, 0.1 render done"},
+		{name: "it waits", steps: []workflow.Step{two}, held: 8, events: []moveEvent{{2 * s, sendQueue(2, "other")}}, want: "0.0 other done, 0.1 other done"},
 		{
-			"the step before has run",
-			[]workflow.Step{two, {Tasks: 4, Accelerators: 4, After: []int{0}}},
-			0,
-			[]moveEvent{{5 * s, sendQueue(2, "other")}},
-			"0.0 render done, 0.1 render done, 1.0 render done, 1.1 render done, 1.2 other done, 1.3 other done", false, false,
+			name: "a gang waits", steps: []workflow.Step{gang}, held: 8,
+			events: []moveEvent{{2 * s, sendQueue(2, "other")}},
+			want:   "0.0 other done, 0.1 other done, 0.2 other done, 0.3 other done",
 		},
 		{
-			"a task that lasts is lost",
-			[]workflow.Step{lasting},
-			0,
-			[]moveEvent{{2 * s, sendQueue(2, "other")}, {4 * s, loseWorker(0)}},
-			"0.0 other runs, 0.0 render lost, 0.1 other runs, 0.1 render lost, 0.2 other runs, 0.2 render lost", false, false,
+			name: "it waits, there and back", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{
+				{2 * s, sendQueue(2, "empty")}, {3 * s, sendQueue(3, "render")}, {4 * s, sendQueue(4, "other")},
+			},
+			want: "0.0 other done, 0.1 other done",
 		},
-		{"it is cancelled while it waits", []workflow.Step{two}, 8, []moveEvent{{2 * s, sendQueue(2, "empty")}, {3 * s, cancelJob}, {4 * s, sendQueue(3, "other")}}, "", false, false},
-		{"it is cancelled before its queue moves", []workflow.Step{two}, 8, []moveEvent{{2 * s, cancelJob}, {2 * s, sendQueue(2, "other")}}, "", false, false},
 		{
-			"it is cancelled while a part runs",
-			[]workflow.Step{four},
-			0,
-			[]moveEvent{{2 * s, sendQueue(2, "empty")}, {2500 * time.Millisecond, cancelJob}, {3 * s, sendQueue(3, "other")}},
-			"0.0 render stopped, 0.1 render stopped", false, false,
+			name: "the service that it waits for is taken away", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{
+				{2 * s, sendQueue(2, "other")}, {2 * s, leave("w0")},
+			},
+			want: "0.0 other done, 0.1 other done",
 		},
-		{"the planner is replaced after it", []workflow.Step{two}, 8, []moveEvent{{2 * s, sendQueue(2, "empty")}, {3 * s, replacePlanner}, {5 * s, sendQueue(3, "other")}}, "0.0 other done, 0.1 other done", false, false},
-		{"the next planner reads the version late", []workflow.Step{two}, 8, []moveEvent{{2 * s, replacePlannerUnread}, {4 * s, sendQueue(2, "other")}}, "0.0 other done, 0.1 other done", false, false},
-		{"it waits, its queue is removed, and the planner is replaced", []workflow.Step{two}, 8, []moveEvent{
-			{0, leave("w3")}, {2 * s, sendQueue(2, "third")}, {3 * s, removeQueue(3)}, {4 * s, replacePlanner}, {6 * s, join("w3")},
-		}, "0.0 third done, 0.1 third done", false, false},
-		{"the next planner has an older version", []workflow.Step{two}, 8, []moveEvent{
-			{0, leave("w3")}, {2 * s, sendQueue(3, "third")}, {3 * s, replacePlannerKnowing(2, "other")}, {6 * s, join("w3")},
-		}, "0.0 third done, 0.1 third done", false, false},
-		{"the next planner has an older version, after it went there and back", []workflow.Step{four}, 0, []moveEvent{
-			{s, sendQueue(2, "other")}, {s, sendQueue(3, "render")}, {2 * s, replacePlannerKnowing(2, "other")},
-		}, "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done", false, false},
-		{"the planner is replaced while it runs", []workflow.Step{two}, 0, []moveEvent{{s, sendQueue(2, "other")}, {2 * s, replacePlanner}}, "0.0 render done, 0.1 render done", false, false},
+		{name: "the queue is removed", steps: []workflow.Step{two}, events: []moveEvent{{0, removeQueue(2)}}, want: "0.0 render done, 0.1 render done"},
 		{
-			"the planner is replaced while a part runs",
-			[]workflow.Step{four},
-			0,
-			[]moveEvent{{s, sendQueue(2, "other")}, {s, replacePlanner}},
-			"0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done", false, false,
+			name: "the queue is removed and comes back elsewhere", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{
+				{2 * s, removeQueue(2)}, {4 * s, sendQueue(3, "other")},
+			},
+			want: "0.0 other done, 0.1 other done",
 		},
-		{"two planners are replaced while it runs at two services", []workflow.Step{{Tasks: 7, Accelerators: 4}}, 0, []moveEvent{
-			{s, sendQueue(2, "other")}, {2 * s, replacePlanner}, {2500 * time.Millisecond, sendQueue(3, "third")}, {2500 * time.Millisecond, replacePlanner},
-		}, "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done, 0.4 other done, 0.5 other done, 0.6 third done", false, false},
-		{"the next planner reads the version late while a part runs", []workflow.Step{four}, 0, []moveEvent{
-			{s, sendQueue(2, "other")}, {s, replacePlannerUnread}, {2 * s, sendQueue(2, "other")},
-		}, "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done", false, false},
-		{"the store is away", []workflow.Step{two}, 8, []moveEvent{{s, storeAway(true)}, {2 * s, sendQueue(2, "other")}, {4 * s, storeAway(false)}}, "0.0 other done, 0.1 other done", false, false},
 		{
-			"the store is away before the start",
-			[]workflow.Step{two},
-			0,
-			[]moveEvent{{0, storeAway(true)}, {s, sendQueue(2, "other")}, {2 * s, storeAway(false)}},
-			"0.0 render done, 0.1 render done", false, false,
+			name: "an older version comes after a newer one", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{
+				{2 * s, sendQueue(3, "other")}, {2 * s, sendQueue(2, "empty")},
+			},
+			want: "0.0 other done, 0.1 other done",
 		},
-		{"the planner is replaced, and other work runs on the same worker", []workflow.Step{{Tasks: 1, Accelerators: 4}}, 4, []moveEvent{
-			{s, sendQueue(2, "other")}, {2 * s, replacePlanner},
-		}, "0.0 render done", false, false},
 		{
-			"the store is away while a part runs",
-			[]workflow.Step{four},
-			0,
-			[]moveEvent{{s, storeAway(true)}, {2 * s, sendQueue(2, "other")}, {5 * s, storeAway(false)}},
-			"0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done", false, false,
+			name: "the planner has an older version than the entry that accepted it", steps: []workflow.Step{two},
+			events: []moveEvent{
+				{0, sendQueue(acceptedUnder-1, "empty")},
+			},
+			want: "0.0 render done, 0.1 render done",
+		},
+		{name: "a queue without a service", steps: []workflow.Step{two}, events: []moveEvent{{0, sendQueue(2, "")}}, want: "0.0 render done, 0.1 render done"},
+		{name: "it runs", steps: []workflow.Step{two}, events: []moveEvent{{2 * s, sendQueue(2, "other")}}, want: "0.0 render done, 0.1 render done"},
+		{
+			name: "a gang runs", steps: []workflow.Step{{Tasks: 2, Accelerators: 4, Gang: true}},
+			events: []moveEvent{{2 * s, sendQueue(2, "other")}},
+			want:   "0.0 render done, 0.1 render done",
+		},
+		{
+			name: "it runs, there and back", steps: []workflow.Step{four},
+			events: []moveEvent{
+				{2 * s, sendQueue(2, "other")}, {2 * s, sendQueue(3, "render")},
+			},
+			want: "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done",
+		},
+		{
+			name: "a part runs", steps: []workflow.Step{four},
+			events: []moveEvent{{2 * s, sendQueue(2, "other")}},
+			want:   "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done",
+		},
+		{
+			name: "a part runs, at three services", steps: []workflow.Step{{Tasks: 7, Accelerators: 4}},
+			events: []moveEvent{
+				{s, sendQueue(2, "other")}, {2 * s, sendQueue(3, "third")},
+			},
+			want: "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done, 0.4 other done, 0.5 other done, 0.6 third done",
+		},
+		{
+			name: "the step before runs", steps: []workflow.Step{two, second},
+			events: []moveEvent{{2 * s, sendQueue(2, "other")}},
+			want:   "0.0 render done, 0.1 render done, 1.0 other done",
+		},
+		{
+			name: "the step before has run", steps: []workflow.Step{two, {Tasks: 4, Accelerators: 4, After: []int{0}}},
+			events: []moveEvent{{5 * s, sendQueue(2, "other")}},
+			want:   "0.0 render done, 0.1 render done, 1.0 render done, 1.1 render done, 1.2 other done, 1.3 other done",
+		},
+		{
+			name: "a task that lasts is lost", steps: []workflow.Step{lasting},
+			events: []moveEvent{{2 * s, sendQueue(2, "other")}, {4 * s, loseWorker(0)}},
+			want:   "0.0 other runs, 0.0 render lost, 0.1 other runs, 0.1 render lost, 0.2 other runs, 0.2 render lost",
+		},
+		{
+			name: "it is cancelled while it waits", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{{2 * s, sendQueue(2, "empty")}, {3 * s, cancelJob}, {4 * s, sendQueue(3, "other")}},
+			want:   "",
+		},
+		{
+			name: "it is cancelled before its queue moves", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{{2 * s, cancelJob}, {2 * s, sendQueue(2, "other")}},
+			want:   "",
+		},
+		{
+			name: "it is cancelled while a part runs", steps: []workflow.Step{four},
+			events: []moveEvent{{2 * s, sendQueue(2, "empty")}, {2500 * time.Millisecond, cancelJob}, {3 * s, sendQueue(3, "other")}},
+			want:   "0.0 render stopped, 0.1 render stopped",
+		},
+		{
+			name: "the planner is replaced after it", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{{2 * s, sendQueue(2, "empty")}, {3 * s, replacePlanner}, {5 * s, sendQueue(3, "other")}},
+			want:   "0.0 other done, 0.1 other done",
+		},
+		{
+			name: "the next planner reads the version late", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{{2 * s, replacePlannerUnread}, {4 * s, sendQueue(2, "other")}},
+			want:   "0.0 other done, 0.1 other done",
+		},
+		{
+			name: "it waits, its queue is removed, and the planner is replaced", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{
+				{0, leave("w3")}, {2 * s, sendQueue(2, "third")}, {3 * s, removeQueue(3)}, {4 * s, replacePlanner}, {6 * s, join("w3")},
+			},
+			want: "0.0 third done, 0.1 third done",
+		},
+		{
+			name: "the next planner has an older version", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{
+				{0, leave("w3")}, {2 * s, sendQueue(3, "third")}, {3 * s, replacePlannerKnowing(2, "other")}, {6 * s, join("w3")},
+			},
+			want: "0.0 third done, 0.1 third done",
+		},
+		{
+			name: "the next planner has an older version, after it went there and back", steps: []workflow.Step{four},
+			events: []moveEvent{
+				{s, sendQueue(2, "other")}, {s, sendQueue(3, "render")}, {2 * s, replacePlannerKnowing(2, "other")},
+			},
+			want: "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done",
+		},
+		{
+			name: "the planner is replaced while it runs", steps: []workflow.Step{two},
+			events: []moveEvent{{s, sendQueue(2, "other")}, {2 * s, replacePlanner}},
+			want:   "0.0 render done, 0.1 render done",
+		},
+		{
+			name: "the planner is replaced while a part runs", steps: []workflow.Step{four},
+			events: []moveEvent{{s, sendQueue(2, "other")}, {s, replacePlanner}},
+			want:   "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done",
+		},
+		{
+			name: "two planners are replaced while it runs at two services", steps: []workflow.Step{{Tasks: 7, Accelerators: 4}},
+			events: []moveEvent{
+				{s, sendQueue(2, "other")}, {2 * s, replacePlanner}, {2500 * time.Millisecond, sendQueue(3, "third")}, {2500 * time.Millisecond, replacePlanner},
+			},
+			want: "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done, 0.4 other done, 0.5 other done, 0.6 third done",
+		},
+		{
+			name: "the next planner reads the version late while a part runs", steps: []workflow.Step{four},
+			events: []moveEvent{
+				{s, sendQueue(2, "other")}, {s, replacePlannerUnread}, {2 * s, sendQueue(2, "other")},
+			},
+			want: "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done",
+		},
+		{
+			name: "the store is away", steps: []workflow.Step{two}, held: 8,
+			events: []moveEvent{{s, storeAway(true)}, {2 * s, sendQueue(2, "other")}, {4 * s, storeAway(false)}},
+			want:   "0.0 other done, 0.1 other done",
+		},
+		{
+			name: "the store is away before the start", steps: []workflow.Step{two},
+			events: []moveEvent{{0, storeAway(true)}, {s, sendQueue(2, "other")}, {2 * s, storeAway(false)}},
+			want:   "0.0 render done, 0.1 render done",
+		},
+		{
+			name: "the planner is replaced, and other work runs on the same worker", steps: []workflow.Step{{Tasks: 1, Accelerators: 4}}, held: 4,
+			events: []moveEvent{
+				{s, sendQueue(2, "other")}, {2 * s, replacePlanner},
+			},
+			want: "0.0 render done",
+		},
+		{
+			name: "the store is away while a part runs", steps: []workflow.Step{four},
+			events: []moveEvent{{s, storeAway(true)}, {2 * s, sendQueue(2, "other")}, {5 * s, storeAway(false)}},
+			want:   "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done",
+		},
+		{
+			name: "an attempt fails", steps: []workflow.Step{two},
+			events:  []moveEvent{{2 * s, sendQueue(2, "other")}},
+			want:    "0.0 other done, 0.0 render failed, 0.1 other done, 0.1 render failed",
+			failing: true,
+		},
+		{
+			name: "a timed job between its occurrences", steps: []workflow.Step{{Tasks: 1, Accelerators: 4}},
+			events: []moveEvent{{4 * s, sendQueue(2, "other")}},
+			want:   "0.0 other done, 0.0 render done",
+			timed:  true,
 		},
-		{"an attempt fails", []workflow.Step{two}, 0, []moveEvent{{2 * s, sendQueue(2, "other")}}, "0.0 other done, 0.0 render failed, 0.1 other done, 0.1 render failed", true, false},
-		{"a timed job between its occurrences", []workflow.Step{{Tasks: 1, Accelerators: 4}}, 0, []moveEvent{{4 * s, sendQueue(2, "other")}}, "0.0 other done, 0.0 render done", false, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
