Create no pool for a service that only a foreign entry names

Change: the comparison looks, and creates nothing.

Test: TestForeignServices failed before in both rows.

--- a/coordination/scheduling/holders.go
+++ b/coordination/scheduling/holders.go
@@ -71,7 +71,7 @@
 		current = &holder{service: w.Service}
 		h.byWorker[w.ID] = current
 	}
-	if h.scheduler.pool(current.service) == h.scheduler.pool(w.Service) {
+	if h.scheduler.sharePool(current.service, w.Service) {
 		current.service = w.Service
 		h.note(current, w)
 		return *w, true
--- a/coordination/scheduling/holders_test.go
+++ b/coordination/scheduling/holders_test.go
@@ -105,6 +105,37 @@
 	}
 }
 
+// TestForeignServices lists entries by another writer under the key of a known worker. It guards
+// against a pool, with its goroutines, for each service that such an entry names.
+func TestForeignServices(t *testing.T) {
+	tests := []struct {
+		name string
+		// services are those that the entries name, one listing after the other.
+		services []string
+	}{
+		{"one", []string{"other"}},
+		{"another one each time", []string{"a", "b", "c", "d"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(1)
+				s := h.startPlanner()
+				for _, service := range test.services {
+					time.Sleep(500 * time.Millisecond)
+					foreign := worker(0, 1)
+					foreign.Service = service
+					s.SetWorkers([]workflow.Worker{foreign}, time.Now())
+				}
+				if loads := s.Loads(); len(loads) != 1 || loads[0].Service != "render" {
+					t.Errorf("there are pools for %+v", loads)
+				}
+				_ = s.Close()
+			})
+		})
+	}
+}
+
 // byAddress returns calls that reach the worker at the address, whatever its entry's key.
 func byAddress(calls scheduling.WorkerCalls) scheduling.WorkerCalls {
 	resolve := func(w workflow.Worker) workflow.Worker {
--- a/coordination/scheduling/merge.go
+++ b/coordination/scheduling/merge.go
@@ -1,11 +1,9 @@
 package scheduling
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
-
-	"comfreystream/state/workflow"
 )
 
 // A job whose queue moves to another service may have tasks that run on workers of the
@@ -55,6 +53,13 @@
 		return
 	}
 	into.merge(from)
+	s.replacePool(from, into)
+	s.Count(poolsMerged)
+	s.Log.Info().Str("event", "poolsMerged").Str("into", into.service).Str("from", from.service).Send()
+}
+
+// replacePool gives the services of a pool to another one.
+func (s *Scheduler) replacePool(from, into *pool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service, p := range s.pools {
@@ -62,8 +67,17 @@
 			s.pools[service] = into
 		}
 	}
-	s.Count(poolsMerged)
-	s.Log.Info().Str("event", "poolsMerged").Str("into", into.service).Str("from", from.service).Send()
+}
+
+// sharePool reports whether the services are the same or have the same pool. It creates none.
+func (s *Scheduler) sharePool(service, other string) bool {
+	if service == other {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, found := s.pools[service]
+	return found && p == s.pools[other]
 }
 
 // merge takes over the state of another pool. The answers to calls that were sent by the
@@ -74,8 +88,8 @@
 	from.mu.Lock()
 	defer from.mu.Unlock()
 	from.mergedInto = p
-	p.mergeWorkers(from)
 	maps.Copy(p.jobs, from.jobs)
+	p.mergeWorkers(from)
 	maps.Copy(p.models, from.models)
 	maps.Copy(p.reservations, from.reservations)
 	maps.Copy(p.shortLoggedAt, from.shortLoggedAt)
@@ -98,7 +112,7 @@
 	}
 }
 
-// mergeWorkers takes over the workers of another pool.
+// mergeWorkers takes over the workers of another pool, whose jobs the pool has already.
 func (p *pool) mergeWorkers(from *pool) {
 	replaced := make(map[*worker]*worker)
 	for id, w := range from.workers {
@@ -114,7 +128,7 @@
 			replaced[w] = own
 		}
 	}
-	p.ordered = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int { return strings.Compare(string(a.id), string(b.id)) })
+	p.ordered = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	p.registered += from.registered
 	p.listedAt = latest(p.listedAt, from.listedAt)
 	maps.Copy(p.leaving, from.leaving)
@@ -124,10 +138,8 @@
 	if len(replaced) == 0 {
 		return
 	}
-	for _, jobs := range []map[workflow.ID]*job{p.jobs, from.jobs} {
-		for _, j := range jobs {
-			j.replaceHosts(replaced)
-		}
+	for _, j := range p.jobs {
+		j.replaceHosts(replaced)
 	}
 }
 
--- a/coordination/scheduling/speed_records.go
+++ b/coordination/scheduling/speed_records.go
@@ -31,7 +31,10 @@
 	p = p.lock()
 	defer p.mu.Unlock()
 	for service, l := range p.models {
-		for _, r := range l.speeds.Records(max(limit, 0)) {
+		if limit <= 0 {
+			return due
+		}
+		for _, r := range l.speeds.Records(limit) {
 			due = append(due, speed.StoredRecord{Service: service, Record: r})
 			limit--
 		}
