Log what keeps a task waiting beside workers with room

No line said why: plannerLoad had waiting=1 silent=0 throughout, which fits a rack that is waited for, workers that are avoided, a start that is deferred or paced, and workers whose reports are not trusted.

Change: a waiting group that workers have room for is examined once in 5 s, from 2.5 s on and at most four in a round: placementDelayed with the cause, the workers with room, the idle share and the rack, and a counter of the name.

--- a/coordination/scheduling/events.go
+++ b/coordination/scheduling/events.go
@@ -26,6 +26,8 @@
 	// queue was; poolsMerged how often two services began to share a pool.
 	jobMoved    = "jobMoved"
 	poolsMerged = "poolsMerged"
+	// placementDelayed counts groups that were found to wait although workers have room.
+	placementDelayed = "placementDelayed"
 	// saveOverlapped counts the saves that began while another was under way.
 	saveOverlapped = "saveOverlapped"
 	// saveThrottled counts how often the number of saves under way was halved.
@@ -50,7 +52,7 @@
 	retryStart, retryStop, retrySave, workerSilent, workerQuarantined, workerLeaving, workerIgnored, unknownAttemptStopped,
 	speed.WorkerChanged, speed.RecordNotSaved, speed.RecordUnreadable,
 	endsLeftOut, recordRefused, checkpointsLeftOut, saveOverlapped, saveThrottled, reasonEvacuated,
-	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort, jobMoved, poolsMerged,
+	zoneEvacuated, zoneRestored, evacuationsOutdated, evacuationsStale, guaranteeShort, jobMoved, poolsMerged, placementDelayed,
 	EvacuationUnreadable, EvacuatedZoneUnknown, AllZonesEvacuated,
 	string(Started), string(RefusedTerm), string(RefusedRoom), string(RefusedLate), string(RefusedOld),
 	string(RefusedUnhealthy), string(RefusedOtherWorker), string(RefusedInvalid),
--- a/coordination/scheduling/harness_test.go
+++ b/coordination/scheduling/harness_test.go
@@ -130,6 +130,8 @@
 	// calls are the calls to the workers, and counts the counted events.
 	calls  scheduling.WorkerCalls
 	counts map[string]int
+	// log takes the planners' lines.
+	log zerolog.Logger
 }
 
 // counted returns how often an event was counted.
@@ -142,7 +144,7 @@
 func newHarness(workers int) *harness {
 	h := &harness{
 		store: &memoryStore{records: make(map[recordKey]scheduling.ProgressUpdate), revision: 1},
-		fleet: runner.New(), counts: make(map[string]int), saving: make(map[savedJob]bool),
+		fleet: runner.New(), log: zerolog.Nop(), counts: make(map[string]int), saving: make(map[savedJob]bool),
 	}
 	h.calls = h.fleet.Calls()
 	for i := range workers {
@@ -211,7 +213,7 @@
 			defer h.mu.Unlock()
 			h.counts[event]++
 		},
-		ObserveRound: func(time.Duration) {}, Log: zerolog.Nop(),
+		ObserveRound: func(time.Duration) {}, Log: h.log,
 	}
 	s.Open()
 	if h.restored != nil {
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -205,7 +205,12 @@
 // placeOrReclaim begins an attempt if the group fits, or if it is worthwhile to
 // preempt others for it.
 func (p *pool) placeOrReclaim(g *group, now time.Time, guaranteed map[*job]bool) {
-	if p.tooManyUnsent() && !guaranteed[g.job] || p.shouldDefer(g, now) {
+	switch {
+	case p.tooManyUnsent() && !guaranteed[g.job]:
+		p.reportDelay(g, delayedUnsent, now)
+		return
+	case p.shouldDefer(g, now):
+		p.reportDelay(g, delayedDeferred, now)
 		return
 	}
 	reserved, kept := p.reservations[g]
@@ -217,10 +222,12 @@
 	switch {
 	case choice != nil:
 		p.beginAttempt(g, choice)
+		return
 	case kept:
 		p.reservations[g] = reserved
 		g.addUsageOn(reserved.hosts, 1)
 	}
+	p.reportDelay(g, "", now)
 }
 
 // reclaimIfWorthwhile preempts other groups for an urgent group once waiting
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -128,6 +128,8 @@
 	// searchedAt is when attempts to preempt were last searched for, lastResortAt when
 	// those that are stopped as a last resort.
 	searchedAt, lastResortAt time.Time
+	// delayCheckedAt is when it was last examined what delays the group.
+	delayCheckedAt time.Time
 	// placedAt is when the attempt was placed and, later, when its starts were sent.
 	placedAt time.Time
 	// failedWorkers holds the workers on which the group failed or stalled.
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -44,6 +44,8 @@
 	// movable holds the guaranteed groups that may be moved, once it was asked for them;
 	// unmovable those that had no room after all.
 	movable, unmovable map[*group]bool
+	// delayChecks counts the groups that were examined for what delays them.
+	delayChecks int
 	// searchUntil is when the round stops to search for attempts to preempt.
 	searchUntil time.Time
 }
