End the wait for a rack or for sound workers

Cause: a group left its rack, or used workers that are avoided, only while over 40 % of the accelerators were idle. That stands for the promise to work that ends, which is to begin if half of the service is idle. A task that lasts is promised to run wherever there is room. For other work on a busy service the wait had no end at all.

Ruled out by placementDelayed (cause=rack workersWithRoom=18 workers=48 idleShare=0.38): workers that are avoided or accept nothing, room left to urgent work, paced starts.

Change: preference.go decides when preferences end. Tasks that last wait 1.5 s; other work as before while 40 % is idle, else for as long as the slower run takes longer.

Why it works: the end depends on how long the group has waited, which grows, and no longer on a share that may never be reached.

--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -18,8 +18,8 @@
 }
 
 // place returns a placement for the group, or nil. A group that has waited may also use
-// workers that it failed on a while ago, as no other may ever hold it; if many
-// accelerators are idle, it waits less and also uses workers that are currently avoided.
+// workers that it failed on a while ago, as no other may ever hold it; once its preferences
+// are over, also workers that are currently avoided.
 // An urgent group uses workers that are slow after their start only if no others hold it.
 func (p *pool) place(g *group, now time.Time) *placement {
 	p.separate(g)
@@ -30,12 +30,12 @@
 	if choice == nil {
 		choice = p.placeOn(g, p.round.suitable.filter(g, g.hasFailedOn), now)
 	}
-	waited, failedLately := now.Sub(g.waitingSince), func(w *worker) bool { return g.hasFailedLately(w, now) }
+	failedLately := func(w *worker) bool { return g.hasFailedLately(w, now) }
 	switch {
 	case choice != nil:
-	case waited > maxPreferenceWait && p.idleShare() > minIdleForRemote:
+	case p.preferencesOver(g, now):
 		choice = p.placeOn(g, p.round.reachable.filter(g, failedLately), now)
-	case waited > maxFailureWait && len(g.failedWorkers) > 0:
+	case g.waited(now) > maxFailureWait && len(g.failedWorkers) > 0:
 		choice = p.placeOn(g, p.round.suitable.filter(g, failedLately), now)
 	}
 	return choice
@@ -170,18 +170,6 @@
 
 func anySpeed(_, _ *worker) int { return 0 }
 
-// mayRunRemote reports whether the group may run away from its rack or data, where
-// it is slower. It may if many accelerators are idle and it would still meet its
-// deadline or has waited for maxPreferenceWait, or if no rack could ever hold it.
-func (p *pool) mayRunRemote(g *group, now time.Time) bool {
-	remoteRunTime := time.Duration(p.scheduler.Bounds.FarFactor * float64(g.step.Estimate))
-	inTime := !now.Add(remoteRunTime).After(g.deadline())
-	if (inTime || now.Sub(g.waitingSince) > maxPreferenceWait) && p.idleShare() > minIdleForRemote {
-		return true
-	}
-	return !p.someRackFits(g)
-}
-
 // someRackFits reports whether the group would fit on some rack if it were empty,
 // or on its preferred rack if it has one.
 func (p *pool) someRackFits(g *group) bool {
@@ -209,28 +197,6 @@
 	return list
 }
 
-// minIdleForRemote is the fraction of the accelerators that must be idle before a
-// group may run remotely, where it occupies them several times as long.
-const minIdleForRemote = 0.4
-
-// maxPreferenceWait is how long a group waits for its rack or for healthy workers
-// while other capacity is free. The platform counts a job as lost after 3 s of
-// that.
-const maxPreferenceWait = 1500 * time.Millisecond
-
-// maxFailureWait is how long a group on a busy deployment waits for workers on which it
-// has not failed.
-const maxFailureWait = 2500 * time.Millisecond
-
-// idleShare returns the fraction of the accelerators that are free, or of the cores on
-// workers without accelerators.
-func (p *pool) idleShare() float64 {
-	if p.round.all == 0 {
-		return float64(p.round.freeCores) / float64(max(p.round.allCores, 1))
-	}
-	return float64(p.round.free) / float64(p.round.all)
-}
-
 func freeCapacity(w *worker) workflow.Capacity { return w.free() }
 
 // fill places all members on the workers in the order of their speed and then of their
