Ask for a rack's usable capacity before waiting for it

Cause: whether a rack could ever hold a group was asked of the whole capacity of its workers, whatever their labels.

Change: only workers with the label count. If a rack holds the group only without the tasks that last, the group waits for it 1.5 s, as a service that is just replaced frees it in that time. A worker keeps the sum of what its long-running members use.

Rows of work that waits for its rack are now filled by tasks that end, since tasks that last no longer make it wait.

--- a/coordination/scheduling/delay_test.go
+++ b/coordination/scheduling/delay_test.go
@@ -17,10 +17,10 @@
 // TestPlacementDelayed guards against a job that waits beside workers with room without a
 // line in the log that says why.
 func TestPlacementDelayed(t *testing.T) {
-	lasting := workflow.Step{Tasks: 1, Accelerators: 8, LongRunning: true}
+	long := workflow.Step{Tasks: 1, Accelerators: 8, Estimate: 100 * time.Second}
 	tests := []struct {
 		name string
-		// busy is how many of the six workers, in two racks, tasks that last fill first.
+		// busy is how many of the six workers, in two racks, other tasks fill first.
 		busy    int
 		step    workflow.Step
 		stretch float64
@@ -43,18 +43,13 @@
 				h.log = zerolog.New(&lines)
 				start := h.calls.Start
 				h.calls.Start = func(ctx context.Context, target workflow.Worker, order scheduling.StartOrder) (scheduling.StartResult, error) {
-					if test.refuses && !h.step(order.Task).LongRunning {
+					if test.refuses && h.step(order.Task).Estimate < long.Estimate {
 						return scheduling.RefusedUnhealthy, nil
 					}
 					return start(ctx, target, order)
 				}
-				h.fleet.RunTime = func(task workflow.Task, _ int, _ workflow.WorkerID) time.Duration {
-					if h.step(task).LongRunning {
-						return time.Hour
-					}
-					return time.Second
-				}
-				h.runWaves([]jobWave{{0, test.busy, 1, lasting, 0}, {time.Second, 1, 1, test.step, test.stretch}}, 8*time.Second)
+				h.fleet.RunTime = func(task workflow.Task, _ int, _ workflow.WorkerID) time.Duration { return h.step(task).Estimate }
+				h.runWaves([]jobWave{{0, test.busy, 0, long, 0}, {time.Second, 1, 1, test.step, test.stretch}}, 8*time.Second)
 				got := ""
 				for line := range strings.Lines(lines.String()) {
 					if strings.Contains(line, `"event":"placementDelayed"`) && strings.Contains(line, string(h.jobs[test.busy].ID)) {
--- a/coordination/scheduling/member.go
+++ b/coordination/scheduling/member.go
@@ -83,10 +83,19 @@
 	m := &member{group: g, task: task, attempt: g.attempt, worker: w, incarnation: incarnation, phase: planned}
 	g.members = append(g.members, m)
 	w.members[m.key()] = m
-	w.used = w.used.Plus(g.step.Needs())
+	w.addUsed(g.step, 1)
 	return m
 }
 
+// addUsed adds what a member of the step uses, times sign.
+func (w *worker) addUsed(step *workflow.Step, sign int) {
+	needs := step.Needs().Times(sign)
+	w.used = w.used.Plus(needs)
+	if step.LongRunning {
+		w.longRunning = w.longRunning.Plus(needs)
+	}
+}
+
 // endMember sets the outcome of a member and releases its capacity.
 func (p *pool) endMember(m *member, outcome workflow.Outcome, checkpoint string) {
 	if m.phase == ended {
@@ -95,7 +104,7 @@
 	m.phase, m.outcome = ended, outcome
 	delete(p.work.stops, m)
 	delete(m.worker.members, m.key())
-	m.worker.used = m.worker.used.Minus(m.group.step.Needs())
+	m.worker.addUsed(m.group.step, -1)
 	if checkpoint != "" && m.group.attempt == m.attempt {
 		m.group.checkpoint = checkpoint
 		p.markDirty(m.group.record) // stored before the end is acknowledged
--- a/coordination/scheduling/merge.go
+++ b/coordination/scheduling/merge.go
@@ -161,7 +161,7 @@
 		m.worker = w
 		w.members[key] = m
 	}
-	w.used = w.used.Plus(other.used)
+	w.used, w.longRunning = w.used.Plus(other.used), w.longRunning.Plus(other.longRunning)
 	w.unknownTasks = append(w.unknownTasks, other.unknownTasks...)
 	w.leaseExpiry = latest(w.leaseExpiry, other.leaseExpiry)
 	w.startLeaseExpiry = latest(w.startLeaseExpiry, other.startLeaseExpiry)
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -170,33 +170,6 @@
 
 func anySpeed(_, _ *worker) int { return 0 }
 
-// someRackFits reports whether the group would fit on some rack if it were empty,
-// or on its preferred rack if it has one.
-func (p *pool) someRackFits(g *group) bool {
-	shapeOnly := g.step.SpreadLimit == 0
-	if fits, known := p.round.rackFits[g.shape()]; known && shapeOnly {
-		return fits
-	}
-	fits := slices.ContainsFunc(groupByRack(p.schedulableWorkers()), func(r rack) bool {
-		return (g.step.PreferredRack == "" || r.name == g.step.PreferredRack) &&
-			g.fill(r.workers, func(w *worker) workflow.Capacity { return w.info.Capacity }, anySpeed) != nil
-	})
-	if shapeOnly {
-		p.round.rackFits[g.shape()] = fits
-	}
-	return fits
-}
-
-// schedulableWorkers returns the schedulable workers of the round's service.
-func (p *pool) schedulableWorkers() (list []*worker) {
-	for _, w := range p.workers {
-		if w.info.Service == p.round.service && p.schedulable(w) {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
 func freeCapacity(w *worker) workflow.Capacity { return w.free() }
 
 // fill places all members on the workers in the order of their speed and then of their
--- a/coordination/scheduling/plan_test.go
+++ b/coordination/scheduling/plan_test.go
@@ -58,7 +58,7 @@
 			for i, limit := range test.limits {
 				j := &job{Job: &workflow.Job{ID: "a"}}
 				g := &group{job: j, step: &workflow.Step{Tasks: 2, Accelerators: 4, Gang: true, SameRack: true, SpreadLimit: limit}}
-				if fits := p.someRackFits(g); fits != test.want[i] {
+				if fits := p.someRackFits(g, wholeCapacity); fits != test.want[i] {
 					t.Errorf("spread limit %d: fits %v, want %v", limit, fits, test.want[i])
 				}
 			}
--- a/coordination/scheduling/preference.go
+++ b/coordination/scheduling/preference.go
@@ -1,6 +1,11 @@
 package scheduling
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"comfreystream/state/workflow"
+)
 
 // A preference keeps a group waiting for a better placement than one that it could have at
 // once: for its rack or its data, or for workers that have not failed. The wait ends: where
@@ -29,19 +34,71 @@
 }
 
 // mayRunRemote reports whether the group may run away from its rack or data, where it is
-// slower: if it would meet its deadline there and many accelerators are idle, if its
-// preferences are over, if it has waited for as long as the slower run takes longer, or if
-// no rack could ever hold it.
+// slower: at once if it would meet its deadline there and many accelerators are idle, or if
+// no rack could ever hold it; soon if its preferences are over, or if only the end of
+// long-running groups could make room on a rack; else once it has waited for as long as the
+// slower run takes longer.
 func (p *pool) mayRunRemote(g *group, now time.Time) bool {
 	remoteRunTime := time.Duration(p.scheduler.Bounds.FarFactor * float64(g.step.Estimate))
 	inTime := !now.Add(remoteRunTime).After(g.deadline())
 	switch {
-	case inTime && p.idleShare() > minIdleForRemote, p.preferencesOver(g, now):
-		return true
-	case g.waited(now) > max(remoteRunTime-g.step.Estimate, maxPreferenceWait):
+	case inTime && p.idleShare() > minIdleForRemote, p.preferencesOver(g, now), !p.someRackFits(g, wholeCapacity):
 		return true
+	case g.waited(now) <= maxPreferenceWait:
+		return false
+	}
+	return g.waited(now) > remoteRunTime-g.step.Estimate || !p.someRackFits(g, besideLongRunning)
+}
+
+// rackCapacity is which part of its workers' capacity a rack is taken to have.
+type rackCapacity uint8
+
+const (
+	wholeCapacity rackCapacity = iota
+	// besideLongRunning leaves out what long-running groups use.
+	besideLongRunning
+)
+
+// of returns that part of a worker's capacity.
+func (c rackCapacity) of(w *worker) workflow.Capacity {
+	if c == besideLongRunning {
+		return w.info.Capacity.Minus(w.longRunning)
+	}
+	return w.info.Capacity
+}
+
+// rackFit is what the answer of someRackFits depends on.
+type rackFit struct {
+	shape    shape
+	capacity rackCapacity
+}
+
+// someRackFits reports whether the group would fit on some rack that has the capacity free,
+// or on its preferred rack if it has one.
+func (p *pool) someRackFits(g *group, capacity rackCapacity) bool {
+	key, shapeOnly := rackFit{g.shape(), capacity}, g.step.SpreadLimit == 0
+	if fits, known := p.round.rackFits[key]; known && shapeOnly {
+		return fits
+	}
+	among := candidates{workers: p.schedulableWorkers(g.step.Label)}
+	fits := slices.ContainsFunc(among.byRack(), func(r rack) bool {
+		return (g.step.PreferredRack == "" || r.name == g.step.PreferredRack) && g.fill(r.workers, capacity.of, anySpeed) != nil
+	})
+	if shapeOnly {
+		p.round.rackFits[key] = fits
+	}
+	return fits
+}
+
+// schedulableWorkers returns the schedulable workers of the round's service that have the
+// label.
+func (p *pool) schedulableWorkers(label string) (list []*worker) {
+	for _, w := range p.ordered {
+		if w.info.Service == p.round.service && p.schedulable(w) && w.info.HasLabel(label) {
+			list = append(list, w)
+		}
 	}
-	return !p.someRackFits(g)
+	return list
 }
 
 // waited returns how long the group has waited to be placed; 0 for one that is placed and is
--- a/coordination/scheduling/preference_test.go
+++ b/coordination/scheduling/preference_test.go
@@ -19,6 +19,7 @@
 	const lostAfter = 3 * time.Second
 	const accelerators = 8
 	lasting := workflow.Step{Tasks: 1, Accelerators: accelerators, LongRunning: true}
+	long := workflow.Step{Tasks: 1, Accelerators: accelerators, Estimate: 100 * time.Second}
 	short := workflow.Step{Tasks: 1, Accelerators: accelerators, Estimate: 2 * time.Second}
 	onRack := func(step workflow.Step, rack string) workflow.Step {
 		step.PreferredRack = rack
@@ -33,12 +34,13 @@
 		return step
 	}
 	fullRack, oneIdleEach := []string{"rack-0", "rack-0", "rack-0", "rack-1"}, []string{"rack-0", "rack-0", "rack-1", "rack-1"}
-	// Six workers in two racks; those of rack-1 have the label "fast".
+	// Six workers in two racks. Those of rack-1 have the label "fast", one of each rack "last".
 	tests := []struct {
 		name string
-		// filled holds the label of each task that lasts and fills a worker before, so that
-		// too few are idle for work to run away from its rack at once.
+		// filled holds the label of each task that fills a worker before, so that too few are
+		// idle for work to run away from its rack at once; filler is such a task.
 		filled   []string
+		filler   workflow.Step
 		step     workflow.Step
 		priority int
 		// refusals is how many starts of the step workers refuse as unhealthy.
@@ -50,20 +52,26 @@
 		earliest, latest time.Duration
 		racks            []string
 	}{
-		{name: "task that lasts, full rack", filled: fullRack, step: onRack(lasting, "rack-0"), priority: 1, latest: lostAfter, racks: []string{"rack-1"}},
-		{name: "task that lasts, priority 2, full rack", filled: fullRack, step: onRack(lasting, "rack-0"), priority: 2, latest: lostAfter, racks: []string{"rack-1"}},
-		{name: "task that lasts, priority 0, full rack", filled: fullRack, step: onRack(lasting, "rack-0"), latest: lostAfter, racks: []string{"rack-1"}},
-		{name: "task that lasts, rack without its label", filled: oneIdleEach, step: labelled(onRack(lasting, "rack-0"), "fast"), priority: 1, latest: lostAfter, racks: []string{"rack-1"}},
-		{name: "task that lasts, unknown rack", filled: fullRack, step: onRack(lasting, "rack-9"), priority: 1, latest: lostAfter, racks: []string{"rack-1"}},
-		{name: "gang that lasts, room on two racks", filled: oneIdleEach, step: gang(lasting), priority: 1, latest: lostAfter, racks: []string{"rack-0", "rack-1"}},
-		{name: "task that lasts, refused by idle workers", filled: fullRack, step: lasting, priority: 1, refusals: 2, latest: lostAfter, racks: []string{"rack-1"}},
-		{name: "task that lasts, rack gets room at once", filled: fullRack, step: onRack(lasting, "rack-0"), priority: 1, freedAt: time.Millisecond, latest: lostAfter, racks: []string{"rack-0"}},
+		{name: "task that lasts, full rack", filled: fullRack, filler: lasting, step: onRack(lasting, "rack-0"), priority: 1, latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "task that lasts, priority 2, full rack", filled: fullRack, filler: lasting, step: onRack(lasting, "rack-0"), priority: 2, latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "task that lasts, priority 0, full rack", filled: fullRack, filler: lasting, step: onRack(lasting, "rack-0"), latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "task that lasts, rack without its label", filled: oneIdleEach, filler: lasting, step: labelled(onRack(lasting, "rack-0"), "fast"), priority: 1, latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "task that lasts, unknown rack", filled: fullRack, filler: lasting, step: onRack(lasting, "rack-9"), priority: 1, latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "gang that lasts, room on two racks", filled: oneIdleEach, filler: lasting, step: gang(lasting), priority: 1, latest: lostAfter, racks: []string{"rack-0", "rack-1"}},
+		{name: "task that lasts, refused by idle workers", filled: fullRack, filler: lasting, step: lasting, priority: 1, refusals: 2, latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "task that lasts, rack gets room at once", filled: fullRack, filler: lasting, step: onRack(lasting, "rack-0"), priority: 1, freedAt: time.Millisecond, latest: lostAfter, racks: []string{"rack-0"}},
 		// Away from its rack a task takes three times as long: it waits up to the difference.
-		{name: "task, full rack", filled: fullRack, step: onRack(short, "rack-0"), priority: 1, earliest: 3900 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-1"}},
-		{name: "urgent task, full rack", filled: fullRack, step: onRack(short, "rack-0"), earliest: 3900 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-1"}},
-		{name: "gang, room on two racks", filled: oneIdleEach, step: gang(short), priority: 1, earliest: 3900 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-0", "rack-1"}},
-		{name: "task, rack gets room in time", filled: fullRack, step: onRack(short, "rack-0"), priority: 1, freedAt: 2500 * time.Millisecond, earliest: 2500 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-0"}},
-		{name: "urgent task, full rack, half of the workers idle", filled: []string{"rack-0", "rack-0", "rack-0"}, step: onRack(short, "rack-0"), latest: lostAfter, racks: []string{"rack-1"}},
+		{name: "task, full rack", filled: fullRack, filler: long, step: onRack(short, "rack-0"), priority: 1, earliest: 3900 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-1"}},
+		{name: "urgent task, full rack", filled: fullRack, filler: long, step: onRack(short, "rack-0"), earliest: 3900 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-1"}},
+		{name: "gang, room on two racks", filled: oneIdleEach, filler: long, step: gang(short), priority: 1, earliest: 3900 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-0", "rack-1"}},
+		{name: "task, rack gets room in time", filled: fullRack, filler: long, step: onRack(short, "rack-0"), priority: 1, freedAt: 2500 * time.Millisecond, earliest: 2500 * time.Millisecond, latest: 4500 * time.Millisecond, racks: []string{"rack-0"}},
+		{name: "urgent task, full rack, half of the workers idle", filled: []string{"rack-0", "rack-0", "rack-0"}, filler: long, step: onRack(short, "rack-0"), latest: lostAfter, racks: []string{"rack-1"}},
+		// A rack that only tasks that last keep full is not waited for any longer.
+		{name: "task, rack full of tasks that last", filled: fullRack, filler: lasting, step: onRack(short, "rack-0"), earliest: 1400 * time.Millisecond, latest: 2 * time.Second, racks: []string{"rack-1"}},
+		{name: "gang, no rack beside tasks that last", filled: oneIdleEach, filler: lasting, step: gang(short), earliest: 1400 * time.Millisecond, latest: 2 * time.Second, racks: []string{"rack-0", "rack-1"}},
+		{name: "gang, a rack beside tasks that last", filled: []string{"rack-0", "rack-0", "rack-1"}, filler: lasting, step: labelled(gang(short), "rack-1"), latest: 100 * time.Millisecond, racks: []string{"rack-1"}},
+		{name: "task, rack without its label", filled: oneIdleEach, filler: long, step: labelled(onRack(short, "rack-0"), "fast"), latest: 100 * time.Millisecond, racks: []string{"rack-1"}},
+		{name: "gang, label on a worker of each rack", filled: oneIdleEach, filler: long, step: labelled(gang(short), "last"), latest: 100 * time.Millisecond, racks: []string{"rack-0", "rack-1"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -71,8 +79,11 @@
 				h := newHarness(0)
 				for i := range 6 {
 					w := worker(i, 1)
-					if w.Labels[1] == "rack-1" {
-						w.Labels = []string{"fast", "rack-1"}
+					if i >= 3 {
+						w.Labels[0] = "fast"
+					}
+					if i%3 == 2 {
+						w.Labels = slices.Insert(w.Labels, 1, "last")
 					}
 					h.fleet.Add(w)
 				}
@@ -83,7 +94,9 @@
 					return time.Hour
 				}
 				for i, label := range test.filled {
-					h.addJob(job(i+2, labelled(lasting, label)))
+					filler := job(i+2, labelled(test.filler, label))
+					filler.Priority = 0
+					h.addJob(filler)
 				}
 				start, refusals := h.calls.Start, test.refusals
 				h.calls.Start = func(ctx context.Context, target workflow.Worker, order scheduling.StartOrder) (scheduling.StartResult, error) {
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -29,10 +29,10 @@
 	reachable, suitable candidates
 	// warm holds the suitable workers that are not slow after their start.
 	warm candidates
-	// unplaceable holds the shapes that could not be placed, rackFits whether a
-	// shape would fit on an empty rack.
+	// unplaceable holds the shapes that could not be placed, rackFits whether a shape
+	// would fit on a rack.
 	unplaceable map[shape]bool
-	rackFits    map[shape]bool
+	rackFits    map[rackFit]bool
 	// costs caches the preemption costs of groups, victims the groups that may be
 	// preempted on a worker.
 	costs   map[*group]float64
@@ -59,7 +59,7 @@
 func (p *pool) newRound(service string, now time.Time) round {
 	r := round{
 		service: service, at: now,
-		unplaceable: make(map[shape]bool), rackFits: make(map[shape]bool),
+		unplaceable: make(map[shape]bool), rackFits: make(map[rackFit]bool),
 		costs: make(map[*group]float64), victims: make(map[victimsKey][]*group),
 		firstOptions: make(map[optionKey]option), searchUntil: p.scheduler.Now().Add(maxSearchTime),
 	}
--- a/coordination/scheduling/worker.go
+++ b/coordination/scheduling/worker.go
@@ -36,6 +36,8 @@
 	// members holds the attempts that run or may run on the worker.
 	members map[attemptKey]*member
 	used    workflow.Capacity
+	// longRunning is the part of used that members of long-running groups hold.
+	longRunning workflow.Capacity
 	// reportedAt is when the newest report came, reportedClock the time of the
 	// worker's clock in it.
 	reportedAt    time.Time
