Let a guaranteed job use an avoided worker before its limit

Cause: the search for work to stop left out avoided workers, however long the guaranteed job had waited.

Change: if nothing makes room on sound workers, neither moves of guaranteed work nor stopping tasks that last, the same searches look at avoided workers too. Workers on which the job itself has failed lately stay out. The arguments of the search are one type now, as the workers became another one of them.

--- a/coordination/scheduling/move.go
+++ b/coordination/scheduling/move.go
@@ -46,18 +46,33 @@
 )
 
 // reclaimLastResort returns a placement of a guaranteed group that moves other guaranteed
-// groups or stops long-running ones, or nil. The search is repeated every planInterval.
+// groups or stops long-running ones, on sound workers if possible, or nil. The search is
+// repeated every planInterval.
 func (p *pool) reclaimLastResort(g *group, now time.Time, guaranteed map[*job]bool) *placement {
 	if now.Sub(g.lastResortAt) < planInterval || p.searchOver() {
 		return nil
 	}
 	g.lastResortAt = now
 	p.findMovable(now, guaranteed)
-	for _, level := range []preemptionLevel{overMovable, overLongRunning, overAll} {
-		if level.moves() && len(p.round.movable) == 0 {
+	s := victimSearch{group: g, among: p.soundWorkers(g), now: now, guaranteed: guaranteed, maxCost: math.Inf(1)}
+	if choice := p.reclaimOnLevels(s, overMovable, overLongRunning, overAll); choice != nil {
+		return choice
+	}
+	// The failures may have been those of others' work, and a guarantee leaves no time to find out.
+	s.among = p.round.reachable.filter(g, func(w *worker) bool { return g.hasFailedLately(w, now) })
+	if len(s.among.workers) == len(p.soundWorkers(g).workers) {
+		return nil
+	}
+	return p.reclaimOnLevels(s, overUnguaranteed, overMovable, overLongRunning, overAll)
+}
+
+// reclaimOnLevels returns the first placement that a search finds on one of the levels, or nil.
+func (p *pool) reclaimOnLevels(s victimSearch, levels ...preemptionLevel) *placement {
+	for _, s.level = range levels {
+		if s.level.moves() && len(p.round.movable) == 0 {
 			continue
 		}
-		if choice := p.reclaimAt(level, g, now, guaranteed); choice != nil {
+		if choice := p.reclaimAt(s); choice != nil {
 			return choice
 		}
 	}
@@ -67,11 +82,11 @@
 // searchOver reports whether the round has used up its time for searches.
 func (p *pool) searchOver() bool { return p.scheduler.Now().After(p.round.searchUntil) }
 
-// reclaimAt searches for a placement on one level until one is found whose guaranteed
-// victims all have room elsewhere.
-func (p *pool) reclaimAt(level preemptionLevel, g *group, now time.Time, guaranteed map[*job]bool) *placement {
+// reclaimAt searches for a placement until one is found whose guaranteed victims all have
+// room elsewhere.
+func (p *pool) reclaimAt(s victimSearch) *placement {
 	for range maxMoveTries {
-		pp := p.searchVictims(level, g, now, guaranteed, math.Inf(1), nil)
+		pp := p.searchVictims(s)
 		if pp == nil || p.searchOver() {
 			return nil
 		}
@@ -104,7 +119,7 @@
 			if p.searchOver() {
 				return
 			}
-			fits = p.searchVictims(overUnguaranteed, g, now, guaranteed, math.Inf(1), nil) != nil
+			fits = p.reclaim(g, now, guaranteed, math.Inf(1)) != nil
 			if g.step.SpreadLimit == 0 && len(g.failedWorkers) == 0 {
 				hasRoom[g.shape()] = fits
 			}
@@ -141,7 +156,9 @@
 			continue
 		}
 		clear(p.round.firstOptions)
-		room := p.searchVictims(overUnguaranteed, v, pp.now, pp.guaranteed, math.Inf(1), choice.victims)
+		room := p.searchVictims(victimSearch{
+			level: overUnguaranteed, group: v, among: p.soundWorkers(v), taken: choice.victims, now: pp.now, guaranteed: pp.guaranteed, maxCost: math.Inf(1),
+		})
 		if room == nil {
 			unmovable = v
 			break
--- a/coordination/scheduling/preference_test.go
+++ b/coordination/scheduling/preference_test.go
@@ -29,10 +29,6 @@
 		step.Tasks, step.Gang, step.SameRack = 2, true, true
 		return step
 	}
-	labelled := func(step workflow.Step, label string) workflow.Step {
-		step.Label = label
-		return step
-	}
 	fullRack, oneIdleEach := []string{"rack-0", "rack-0", "rack-0", "rack-1"}, []string{"rack-0", "rack-0", "rack-1", "rack-1"}
 	// Six workers in two racks. Those of rack-1 have the label "fast", one of each rack "last".
 	tests := []struct {
--- a/coordination/scheduling/reclaim.go
+++ b/coordination/scheduling/reclaim.go
@@ -8,45 +8,57 @@
 	"comfreystream/state/workflow"
 )
 
-// reclaim returns the cheapest placement of a group that preempts others at no
-// more than maxCost, or nil. It prefers the group's rack; only a guaranteed job is
+// victimSearch is a search for groups to stop, so that a group can be placed.
+type victimSearch struct {
+	level preemptionLevel
+	group *group
+	// among holds the workers that the group may use.
+	among *candidates
+	// taken holds groups that count as stopped, and are among the plan's victims.
+	taken      []*group
+	now        time.Time
+	guaranteed map[*job]bool
+	maxCost    float64
+}
+
+// reclaim returns the cheapest placement of a group on sound workers that preempts others
+// at no more than maxCost, or nil. It prefers the group's rack; only a guaranteed job is
 // placed away from it.
 func (p *pool) reclaim(g *group, now time.Time, guaranteed map[*job]bool, maxCost float64) *placement {
 	level := overLessUrgent
 	if guaranteed[g.job] {
 		level = overUnguaranteed
 	}
-	pp := p.searchVictims(level, g, now, guaranteed, maxCost, nil)
+	pp := p.searchVictims(victimSearch{level: level, group: g, among: p.soundWorkers(g), now: now, guaranteed: guaranteed, maxCost: maxCost})
 	if pp == nil {
 		return nil
 	}
 	return &placement{workers: pp.hosts, victims: pp.victims}
 }
 
-// searchVictims returns the cheapest plan for the group on the level, or nil. The groups
-// in taken count as stopped and are among the plan's victims.
-func (p *pool) searchVictims(level preemptionLevel, g *group, now time.Time, guaranteed map[*job]bool, maxCost float64, taken []*group) *preemptionPlan {
-	among := p.round.suitable.filter(g, g.hasFailedOn)
+// soundWorkers returns the workers that the group may use and that are not avoided.
+func (p *pool) soundWorkers(g *group) *candidates { return p.round.suitable.filter(g, g.hasFailedOn) }
+
+// searchVictims returns the cheapest plan for the group, or nil.
+func (p *pool) searchVictims(s victimSearch) *preemptionPlan {
 	var best *preemptionPlan
 	consider := func(workers []*worker) {
-		pp := &preemptionPlan{
-			level: level, group: g, workers: workers, round: &p.round, now: now, guaranteed: guaranteed, maxCost: maxCost,
-			victims: slices.Clone(taken),
-		}
+		pp := &preemptionPlan{victimSearch: s, workers: workers, round: &p.round, victims: slices.Clone(s.taken)}
 		if pp.placeMembers() {
-			best, maxCost = pp, math.Nextafter(pp.cost, 0)
+			best, s.maxCost = pp, math.Nextafter(pp.cost, 0)
 		}
 	}
+	g := s.group
 	switch {
 	case g.step.SameRack && g.size() > 1:
-		for _, r := range among.byRack() {
+		for _, r := range s.among.byRack() {
 			consider(r.workers)
 		}
 	case g.step.PreferredRack != "":
-		consider(among.onRack(g.step.PreferredRack))
+		consider(s.among.onRack(g.step.PreferredRack))
 	}
-	if best == nil && (guaranteed[g.job] || !g.needsLocality()) {
-		consider(among.workers)
+	if best == nil && (s.guaranteed[g.job] || !g.needsLocality()) {
+		consider(s.among.workers)
 	}
 	return best
 }
@@ -54,13 +66,9 @@
 // preemptionPlan chooses workers for the members of a group, and the groups to
 // stop so that they fit.
 type preemptionPlan struct {
-	level      preemptionLevel
-	group      *group
-	workers    []*worker
-	round      *round
-	now        time.Time
-	guaranteed map[*job]bool
-	maxCost    float64
+	victimSearch
+	workers []*worker
+	round   *round
 	// options holds for each worker what one more member there would take; those
 	// that outdated names must be computed again.
 	options  []option
