Move guaranteed work again where a guarantee needs it

Cause: each group was moved once at most, so that two organisations could not move each other in turn. With time every worker has a group that was moved.

Change: no limit. The cost of a group doubles with each earlier move.

--- a/coordination/scheduling/move.go
+++ b/coordination/scheduling/move.go
@@ -37,6 +37,8 @@
 	// lastResortCost is the cost per core of a group that is stopped only as a last resort.
 	// It outweighs every other cost, so that the least such work is stopped.
 	lastResortCost = 1e6
+	// maxMoveDoublings bounds the times that the cost of a group doubles with its moves.
+	maxMoveDoublings = 6
 	// maxExactVictims bounds the groups on a worker of which every subset is tried: one for
 	// each of 8 accelerators.
 	maxExactVictims = 8
@@ -101,8 +103,11 @@
 	return nil
 }
 
-// findMovable lists once in a round the guaranteed groups that run and may be moved: each
-// only once, so that two organisations cannot move each other in turn.
+// findMovable lists once in a round the guaranteed groups that run and have room elsewhere.
+//
+// Two organisations cannot move each other's groups in turn: only a group that waits without
+// a reservation has others moved, and each of these gets one. Thus every move leaves one
+// group less that waits without one; more come only of new jobs, and of workers or a store that fail.
 func (p *pool) findMovable(now time.Time, guaranteed map[*job]bool) {
 	r := &p.round
 	if r.movable != nil {
@@ -111,7 +116,7 @@
 	r.movable, r.unmovable = make(map[*group]bool), make(map[*group]bool)
 	hasRoom := make(map[shape]bool)
 	for g := range p.work.started {
-		if !guaranteed[g.job] || g.displaced || !g.allRunning() || !p.allReporting(g, now) || g.step.LongRunning && !p.mayMove(g) {
+		if !guaranteed[g.job] || !g.allRunning() || !p.allReporting(g, now) || g.step.LongRunning && !p.mayMove(g) {
 			continue
 		}
 		fits, known := hasRoom[g.shape()]
@@ -130,6 +135,13 @@
 	}
 }
 
+// lastResortCost returns what stopping the group costs besides its work. It doubles with
+// each earlier move, so that moves are spread over the groups that can be moved.
+func (g *group) lastResortCost() float64 {
+	cores := g.step.Needs().CoreEquivalents() * float64(g.size())
+	return lastResortCost * cores * math.Exp2(float64(min(g.displacements, maxMoveDoublings)))
+}
+
 // allReporting reports whether every worker of the group has reported lately, so that a
 // stop ends the group before its leases run out.
 func (p *pool) allReporting(g *group, now time.Time) bool {
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -238,7 +238,7 @@
 		return nil
 	}
 	limit := p.scheduler.Bounds.ReclaimLimit - p.scheduler.Bounds.StopLimit - reclaimMargin
-	mustStart := guaranteed[g.job] && (now.Sub(g.job.acceptedAt) >= limit || g.displaced)
+	mustStart := guaranteed[g.job] && (now.Sub(g.job.acceptedAt) >= limit || g.displacements > 0)
 	slack := g.slack(now)
 	if !mustStart && (slack < minReclaimSlack || slack > maxReclaimSlack) {
 		return nil
@@ -290,7 +290,7 @@
 		p.assign(g, task, choice.workers[i], choice.workers[i].incarnation)
 	}
 	for _, v := range choice.moved {
-		v.displaced = true
+		v.displacements++
 		p.stopGroup(v, reasonDisplaced)
 	}
 	for _, v := range choice.victims {
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -145,8 +145,8 @@
 	startsSent bool
 	// moves counts how often the group was moved off slow workers.
 	moves int
-	// displaced is set once the group was moved for a guaranteed job.
-	displaced bool
+	// displacements counts how often the group was moved for guaranteed jobs.
+	displacements int
 	// done is set once the work is complete.
 	done    bool
 	earlier earlierAttempt
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -170,7 +170,7 @@
 	if !known {
 		cost = g.preemptionCost(now)
 		if r.isLastResort(g) {
-			cost += lastResortCost * g.step.Needs().CoreEquivalents() * float64(g.size())
+			cost += g.lastResortCost()
 		}
 		r.costs[g] = cost
 	}
