Stop lasting tasks of any priority for a guarantee

Cause: only tasks that last of priority 2 or less could be stopped for a guarantee. The protocol says of guaranteed accelerators that they belong to the organisation for its jobs of priority 0 at all times, and that others may use what is idle.

Change: as the last resort, tasks that last are stopped whatever their priority, the least important first, unless they are within a guarantee.

Tests: two of four new rows of TestReclaimLastResort failed before (never begun).

--- a/coordination/scheduling/move.go
+++ b/coordination/scheduling/move.go
@@ -18,7 +18,7 @@
 	overUnguaranteed
 	// overMovable: also guaranteed ones for which there is room elsewhere.
 	overMovable
-	// overLongRunning: also long-running ones of low priority, but no guaranteed ones.
+	// overLongRunning: also long-running ones, but no guaranteed ones.
 	overLongRunning
 	// overAll: both.
 	overAll
@@ -31,9 +31,6 @@
 func (l preemptionLevel) stopsLongRunning() bool { return l == overLongRunning || l == overAll }
 
 const (
-	// longRunningPriority is the priority from which on long-running groups may be stopped
-	// for a guaranteed job.
-	longRunningPriority = 2
 	// lastResortCost is the cost per core of a group that is stopped only as a last resort.
 	// It outweighs every other cost, so that the least such work is stopped.
 	lastResortCost = 1e6
@@ -135,11 +132,12 @@
 	}
 }
 
-// lastResortCost returns what stopping the group costs besides its work. It doubles with
-// each earlier move, so that moves are spread over the groups that can be moved.
+// lastResortCost returns what stopping the group costs besides its work: the more, the more
+// important its job is. It doubles with each earlier move, so that moves are spread over the
+// groups that can be moved.
 func (g *group) lastResortCost() float64 {
 	cores := g.step.Needs().CoreEquivalents() * float64(g.size())
-	return lastResortCost * cores * math.Exp2(float64(min(g.displacements, maxMoveDoublings)))
+	return lastResortCost * g.job.valueRate() * cores * math.Exp2(float64(min(g.displacements, maxMoveDoublings)))
 }
 
 // allReporting reports whether every worker of the group has reported lately, so that a
--- a/coordination/scheduling/move_test.go
+++ b/coordination/scheduling/move_test.go
@@ -1,6 +1,7 @@
 package scheduling_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,6 +94,23 @@
 		{"long-running tasks of priority 2", 6, 8, []orderedJobs{
 			{0, 6, "andina", 2, lasting}, {2 * time.Second, 1, "condor", 0, one(8, time.Second)},
 		}, true, [3]int{0, 0, 1}, false},
+		{"long-running tasks of priority 1", 6, 8, []orderedJobs{
+			{0, 6, "andina", 1, lasting}, {2 * time.Second, 1, "condor", 0, one(8, time.Second)},
+		}, true, [3]int{0, 0, 1}, false},
+		{"long-running tasks of priority 0 beyond a guarantee", 3, 8, []orderedJobs{
+			{0, 1, "andina", 0, workflow.Step{Tasks: 3, Accelerators: 8, LongRunning: true, Estimate: time.Minute}},
+			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
+		}, true, [3]int{0, 0, 1}, false},
+		{"the least important of long-running tasks", 3, 8, []orderedJobs{
+			{0, 1, "andina", 1, lasting},
+			{0, 1, "andina", 2, lasting},
+			{0, 1, "andina", 1, lasting},
+			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
+		}, true, [3]int{0, 0, 1}, false},
+		{"long-running tasks of a guarantee", 2, 16, []orderedJobs{
+			{0, 1, "brazos", 0, workflow.Step{Tasks: 2, Accelerators: 8, LongRunning: true, Estimate: time.Minute}},
+			{2 * time.Second, 1, "condor", 0, one(8, time.Second)},
+		}, false, [3]int{0, 0, 0}, false},
 		{"long-running tasks come last", 6, 16, []orderedJobs{
 			{0, 4, "andina", 2, lasting},
 			{0, 2, "andina", 1, long(6)},
@@ -120,6 +138,9 @@
 					switch {
 					case j.Steps[0].LongRunning:
 						stopped[2]++
+						if slices.ContainsFunc(test.jobs, func(o orderedJobs) bool { return o.step.LongRunning && o.priority > j.Priority }) {
+							t.Errorf("%s of priority %d was stopped", r.Task, j.Priority)
+						}
 					case j.Priority == 0:
 						stopped[0]++
 						if again := nextRun(runs, i); again.IsZero() || again.Sub(r.Ended) > restartLimit {
--- a/coordination/scheduling/round.go
+++ b/coordination/scheduling/round.go
@@ -201,7 +201,7 @@
 	case guaranteed[v.job]:
 		return level.moves() && r.movable[v] && (!v.step.LongRunning || level.stopsLongRunning())
 	case v.step.LongRunning:
-		return level.stopsLongRunning() && v.job.Priority >= longRunningPriority
+		return level.stopsLongRunning()
 	default:
 		return level > overLessUrgent || v.job.Priority > 0
 	}
