Test the bound of an earlier planner's leases

The property test does not tell when the bound is too short: 400 histories passed with an eighth of the lease in its place. TestEarlierPlannerLease has a worker report once to a new planner and then fall silent, while the earlier one renews its lease as long as the worker lets it; with that eighth it finds two attempts at once in all three rows.

--- a/coordination/scheduling/lease_test.go
+++ b/coordination/scheduling/lease_test.go
@@ -48,3 +48,66 @@
 		}
 	})
 }
+
+// TestEarlierPlannerLease has a worker report once to a new planner and then fall silent,
+// while the earlier planner renews its lease as long as the worker lets it. It guards against
+// a task that is started elsewhere while it still runs under that lease.
+func TestEarlierPlannerLease(t *testing.T) {
+	tests := []struct {
+		name string
+		// answersAt is when the worker begins to answer the new planner, after its begin.
+		answersAt time.Duration
+	}{
+		{"at once", 0},
+		{"within the overlap", time.Second},
+		{"late in the overlap", 1900 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(2)
+				h.fleet.LeaseLimit = 10 * time.Second
+				h.fleet.RunTime = func(workflow.Task, int, workflow.WorkerID) time.Duration { return 100 * time.Second }
+				calls := h.calls
+				var second time.Time
+				answered := false
+				h.calls.Renew = func(ctx context.Context, w workflow.Worker, order scheduling.RenewOrder) (workflow.Report, error) {
+					h.mu.Lock()
+					silent := w.ID == "w0" && order.Term == 2 && (answered || time.Since(second) < test.answersAt)
+					answered = answered || w.ID == "w0" && order.Term == 2 && !silent
+					// Of the other worker the first planner does not hear that its term is over.
+					silent = silent || w.ID != "w0" && order.Term == 1
+					h.mu.Unlock()
+					if silent {
+						return workflow.Report{}, state.NewStepError("renew", w.Address, state.WorkerSilent, nil)
+					}
+					return calls.Renew(ctx, w, order)
+				}
+				j := job(1, workflow.Step{Tasks: 1, Accelerators: 1, LongRunning: true})
+				j.Steps = append(j.Steps, workflow.Step{Tasks: 1, Accelerators: 1, Cores: 1000, MemoryMiB: 1024, Estimate: 100 * time.Second})
+				h.addJob(j)
+				first := h.startPlanner()
+				time.Sleep(3 * time.Second)
+				h.mu.Lock()
+				second = time.Now()
+				h.mu.Unlock()
+				s := h.startPlanner()
+				time.Sleep(20 * time.Second)
+				_, _ = first.Close(), s.Close()
+				runs := h.fleet.Runs()
+				restarted := 0
+				for _, r := range runs {
+					if r.Worker == "w1" {
+						restarted++
+					}
+				}
+				if restarted != len(j.Steps) {
+					t.Errorf("%d tasks were started again: %v", restarted, runs)
+				}
+				for _, v := range runner.Violations(runs, 2) {
+					t.Error(v)
+				}
+			})
+		})
+	}
+}
