Tidy the search of last resort and the cause of a delay

Nothing changes but names and structure: the cause of a delay has a type, and the default is given by the caller; the sound workers of a group are computed in one place; the levels of a search are a plain loop.

--- a/coordination/scheduling/delay.go
+++ b/coordination/scheduling/delay.go
@@ -2,16 +2,18 @@
 
 import "time"
 
-// The causes for which a group waits although workers have room for it.
+// delayCause is why a group waits although workers have room for it.
+type delayCause string
+
 const (
 	// delayedUnsent: the planner has as many starts without an answer as it can send in time.
-	delayedUnsent = "unsent"
+	delayedUnsent delayCause = "unsent"
 	// delayedDeferred: the group leaves the room to urgent work.
-	delayedDeferred = "deferred"
+	delayedDeferred delayCause = "deferred"
 	// delayedAvoided: all workers with room have failed lately, or the group has failed there.
-	delayedAvoided = "avoided"
+	delayedAvoided delayCause = "avoided"
 	// delayedRack: the room is away from the group's rack or data, or on several racks.
-	delayedRack = "rack"
+	delayedRack delayCause = "rack"
 )
 
 const (
@@ -24,9 +26,9 @@
 	maxDelayChecks = 4
 )
 
-// reportDelay logs why a group that could not be placed waits, if workers that accept tasks
-// have room for it. An empty cause is to be found out.
-func (p *pool) reportDelay(g *group, cause string, now time.Time) {
+// reportDelay logs why a group was not placed, if it has waited long and workers that accept
+// tasks have room for it.
+func (p *pool) reportDelay(g *group, cause delayCause, now time.Time) {
 	waited := now.Sub(g.waitingSince)
 	if waited < delayReported || now.Sub(g.delayCheckedAt) < delayInterval || p.round.delayChecks >= maxDelayChecks {
 		return
@@ -37,11 +39,8 @@
 	if g.fill(among.workers, freeCapacity, anySpeed) == nil {
 		return
 	}
-	if cause == "" {
+	if cause == delayedRack && g.fill(p.soundWorkers(g).workers, freeCapacity, anySpeed) == nil {
 		cause = delayedAvoided
-		if g.fill(p.round.suitable.filter(g, g.hasFailedOn).workers, freeCapacity, anySpeed) != nil {
-			cause = delayedRack
-		}
 	}
 	room := 0
 	for _, w := range among.workers {
@@ -51,6 +50,6 @@
 	}
 	p.scheduler.Count(placementDelayed)
 	p.scheduler.Log.Warn().Str("event", placementDelayed).Str("request", string(g.job.ID)).Int("step", g.id.Step).
-		Int("index", g.id.Index).Str("cause", cause).Dur("waited", waited).Int("workersWithRoom", room).Int("workers", len(among.workers)).
+		Int("index", g.id.Index).Str("cause", string(cause)).Dur("waited", waited).Int("workersWithRoom", room).Int("workers", len(among.workers)).
 		Float64("idleShare", rounded(p.idleShare())).Str("rack", g.step.PreferredRack).Bool("sameRack", g.step.SameRack).Send()
 }
--- a/coordination/scheduling/move.go
+++ b/coordination/scheduling/move.go
@@ -53,13 +53,14 @@
 	}
 	g.lastResortAt = now
 	p.findMovable(now, guaranteed)
-	s := victimSearch{group: g, among: p.soundWorkers(g), now: now, guaranteed: guaranteed, maxCost: math.Inf(1)}
+	sound := p.soundWorkers(g)
+	s := victimSearch{group: g, among: sound, now: now, guaranteed: guaranteed, maxCost: math.Inf(1)}
 	if choice := p.reclaimOnLevels(s, overMovable, overLongRunning, overAll); choice != nil {
 		return choice
 	}
-	// The failures may have been those of others' work, and a guarantee leaves no time to find out.
+	// Workers are avoided after failures that the work of others may have caused.
 	s.among = p.round.reachable.filter(g, func(w *worker) bool { return g.hasFailedLately(w, now) })
-	if len(s.among.workers) == len(p.soundWorkers(g).workers) {
+	if len(s.among.workers) == len(sound.workers) {
 		return nil
 	}
 	return p.reclaimOnLevels(s, overUnguaranteed, overMovable, overLongRunning, overAll)
@@ -67,10 +68,11 @@
 
 // reclaimOnLevels returns the first placement that a search finds on one of the levels, or nil.
 func (p *pool) reclaimOnLevels(s victimSearch, levels ...preemptionLevel) *placement {
-	for _, s.level = range levels {
-		if s.level.moves() && len(p.round.movable) == 0 {
+	for _, level := range levels {
+		if level.moves() && len(p.round.movable) == 0 {
 			continue
 		}
+		s.level = level
 		if choice := p.reclaimAt(s); choice != nil {
 			return choice
 		}
@@ -102,9 +104,9 @@
 
 // findMovable lists once in a round the guaranteed groups that run and have room elsewhere.
 //
-// Two organisations cannot move each other's groups in turn: only a group that waits without
-// a reservation has others moved, and each of these gets one. Thus every move leaves one
-// group less that waits without one; more come only of new jobs, and of workers or a store that fail.
+// Moves come to an end: a group is moved only for one that waits without a reservation, and
+// gets a reservation itself, so that each move leaves fewer groups that wait without one. Only
+// new jobs and failures add some.
 func (p *pool) findMovable(now time.Time, guaranteed map[*job]bool) {
 	r := &p.round
 	if r.movable != nil {
--- a/coordination/scheduling/place.go
+++ b/coordination/scheduling/place.go
@@ -28,7 +28,7 @@
 		choice = p.placeOn(g, p.round.warm.filter(g, g.hasFailedOn), now)
 	}
 	if choice == nil {
-		choice = p.placeOn(g, p.round.suitable.filter(g, g.hasFailedOn), now)
+		choice = p.placeOn(g, p.soundWorkers(g), now)
 	}
 	failedLately := func(w *worker) bool { return g.hasFailedLately(w, now) }
 	switch {
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -227,7 +227,7 @@
 		p.reservations[g] = reserved
 		g.addUsageOn(reserved.hosts, 1)
 	}
-	p.reportDelay(g, "", now)
+	p.reportDelay(g, delayedRack, now)
 }
 
 // reclaimIfWorthwhile preempts other groups for an urgent group once waiting
--- a/coordination/scheduling/renew.go
+++ b/coordination/scheduling/renew.go
@@ -128,8 +128,9 @@
 	return nil
 }
 
-// earlierLeaseExpiry returns when the leases have run out that earlier planners gave a worker
-// whose incarnation has reported to this one by the given time: it refuses theirs since then.
+// earlierLeaseExpiry returns when the leases have run out that earlier planners gave a worker.
+// Its incarnation first reported to this planner at the given time, and refuses the orders of
+// earlier ones since then.
 func (p *pool) earlierLeaseExpiry(reported time.Time) time.Time {
 	overlapEnd := p.scheduler.termBegan.Add(p.scheduler.Bounds.Overlap)
 	return latestLeaseExpiry(earliest(overlapEnd, reported), p.scheduler.Bounds.LeaseLimit)
@@ -141,8 +142,8 @@
 
 // leaseOf returns how long the worker's lease is renewed for: less for one that is
 // about to leave or has long-running tasks, whose tasks are started elsewhere once it
-// has run out. A lease never shortens, so that an idle worker, which needs none, gets no
-// longer one than the long-running task that may be started next.
+// has run out. An idle worker gets the shorter one as well: a long-running task may be
+// started there next, and a lease never shortens.
 func (p *pool) leaseOf(w *worker) time.Duration {
 	lease := p.scheduler.Bounds.LeaseLimit
 	if w.info.Draining {
