Judge stalls by a task's own rate or declared run time

Callers saw tasks of more than about four minutes start again every few seconds and never end, on an idle service.

Cause: a task counted as stalled if its whole percentage had not changed for 2.5 s. A percent of a task of ten minutes takes 6 s.

Change: the time is four times what a percent took so far; before two percents were gained, 22 % of the declared run time; never less than 2.5 s, so that nothing changes up to a declared run time of 11 s. It doubles with each stall of the task.

--- a/coordination/scheduling/pacing.go
+++ b/coordination/scheduling/pacing.go
@@ -45,11 +45,6 @@
 // and has its lease renewed. The caller holds the lock.
 func (p *pool) maxReportAge() time.Duration { return p.renewWait() + time.Second }
 
-// stallTimeout returns how long a task may report the same percentage. Within it,
-// at least one renewal is answered by a worker that is not silent. The caller
-// holds the lock.
-func (p *pool) stallTimeout() time.Duration { return max(minStallTimeout, p.maxReportAge()) }
-
 // tooManyUnsent reports whether the placed members without an answer are as many as
 // the planner can start in time.
 func (p *pool) tooManyUnsent() bool { return p.startsPending+p.round.unsent >= startBacklog }
--- a/coordination/scheduling/pool.go
+++ b/coordination/scheduling/pool.go
@@ -143,6 +143,8 @@
 	assumedEnds map[int]bool
 	// startsSent is set once the start orders of the attempt were sent.
 	startsSent bool
+	// stalls counts how often the group was stopped as it stood still.
+	stalls int
 	// moves counts how often the group was moved off slow workers.
 	moves int
 	// displacements counts how often the group was moved for guaranteed jobs.
--- a/coordination/scheduling/progress.go
+++ b/coordination/scheduling/progress.go
@@ -33,6 +33,16 @@
 	r.last, r.lastAt = percent, now
 }
 
+// perPercent returns the most that a percent of the work has taken on average until the last
+// one was gained. It is not known before two were, as the first one may have begun earlier.
+func (r *progress) perPercent(lastGained time.Time) (duration time.Duration, known bool) {
+	gained := r.last - r.first
+	if r.first == 0 || gained < 2 {
+		return 0, false
+	}
+	return lastGained.Sub(r.firstAt) / time.Duration(gained-1), true
+}
+
 // endTimes returns when the attempt can end at the earliest, and when it will probably
 // end. The percentages grow evenly and are rounded down. Without two that differ by
 // minProgress, the declared run time counts, and the time since the start, which may
