--- a/coordination/scheduling/delay_test.go
+++ b/coordination/scheduling/delay_test.go
@@ -40,7 +40,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newHarness(6)
 				var lines bytes.Buffer
-				h.log = zerolog.New(&lines)
+				h.log = zerolog.New(zerolog.SyncWriter(&lines))
 				start := h.calls.Start
 				h.calls.Start = func(ctx context.Context, target workflow.Worker, order scheduling.StartOrder) (scheduling.StartResult, error) {
 					if test.refuses && h.step(order.Task).Estimate < long.Estimate {
