Keep rounds of planning from falling between two events of a test

TestQueueMove sends a queue to another service and back at one instant, and wants the job's tasks to stay. Its events were at 1 s and 2 s of virtual time, at which a planning round runs as well, every 200 ms: in the goroutines' order a round could fall between the two versions, and place the waiting tasks at the other service, which is right. The trace of a failure has the tasks start at the other service 3 ms after the first version.

--- a/coordination/scheduling/queue_move_test.go
+++ b/coordination/scheduling/queue_move_test.go
@@ -196,6 +196,9 @@
 	lasting := workflow.Step{Tasks: 3, Accelerators: 2, Estimate: time.Hour, LongRunning: true}
 	second := workflow.Step{Tasks: 1, Accelerators: 4, Estimate: 3 * time.Second, After: []int{0}}
 	const s = time.Second
+	// betweenRounds is no multiple of the 200 ms between two rounds of a planner, so that no
+	// round falls between two events at that time.
+	const betweenRounds = 1500 * time.Millisecond
 	tests := []struct {
 		name  string
 		steps []workflow.Step
@@ -258,12 +261,19 @@
 			want:   "0.0 render done, 0.1 render done",
 		},
 		{
-			name: "it runs, there and back", steps: []workflow.Step{four},
+			name: "it runs, there and back within a round", steps: []workflow.Step{four},
 			events: []moveEvent{
-				{2 * s, sendQueue(2, "other")}, {2 * s, sendQueue(3, "render")},
+				{betweenRounds, sendQueue(2, "other")}, {betweenRounds, sendQueue(3, "render")},
 			},
 			want: "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done",
 		},
+		{
+			name: "it runs, there and back", steps: []workflow.Step{four},
+			events: []moveEvent{
+				{betweenRounds, sendQueue(2, "other")}, {2 * s, sendQueue(3, "render")},
+			},
+			want: "0.0 render done, 0.1 render done, 0.2 other done, 0.3 other done",
+		},
 		{
 			name: "a part runs", steps: []workflow.Step{four},
 			events: []moveEvent{{2 * s, sendQueue(2, "other")}},
@@ -333,7 +343,7 @@
 		{
 			name: "the next planner has an older version, after it went there and back", steps: []workflow.Step{four},
 			events: []moveEvent{
-				{s, sendQueue(2, "other")}, {s, sendQueue(3, "render")}, {2 * s, replacePlannerKnowing(2, "other")},
+				{betweenRounds, sendQueue(2, "other")}, {betweenRounds, sendQueue(3, "render")}, {2 * s, replacePlannerKnowing(2, "other")},
 			},
 			want: "0.0 render done, 0.1 render done, 0.2 render done, 0.3 render done",
 		},
